Add the thin path from cassiahubctl to an upstream and back

Cause: the project starts; nothing existed.

Change: folders, core types, bounded rings, the supervisor tree, the pure decision core with a first-come policy, the fleet document, CivetWeb server and client, the entry daemon, stand-ins for platform and upstreams, and cassiahubctl with config check, config init and job submit.

--- /dev/null
+++ b/include/cassiahub/config.hpp
@@ -0,0 +1,12 @@
+#ifndef CASSIAHUB_CONFIG_HPP
+#define CASSIAHUB_CONFIG_HPP
+
+/// \file Umbrella header of the config module: INI documents and their checked forms.
+
+#include <cassiahub/config/error.hpp>
+#include <cassiahub/config/fleet_configuration.hpp>
+#include <cassiahub/config/fleet_document.hpp>
+#include <cassiahub/config/ini_document.hpp>
+#include <cassiahub/config/process_settings.hpp>
+
+#endif
--- /dev/null
+++ b/include/cassiahub/config/fleet_configuration.hpp
@@ -0,0 +1,93 @@
+#ifndef CASSIAHUB_CONFIG_FLEET_CONFIGURATION_HPP
+#define CASSIAHUB_CONFIG_FLEET_CONFIGURATION_HPP
+
+#include <cassiahub/config/dispatch_settings.hpp>
+#include <cassiahub/core/resources.hpp>
+#include <cassiahub/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cassiahub::config
+{
+
+/// A kind of work that operators define.
+struct work_kind
+{
+    std::string m_name;
+    std::string m_owner;
+    std::uint32_t m_urgency = 5;          ///< 0 is the most urgent, 9 the least
+    std::uint32_t m_share = 1;            ///< weight of the kind's part of the fleet
+    bool m_repeatable = false;            ///< a task may be attempted again
+    std::uint32_t m_queue_limit = 20'000; ///< queued tasks of the kind per instance
+    duration m_expected_run_time = std::chrono::milliseconds(300);
+};
+
+/// A customer with a weight inside each kind and a quota of tasks.
+struct tenant
+{
+    std::string m_name;
+    std::string m_owner;
+    std::uint32_t m_weight = 1;
+    std::uint32_t m_max_tasks = 10'000; ///< queued and running tasks per instance
+};
+
+/// One back end process with the guarded worker behind it.
+struct upstream
+{
+    std::string m_name;
+    std::string m_owner;
+    std::string m_address; ///< "ip:port"
+    std::string m_domain;
+    std::string m_rack;
+    std::uint32_t m_slots = 8;
+    std::uint32_t m_connections = 64;
+    resources m_capacity{16'000, 32'768, 0};
+};
+
+/// A failure domain and the region that contains it.
+struct failure_domain
+{
+    std::string m_name;
+    std::string m_owner;
+    std::string m_region;
+    std::uint32_t m_shards = 8; ///< key shards; fixed for the life of the domain
+};
+
+/// A team that may edit the sections that name it as owner.
+struct team
+{
+    std::string m_name;
+    std::string m_key_hash; ///< "sha256:<hex>"; the key itself is never stored
+};
+
+/// The checked form of the fleet document. Every reference inside it resolves, names
+/// are unique within their list, and lists are sorted by name.
+struct fleet_configuration
+{
+    std::uint64_t m_version = 0;
+    std::vector<team> m_teams;
+    std::vector<failure_domain> m_domains;
+    std::vector<work_kind> m_kinds;
+    std::vector<tenant> m_tenants;
+    std::vector<upstream> m_upstreams;
+    dispatch_settings m_dispatch;
+};
+
+/// \returns the kind called \p name, or nullptr. O(log n).
+work_kind const * find_kind(fleet_configuration const & configuration,
+                            std::string_view name) noexcept;
+
+/// \returns the tenant called \p name, or nullptr. O(log n).
+tenant const * find_tenant(fleet_configuration const & configuration,
+                           std::string_view name) noexcept;
+
+/// \returns the failure domain called \p name, or nullptr. O(log n).
+failure_domain const * find_domain(fleet_configuration const & configuration,
+                                   std::string_view name) noexcept;
+
+} // namespace cassiahub::config
+
+#endif
--- /dev/null
+++ b/include/cassiahub/core.hpp
@@ -0,0 +1,13 @@
+#ifndef CASSIAHUB_CORE_HPP
+#define CASSIAHUB_CORE_HPP
+
+/// \file Umbrella header of the core module: vocabulary types of every other module.
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/core/identifiers.hpp>
+#include <cassiahub/core/job.hpp>
+#include <cassiahub/core/random.hpp>
+#include <cassiahub/core/resources.hpp>
+#include <cassiahub/core/time.hpp>
+
+#endif
--- /dev/null
+++ b/include/cassiahub/core/error.hpp
@@ -0,0 +1,53 @@
+#ifndef CASSIAHUB_CORE_ERROR_HPP
+#define CASSIAHUB_CORE_ERROR_HPP
+
+#include <string_view>
+#include <system_error>
+
+namespace cassiahub
+{
+
+/// Reasons for which a job is refused or fails. The numeric values appear in logs and
+/// in peer messages, so existing ones never change.
+enum class job_errc
+{
+    malformed_request = 1,
+    unknown_tenant = 2,
+    unknown_kind = 3,
+    too_many_tasks = 4,
+    never_fits = 5,
+    queue_full = 6,
+    quota_exceeded = 7,
+    deadline_unreachable = 8,
+    deadline_exceeded = 9,
+    cancelled = 10,
+    task_failed = 11,
+    outcome_unknown = 12,
+    owner_unreachable = 13,
+    lease_lapsed = 14,
+    store_unavailable = 15,
+    key_expired = 16,
+    key_reused = 17,
+    draining = 18,
+    not_found = 19,
+    already_answered = 20,
+    no_configuration = 21,
+    overloaded = 22,
+    retries_exhausted = 23
+};
+
+std::error_category const & job_category() noexcept;
+std::error_code make_error_code(job_errc value) noexcept;
+
+/// \returns the stable snake_case name of \p value, as used in the "code" field of
+/// problem details and in logs.
+std::string_view to_string(job_errc value) noexcept;
+
+} // namespace cassiahub
+
+template <>
+struct std::is_error_code_enum<cassiahub::job_errc> : std::true_type
+{
+};
+
+#endif
--- /dev/null
+++ b/include/cassiahub/core/job.hpp
@@ -0,0 +1,56 @@
+#ifndef CASSIAHUB_CORE_JOB_HPP
+#define CASSIAHUB_CORE_JOB_HPP
+
+#include <cassiahub/core/identifiers.hpp>
+#include <cassiahub/core/resources.hpp>
+#include <cassiahub/core/time.hpp>
+
+#include <cstddef>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace cassiahub
+{
+
+/// Largest number of tasks in one job.
+constexpr std::size_t max_tasks_per_job = 230;
+
+/// One task as the caller submitted it.
+struct task_spec
+{
+    std::string m_payload;
+    resources m_demand;
+    duration m_declared_run_time{0};
+};
+
+/// One job as the caller submitted it. The time limit counts from the submission.
+struct job_spec
+{
+    job_key m_key;
+    std::string m_kind;
+    duration m_time_limit{0};
+    std::vector<task_spec> m_tasks;
+};
+
+/// Whether any task of a failed or refused job ran.
+enum class run_state
+{
+    no,
+    yes,
+    unknown
+};
+
+/// Final answer to one job. When m_error is clear, m_results holds one result for
+/// each task in submission order; otherwise m_results is empty.
+struct job_answer
+{
+    std::error_code m_error;
+    run_state m_ran = run_state::no;
+    duration m_retry_after{0};
+    std::vector<std::string> m_results;
+};
+
+} // namespace cassiahub
+
+#endif
--- /dev/null
+++ b/include/cassiahub/core/time.hpp
@@ -0,0 +1,33 @@
+#ifndef CASSIAHUB_CORE_TIME_HPP
+#define CASSIAHUB_CORE_TIME_HPP
+
+#include <chrono>
+#include <cstdint>
+
+namespace cassiahub
+{
+
+using duration = std::chrono::nanoseconds;
+
+/// Time scale of CLOCK_BOOTTIME, which goes on counting while the process or the
+/// instance is suspended. It has no now(): decisions receive the time as an argument.
+struct boot_time
+{
+    using duration = cassiahub::duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_time>;
+    static constexpr bool is_steady = true;
+};
+
+using time_point = boot_time::time_point;
+
+/// \returns \p value in whole milliseconds, rounded towards zero.
+constexpr std::int64_t to_milliseconds(duration value) noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+} // namespace cassiahub
+
+#endif
--- /dev/null
+++ b/include/cassiahub/ctl.hpp
@@ -0,0 +1,9 @@
+#ifndef CASSIAHUB_CTL_HPP
+#define CASSIAHUB_CTL_HPP
+
+/// \file Umbrella header of the ctl module: the commands of the operators' client.
+
+#include <cassiahub/ctl/config_commands.hpp>
+#include <cassiahub/ctl/job_commands.hpp>
+
+#endif
--- /dev/null
+++ b/include/cassiahub/entry.hpp
@@ -0,0 +1,8 @@
+#ifndef CASSIAHUB_ENTRY_HPP
+#define CASSIAHUB_ENTRY_HPP
+
+/// \file Umbrella header of the entry module: the daemon's supervisor tree.
+
+#include <cassiahub/entry/daemon.hpp>
+
+#endif
--- /dev/null
+++ b/include/cassiahub/entry/daemon.hpp
@@ -0,0 +1,20 @@
+#ifndef CASSIAHUB_ENTRY_DAEMON_HPP
+#define CASSIAHUB_ENTRY_DAEMON_HPP
+
+#include <cassiahub/config/process_settings.hpp>
+
+#include <stop_token>
+#include <system_error>
+
+namespace cassiahub::entry
+{
+
+/// Runs the daemon until \p stop is requested, then shuts down gracefully: callers that
+/// wait are answered first.
+/// \returns no error after a requested stop, otherwise why the daemon failed.
+std::error_code run_daemon(config::entry_settings const & settings,
+                           std::stop_token const & stop);
+
+} // namespace cassiahub::entry
+
+#endif
--- /dev/null
+++ b/include/cassiahub/http/client.hpp
@@ -0,0 +1,47 @@
+#ifndef CASSIAHUB_HTTP_CLIENT_HPP
+#define CASSIAHUB_HTTP_CLIENT_HPP
+
+#include <cassiahub/core/time.hpp>
+#include <cassiahub/http/error.hpp>
+#include <cassiahub/http/message.hpp>
+
+#include <memory>
+#include <string_view>
+#include <system_error>
+
+struct mg_connection;
+
+namespace cassiahub::http
+{
+
+struct connection_deleter
+{
+    void operator()(mg_connection * connection) const noexcept;
+};
+
+/// An open client connection. Used by one thread at a time.
+struct connection
+{
+    std::unique_ptr<mg_connection, connection_deleter> m_handle;
+    time_point m_idle_since;
+};
+
+/// Connects to \p address ("ip:port").
+/// \returns an empty handle and sets \p error on failure. Thread-safe.
+connection connect(std::string_view address, std::error_code & error);
+
+/// Sends \p sent and waits for the whole response.
+/// \param timeout longest time to wait for the response to begin.
+/// \returns no error, or send_failed when nothing was sent, or response_lost when the
+/// receiver may have acted. After an error \p used must be dropped.
+/// \pre used.m_handle
+std::error_code exchange(connection & used, request const & sent, std::string_view host,
+                         duration timeout, response & received);
+
+/// Connects, exchanges once and closes. Thread-safe.
+std::error_code exchange_once(std::string_view address, request const & sent,
+                              duration timeout, response & received);
+
+} // namespace cassiahub::http
+
+#endif
--- /dev/null
+++ b/include/cassiahub/http/server.hpp
@@ -0,0 +1,56 @@
+#ifndef CASSIAHUB_HTTP_SERVER_HPP
+#define CASSIAHUB_HTTP_SERVER_HPP
+
+#include <cassiahub/core/time.hpp>
+#include <cassiahub/http/message.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <stop_token>
+#include <string>
+#include <system_error>
+
+namespace cassiahub::http
+{
+
+/// Limits and addresses of a server.
+struct server_options
+{
+    std::string m_address; ///< "ip:port"
+    std::uint32_t m_threads = 16;
+    std::size_t m_max_body_bytes = 4 * 1024 * 1024;
+    /// Longest time for a client to send its request.
+    duration m_request_timeout = std::chrono::seconds(10);
+    /// Longest time for which an idle connection is kept.
+    duration m_keep_alive_timeout = std::chrono::seconds(20);
+};
+
+/// Called on a connection's thread for each whole request.
+using request_handler = std::function<response(request const &)>;
+
+struct server_state;
+
+struct server_deleter
+{
+    void operator()(server_state * state) const noexcept;
+};
+
+/// A running server; it stops when the pointer is reset.
+using server = std::unique_ptr<server_state, server_deleter>;
+
+/// Starts a server.
+/// \param error set to bind_failed when it cannot listen on the address.
+/// \returns an empty pointer on failure.
+server start_server(server_options options, request_handler handler,
+                    std::error_code & error);
+
+/// Waits until no request is being handled, at most \p limit. Requests that arrive
+/// meanwhile are still handled. Thread-safe.
+/// \returns true when none is left.
+bool wait_until_idle(server_state & state, duration limit);
+
+} // namespace cassiahub::http
+
+#endif
--- /dev/null
+++ b/include/cassiahub/platform/configuration_feed.hpp
@@ -0,0 +1,38 @@
+#ifndef CASSIAHUB_PLATFORM_CONFIGURATION_FEED_HPP
+#define CASSIAHUB_PLATFORM_CONFIGURATION_FEED_HPP
+
+#include <cassiahub/codec/platform_json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cassiahub::platform
+{
+
+/// Rows of the table that hold the fleet document, one for each section.
+constexpr std::string_view section_row_prefix = "config/section/";
+
+/// The sections read so far and the commit sequence up to which they are known. Only
+/// changed sections are read again: 0.22 changes/s of a whole document of the design
+/// size would cost a daemon more than its 9 KB/s.
+struct configuration_feed
+{
+    std::uint64_t m_sequence = 0;
+    std::map<std::string, decision::table_row, std::less<>> m_sections;
+};
+
+/// Merges what a read of section_row_prefix after m_sequence returned.
+/// \returns true when a section changed.
+bool merge_sections(configuration_feed & feed, codec::table_rows const & rows);
+
+/// \returns the document, with the sections in row order.
+std::string assemble_document(configuration_feed const & feed);
+
+/// \returns the version of the document: the highest version of a section.
+std::uint64_t document_version(configuration_feed const & feed) noexcept;
+
+} // namespace cassiahub::platform
+
+#endif
--- /dev/null
+++ b/include/cassiahub/runtime/boot_clock.hpp
@@ -0,0 +1,14 @@
+#ifndef CASSIAHUB_RUNTIME_BOOT_CLOCK_HPP
+#define CASSIAHUB_RUNTIME_BOOT_CLOCK_HPP
+
+#include <cassiahub/core/time.hpp>
+
+namespace cassiahub::runtime
+{
+
+/// \returns the current CLOCK_BOOTTIME. Thread-safe.
+time_point read_boot_clock() noexcept;
+
+} // namespace cassiahub::runtime
+
+#endif
--- /dev/null
+++ b/include/cassiahub/runtime/bounded_ring.hpp
@@ -0,0 +1,172 @@
+#ifndef CASSIAHUB_RUNTIME_BOUNDED_RING_HPP
+#define CASSIAHUB_RUNTIME_BOUNDED_RING_HPP
+
+#include <cassiahub/core/time.hpp>
+
+#include <boost/assert.hpp>
+#include <boost/circular_buffer.hpp>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <stop_token>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::runtime
+{
+
+/// Bounded first-in first-out queue between duties. A waiting thread blocks on a
+/// condition variable; no thread spins. Every method is thread-safe.
+template <typename T>
+class bounded_ring
+{
+public:
+    /// \param capacity largest number of items held.
+    /// \param wake_fd eventfd that is written when an item enters an empty ring, for a
+    /// consumer that waits in an event loop; -1 for none. Not owned.
+    /// \pre \p capacity > 0
+    explicit bounded_ring(std::size_t capacity, int wake_fd = -1)
+        : m_items(capacity), m_wake_fd(wake_fd)
+    {
+        BOOST_ASSERT(capacity > 0);
+    }
+
+    bounded_ring(bounded_ring const &) = delete;
+    bounded_ring & operator=(bounded_ring const &) = delete;
+
+    /// Appends \p item without waiting.
+    /// \returns false, leaving \p item untouched, when the ring is full or closed.
+    bool try_push(T && item)
+    {
+        bool was_empty = false;
+        {
+            std::lock_guard<std::mutex> const lock(m_mutex);
+            if (m_closed || m_items.full())
+            {
+                return false;
+            }
+            was_empty = m_items.empty();
+            m_items.push_back(std::move(item));
+        }
+        m_not_empty.notify_one();
+        if (was_empty)
+        {
+            wake_event_loop();
+        }
+        return true;
+    }
+
+    /// Appends \p item, waiting for room until \p stop is requested.
+    /// \returns false when the ring is closed or \p stop was requested first.
+    bool push(T && item, std::stop_token const & stop)
+    {
+        bool was_empty = false;
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_not_full.wait(lock, stop, [this] { return m_closed || !m_items.full(); });
+            if (m_closed || m_items.full())
+            {
+                return false;
+            }
+            was_empty = m_items.empty();
+            m_items.push_back(std::move(item));
+        }
+        m_not_empty.notify_one();
+        if (was_empty)
+        {
+            wake_event_loop();
+        }
+        return true;
+    }
+
+    /// Moves every item to the end of \p items, waiting at most \p timeout for the
+    /// first one. Draining in one call keeps wake-ups rare under load.
+    /// \returns the number of items moved; 0 on timeout, close or stop.
+    std::size_t pop_all(std::vector<T> & items, duration timeout,
+                        std::stop_token const & stop = {})
+    {
+        std::size_t count = 0;
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_not_empty.wait_for(lock, stop, timeout,
+                                 [this] { return m_closed || !m_items.empty(); });
+            count = m_items.size();
+            for (T & item : m_items)
+            {
+                items.push_back(std::move(item));
+            }
+            m_items.clear();
+        }
+        if (count > 0)
+        {
+            m_not_full.notify_all();
+        }
+        return count;
+    }
+
+    /// Removes the oldest item, waiting at most \p timeout for one.
+    /// \returns nothing on timeout, stop, or when the ring is closed and empty.
+    std::optional<T> pop(duration timeout, std::stop_token const & stop = {})
+    {
+        std::optional<T> item;
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            m_not_empty.wait_for(lock, stop, timeout,
+                                 [this] { return m_closed || !m_items.empty(); });
+            if (m_items.empty())
+            {
+                return item;
+            }
+            item.emplace(std::move(m_items.front()));
+            m_items.pop_front();
+        }
+        m_not_full.notify_one();
+        return item;
+    }
+
+    /// Makes every later push fail and wakes all waiting threads. Items already in the
+    /// ring can still be removed.
+    void close()
+    {
+        {
+            std::lock_guard<std::mutex> const lock(m_mutex);
+            m_closed = true;
+        }
+        m_not_empty.notify_all();
+        m_not_full.notify_all();
+        wake_event_loop();
+    }
+
+    /// \returns the number of items at the time of the call.
+    std::size_t size() const
+    {
+        std::lock_guard<std::mutex> const lock(m_mutex);
+        return m_items.size();
+    }
+
+private:
+    void wake_event_loop()
+    {
+        if (m_wake_fd >= 0)
+        {
+            std::uint64_t const one = 1;
+            // A full eventfd counter already wakes the reader, so the result is unused.
+            [[maybe_unused]] ssize_t const written = ::write(m_wake_fd, &one, sizeof one);
+        }
+    }
+
+    mutable std::mutex m_mutex;
+    std::condition_variable_any m_not_empty;
+    std::condition_variable_any m_not_full;
+    boost::circular_buffer<T> m_items;
+    int m_wake_fd;
+    bool m_closed = false;
+};
+
+} // namespace cassiahub::runtime
+
+#endif
--- /dev/null
+++ b/include/cassiahub/runtime/program.hpp
@@ -0,0 +1,27 @@
+#ifndef CASSIAHUB_RUNTIME_PROGRAM_HPP
+#define CASSIAHUB_RUNTIME_PROGRAM_HPP
+
+#include <functional>
+#include <stop_token>
+#include <string_view>
+#include <system_error>
+
+namespace cassiahub::runtime
+{
+
+// Exit codes shared by every program.
+constexpr int exit_success = 0;
+constexpr int exit_usage = 2;
+constexpr int exit_failed = 3;
+
+/// Runs the body of a daemon until SIGINT, SIGTERM or SIGHUP requests a stop, or until
+/// it returns by itself.
+/// \pre called from main() before any thread is started.
+/// \returns exit_success, or exit_failed after printing the error.
+int run_until_signal(
+    std::string_view program,
+    std::function<std::error_code(std::stop_token const &)> const & body);
+
+} // namespace cassiahub::runtime
+
+#endif
--- /dev/null
+++ b/include/cassiahub/standin.hpp
@@ -0,0 +1,10 @@
+#ifndef CASSIAHUB_STANDIN_HPP
+#define CASSIAHUB_STANDIN_HPP
+
+/// \file Umbrella header of the standin module: the platform and upstreams for tests.
+
+#include <cassiahub/standin/platform_server.hpp>
+#include <cassiahub/standin/table.hpp>
+#include <cassiahub/standin/upstream_server.hpp>
+
+#endif
--- /dev/null
+++ b/include/cassiahub/standin/platform_server.hpp
@@ -0,0 +1,26 @@
+#ifndef CASSIAHUB_STANDIN_PLATFORM_SERVER_HPP
+#define CASSIAHUB_STANDIN_PLATFORM_SERVER_HPP
+
+#include <cassiahub/core/time.hpp>
+
+#include <stop_token>
+#include <string>
+#include <system_error>
+
+namespace cassiahub::standin
+{
+
+/// Settings of the platform stand-in.
+struct platform_options
+{
+    std::string m_address = "127.0.0.1:8500";
+    duration m_write_delay = std::chrono::milliseconds(4); ///< of a synced write
+};
+
+/// Serves table, objects and instance list until \p stop is requested.
+std::error_code run_platform(platform_options const & options,
+                             std::stop_token const & stop);
+
+} // namespace cassiahub::standin
+
+#endif
--- /dev/null
+++ b/programs/cassiahub-entry.cpp
@@ -0,0 +1,61 @@
+/// \file The entry daemon: accepts jobs from callers and dispatches their tasks.
+
+#include <cassiahub/config.hpp>
+#include <cassiahub/entry.hpp>
+#include <cassiahub/runtime.hpp>
+
+#include <CLI/CLI.hpp>
+#include <civetweb.h>
+
+#include <iostream>
+#include <string>
+#include <utility>
+
+namespace
+{
+
+std::optional<cassiahub::config::entry_settings> load_settings(std::string const & path)
+{
+    std::string text;
+    if (std::error_code const error = cassiahub::config::read_file(path, text))
+    {
+        std::cerr << path << ": " << error.message() << '\n';
+        return std::nullopt;
+    }
+    std::vector<cassiahub::config::config_fault> faults;
+    auto settings = cassiahub::config::parse_entry_settings(text, faults);
+    for (cassiahub::config::config_fault const & fault : faults)
+    {
+        std::cerr << path << ": " << to_string(fault) << '\n';
+    }
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char ** argv)
+{
+    CLI::App app(
+        "cassiahub-entry: accepts jobs and dispatches their tasks to upstreams.\n"
+        "Exit codes: 0 stopped as asked, 2 bad settings, 3 failed.");
+    std::string settings_path;
+    bool check_only = false;
+    app.add_option("-s,--settings", settings_path, "INI file with the section [entry]")
+        ->required();
+    app.add_flag("--check", check_only, "check the settings and exit");
+    app.set_version_flag("--version", CASSIAHUB_VERSION);
+    CLI11_PARSE(app, argc, argv);
+    auto const settings = load_settings(settings_path);
+    if (!settings)
+    {
+        return cassiahub::runtime::exit_usage;
+    }
+    if (check_only)
+    {
+        return cassiahub::runtime::exit_success;
+    }
+    mg_init_library(MG_FEATURES_DEFAULT);
+    return cassiahub::runtime::run_until_signal(
+        "cassiahub-entry", [&settings](std::stop_token const & stop)
+        { return cassiahub::entry::run_daemon(*settings, stop); });
+}
--- /dev/null
+++ b/src/entry/listener_duty.cpp
@@ -0,0 +1,267 @@
+#include "entry/duties.hpp"
+
+#include <cassiahub/codec.hpp>
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/http.hpp>
+
+#include <fmt/format.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace cassiahub::entry
+{
+
+namespace internal
+{
+
+constexpr std::string_view jobs_path = "/v1/jobs";
+/// A caller's thread waits this much longer than the deadline for the decision duty,
+/// which answers every job at its deadline.
+constexpr duration answer_grace = std::chrono::seconds(5);
+constexpr duration query_timeout = std::chrono::seconds(5);
+/// For this time after a stop request new connections are still accepted and refused
+/// as not run, while the platform's balancer notices that /readyz has changed.
+constexpr duration linger_time = std::chrono::milliseconds(500);
+/// Longest job, and so the longest wait for the callers that are being served.
+constexpr duration drain_limit = std::chrono::minutes(10);
+
+/// The reply ring that one caller's thread uses for one request.
+class reply_lease
+{
+public:
+    explicit reply_lease(daemon_context & context)
+        : m_context(context), m_index(context.m_free_replies.pop(duration::zero()))
+    {
+    }
+
+    reply_lease(reply_lease const &) = delete;
+    reply_lease & operator=(reply_lease const &) = delete;
+
+    ~reply_lease()
+    {
+        if (m_index)
+        {
+            m_context.m_free_replies.try_push(std::uint32_t(*m_index));
+        }
+    }
+
+    bool is_held() const noexcept
+    {
+        return m_index.has_value();
+    }
+
+    /// \pre is_held()
+    std::uint32_t index() const noexcept
+    {
+        return *m_index;
+    }
+
+private:
+    daemon_context & m_context;
+    std::optional<std::uint32_t> m_index;
+};
+
+http::response make_problem(job_answer const & answer)
+{
+    int const status = codec::http_status(answer.m_error);
+    http::response made{status,
+                        "application/problem+json",
+                        {},
+                        codec::format_problem(status, answer.m_error, answer.m_ran)};
+    if (answer.m_retry_after > duration::zero())
+    {
+        // Retry-After counts whole seconds; rounding up never asks for a retry too early.
+        auto const seconds =
+            std::chrono::ceil<std::chrono::seconds>(answer.m_retry_after).count();
+        made.m_headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    return made;
+}
+
+http::response refuse(job_errc error)
+{
+    return make_problem({error, run_state::no, duration::zero(), {}});
+}
+
+http::response refuse_for_now(job_errc error)
+{
+    return make_problem({error, run_state::no, std::chrono::seconds(1), {}});
+}
+
+/// Waits for the answer that carries \p token; answers to earlier requests are dropped.
+job_answer wait_for_answer(reply_ring & replies, decision::caller_token token,
+                           duration timeout)
+{
+    time_point const limit = runtime::read_boot_clock() + timeout;
+    while (true)
+    {
+        duration const remaining = limit - runtime::read_boot_clock();
+        std::optional<caller_answer> reply =
+            replies.pop(std::max(remaining, duration::zero()));
+        if (reply && reply->m_caller == token)
+        {
+            return std::move(reply->m_answer);
+        }
+        if (!reply)
+        {
+            return {job_errc::outcome_unknown, run_state::unknown, {}, {}};
+        }
+    }
+}
+
+/// Numbers the requests, so that a late answer never reaches a later caller.
+std::uint64_t next_request_number()
+{
+    static std::atomic<std::uint32_t> counter{0};
+    return ++counter;
+}
+
+http::response ask_decision(daemon_context & context, decision::key_operation operation,
+                            job_spec spec)
+{
+    reply_lease const lease(context);
+    if (!lease.is_held())
+    {
+        return refuse_for_now(job_errc::overloaded);
+    }
+    decision::caller_token const token = next_request_number() << 32 | lease.index();
+    duration const timeout = operation == decision::key_operation::submit
+                                 ? spec.m_time_limit + answer_grace
+                                 : query_timeout;
+    job_key const key = spec.m_key;
+    if (!context.m_events.try_push(
+            decision::caller_request{token, operation, std::move(spec)}))
+    {
+        return refuse_for_now(job_errc::overloaded);
+    }
+    job_answer const answer =
+        wait_for_answer(context.m_replies[lease.index()], token, timeout);
+    if (answer.m_error)
+    {
+        return make_problem(answer);
+    }
+    return {200, "application/json", {}, codec::format_job_answer(key, answer)};
+}
+
+bool read_key(http::request const & received, std::string_view key, job_key & parsed)
+{
+    parsed.m_tenant = http::find_header(received.m_headers, codec::tenant_header);
+    parsed.m_home_domain =
+        http::find_header(received.m_headers, codec::home_domain_header);
+    parsed.m_key = key;
+    bool const home_is_valid =
+        parsed.m_home_domain.empty() || codec::is_valid_key(parsed.m_home_domain);
+    return codec::is_valid_key(parsed.m_tenant) && home_is_valid &&
+           codec::is_valid_key(parsed.m_key);
+}
+
+http::response submit_job(daemon_context & context, http::request const & received)
+{
+    job_spec spec;
+    if (!read_key(received, http::find_header(received.m_headers, codec::key_header),
+                  spec.m_key))
+    {
+        return refuse(job_errc::malformed_request);
+    }
+    if (std::error_code const error = codec::parse_job_body(received.m_body, spec))
+    {
+        return make_problem({error, run_state::no, duration::zero(), {}});
+    }
+    return ask_decision(context, decision::key_operation::submit, std::move(spec));
+}
+
+http::response serve_job(daemon_context & context, http::request const & received)
+{
+    job_spec spec;
+    std::string_view const key =
+        std::string_view(received.m_path).substr(jobs_path.size() + 1);
+    if (!read_key(received, key, spec.m_key))
+    {
+        return refuse(job_errc::malformed_request);
+    }
+    if (received.m_method == "GET")
+    {
+        return ask_decision(context, decision::key_operation::query, std::move(spec));
+    }
+    if (received.m_method == "DELETE")
+    {
+        return ask_decision(context, decision::key_operation::cancel, std::move(spec));
+    }
+    return {405, "text/plain", {{"Allow", "GET, DELETE"}}, "method not allowed\n"};
+}
+
+http::response serve_readiness(daemon_context & context, bool stopping)
+{
+    bool const ready = context.m_configuration_version != 0 && !stopping;
+    return {ready ? 200 : 503,
+            "application/json",
+            {},
+            fmt::format("{{\"ready\":{},\"configuration_version\":{}}}\n", ready,
+                        context.m_configuration_version.load())};
+}
+
+http::response serve(daemon_context & context, http::request const & received,
+                     bool stopping)
+{
+    if (received.m_path == jobs_path)
+    {
+        if (received.m_method != "POST")
+        {
+            return {405, "text/plain", {{"Allow", "POST"}}, "method not allowed\n"};
+        }
+        return submit_job(context, received);
+    }
+    if (received.m_path.starts_with("/v1/jobs/"))
+    {
+        return serve_job(context, received);
+    }
+    if (received.m_path == "/livez")
+    {
+        return {200, "text/plain", {}, "ok\n"};
+    }
+    if (received.m_path == "/readyz")
+    {
+        return serve_readiness(context, stopping);
+    }
+    return {404, "text/plain", {}, "not found\n"};
+}
+
+/// Blocks until \p stop is requested.
+void wait_until_stopped(std::stop_token const & stop)
+{
+    std::mutex mutex;
+    std::condition_variable_any stopped;
+    std::unique_lock<std::mutex> lock(mutex);
+    stopped.wait(lock, stop, [] { return false; });
+}
+
+} // namespace internal
+
+std::error_code run_listener(daemon_context & context, std::stop_token const & stop)
+{
+    http::server_options options;
+    options.m_address = context.m_settings.m_caller_address;
+    options.m_threads = context.m_settings.m_caller_threads;
+    options.m_max_body_bytes = std::size_t(context.m_settings.m_max_body_kib) * 1024;
+    std::error_code error;
+    http::server const server = http::start_server(
+        options,
+        [&context, &stop](http::request const & received)
+        { return internal::serve(context, received, stop.stop_requested()); },
+        error);
+    if (error)
+    {
+        return error;
+    }
+    internal::wait_until_stopped(stop);
+    // The decision duty refuses new jobs from now on and goes on with the others.
+    context.m_events.push(decision::drain_requested{}, {});
+    std::this_thread::sleep_for(internal::linger_time);
+    http::wait_until_idle(*server, internal::drain_limit);
+    return {};
+}
+
+} // namespace cassiahub::entry
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,134 @@
+#include <cassiahub/http/client.hpp>
+
+#include <civetweb.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <string>
+
+namespace cassiahub::http
+{
+
+namespace internal
+{
+
+constexpr std::size_t error_text_size = 128;
+
+bool split_address(std::string_view address, std::string & host, int & port)
+{
+    std::size_t const colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return false;
+    }
+    host = address.substr(0, colon);
+    std::string_view const digits = address.substr(colon + 1);
+    auto const result =
+        std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    return result.ec == std::errc() && port > 0 && port <= 65'535;
+}
+
+fmt::memory_buffer format_request(request const & sent, std::string_view host)
+{
+    fmt::memory_buffer text;
+    auto out = std::back_inserter(text);
+    fmt::format_to(out, "{} {}{}{} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n",
+                   sent.m_method, sent.m_path, sent.m_query.empty() ? "" : "?",
+                   sent.m_query, host, sent.m_body.size());
+    for (header const & field : sent.m_headers)
+    {
+        fmt::format_to(out, "{}: {}\r\n", field.m_name, field.m_value);
+    }
+    fmt::format_to(out, "\r\n{}", sent.m_body);
+    return text;
+}
+
+std::error_code read_response(mg_connection * handle, response & received)
+{
+    mg_response_info const & info = *mg_get_response_info(handle);
+    received = response();
+    received.m_status = info.status_code;
+    for (int index = 0; index < info.num_headers; ++index)
+    {
+        mg_header const & field = info.http_headers[index];
+        received.m_headers.push_back({field.name, field.value});
+    }
+    received.m_content_type = find_header(received.m_headers, "Content-Type");
+    char buffer[16 * 1024];
+    int count = 0;
+    // mg_read() on a response without a body would wait for the connection to close.
+    bool const has_body = info.content_length != 0;
+    while (has_body && (count = mg_read(handle, buffer, sizeof buffer)) > 0)
+    {
+        received.m_body.append(buffer, static_cast<std::size_t>(count));
+    }
+    bool const whole =
+        count == 0 && info.content_length >= 0 &&
+        received.m_body.size() == static_cast<std::size_t>(info.content_length);
+    return whole ? std::error_code() : make_error_code(http_errc::response_lost);
+}
+
+} // namespace internal
+
+void connection_deleter::operator()(mg_connection * connection) const noexcept
+{
+    mg_close_connection(connection);
+}
+
+connection connect(std::string_view address, std::error_code & error)
+{
+    std::string host;
+    int port = 0;
+    if (!internal::split_address(address, host, port))
+    {
+        error = http_errc::bad_address;
+        return {};
+    }
+    char error_text[internal::error_text_size] = {};
+    connection made;
+    made.m_handle.reset(
+        mg_connect_client(host.c_str(), port, 0, error_text, sizeof error_text));
+    error =
+        made.m_handle ? std::error_code() : make_error_code(http_errc::connect_failed);
+    return made;
+}
+
+std::error_code exchange(connection & used, request const & sent, std::string_view host,
+                         duration timeout, response & received)
+{
+    fmt::memory_buffer const text = internal::format_request(sent, host);
+    int const written = mg_write(used.m_handle.get(), text.data(), text.size());
+    if (written <= 0)
+    {
+        return http_errc::send_failed;
+    }
+    if (static_cast<std::size_t>(written) != text.size())
+    {
+        return http_errc::response_lost;
+    }
+    int const timeout_ms = static_cast<int>(std::max<std::int64_t>(
+        1, std::min<std::int64_t>(to_milliseconds(timeout), 3'600'000)));
+    char error_text[internal::error_text_size] = {};
+    if (mg_get_response(used.m_handle.get(), error_text, sizeof error_text, timeout_ms) <
+        0)
+    {
+        return http_errc::response_lost;
+    }
+    return internal::read_response(used.m_handle.get(), received);
+}
+
+std::error_code exchange_once(std::string_view address, request const & sent,
+                              duration timeout, response & received)
+{
+    std::error_code error;
+    connection made = connect(address, error);
+    if (error)
+    {
+        return error;
+    }
+    return exchange(made, sent, address, timeout, received);
+}
+
+} // namespace cassiahub::http
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,35 @@
+#include <cassiahub/http/message.hpp>
+
+#include <civetweb.h>
+#include <strings.h>
+
+#include <algorithm>
+
+namespace cassiahub::http
+{
+
+std::string_view find_header(std::span<header const> headers,
+                             std::string_view name) noexcept
+{
+    auto const found = std::find_if(headers.begin(), headers.end(),
+                                    [name](header const & candidate)
+                                    {
+                                        return candidate.m_name.size() == name.size() &&
+                                               strncasecmp(candidate.m_name.data(),
+                                                           name.data(), name.size()) == 0;
+                                    });
+    return found == headers.end() ? std::string_view() : found->m_value;
+}
+
+std::string query_value(std::string_view query, std::string_view name)
+{
+    // Longest value of a query parameter, in bytes; longer ones read as absent.
+    constexpr std::size_t max_length = 512;
+    std::string value(max_length, '\0');
+    int const length = mg_get_var(query.data(), query.size(), std::string(name).c_str(),
+                                  value.data(), value.size());
+    value.resize(length > 0 ? static_cast<std::size_t>(length) : 0);
+    return value;
+}
+
+} // namespace cassiahub::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,212 @@
+#include <cassiahub/http/error.hpp>
+#include <cassiahub/http/server.hpp>
+
+#include <civetweb.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <iterator>
+#include <mutex>
+#include <utility>
+
+namespace cassiahub::http
+{
+
+struct server_state
+{
+    server_options m_options;
+    request_handler m_handler;
+    mg_context * m_context = nullptr;
+    std::mutex m_mutex;
+    std::condition_variable m_idle;
+    std::size_t m_active = 0;
+};
+
+namespace internal
+{
+
+/// Counts a request as active for as long as it is handled and answered.
+class active_request
+{
+public:
+    explicit active_request(server_state & state) : m_state(state)
+    {
+        std::lock_guard<std::mutex> const lock(m_state.m_mutex);
+        ++m_state.m_active;
+    }
+
+    active_request(active_request const &) = delete;
+    active_request & operator=(active_request const &) = delete;
+
+    ~active_request()
+    {
+        std::lock_guard<std::mutex> const lock(m_state.m_mutex);
+        if (--m_state.m_active == 0)
+        {
+            m_state.m_idle.notify_all();
+        }
+    }
+
+private:
+    server_state & m_state;
+};
+
+enum class body_read
+{
+    whole,
+    too_large,
+    cut_off
+};
+
+body_read read_body(mg_connection * connection, long long content_length,
+                    std::size_t limit, std::string & body)
+{
+    if (content_length > 0 && static_cast<std::size_t>(content_length) > limit)
+    {
+        return body_read::too_large;
+    }
+    char buffer[16 * 1024];
+    int count = 0;
+    while ((count = mg_read(connection, buffer, sizeof buffer)) > 0)
+    {
+        if (body.size() + static_cast<std::size_t>(count) > limit)
+        {
+            return body_read::too_large;
+        }
+        body.append(buffer, static_cast<std::size_t>(count));
+    }
+    bool const whole =
+        count == 0 &&
+        (content_length < 0 || body.size() == static_cast<std::size_t>(content_length));
+    return whole ? body_read::whole : body_read::cut_off;
+}
+
+request make_request(mg_request_info const & info)
+{
+    request made;
+    made.m_method = info.request_method;
+    made.m_path = info.local_uri != nullptr ? info.local_uri : "";
+    made.m_query = info.query_string != nullptr ? info.query_string : "";
+    for (int index = 0; index < info.num_headers; ++index)
+    {
+        mg_header const & field = info.http_headers[index];
+        made.m_headers.push_back({field.name, field.value});
+    }
+    return made;
+}
+
+/// Writes \p answer with one call: separate segments for headers and body would cost
+/// 44 ms through Nagle's algorithm and delayed acknowledgements.
+void write_response(mg_connection * connection, response const & answer, bool keep_open)
+{
+    fmt::memory_buffer text;
+    auto out = std::back_inserter(text);
+    fmt::format_to(out,
+                   "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n"
+                   "Connection: {}\r\n",
+                   answer.m_status, mg_get_response_code_text(nullptr, answer.m_status),
+                   answer.m_content_type, answer.m_body.size(),
+                   keep_open ? "keep-alive" : "close");
+    for (header const & field : answer.m_headers)
+    {
+        fmt::format_to(out, "{}: {}\r\n", field.m_name, field.m_value);
+    }
+    fmt::format_to(out, "\r\n{}", answer.m_body);
+    mg_write(connection, text.data(), text.size());
+}
+
+bool wants_keep_alive(request const & received)
+{
+    std::string_view const value = find_header(received.m_headers, "Connection");
+    return !(value.size() == 5 && (value[0] == 'c' || value[0] == 'C'));
+}
+
+int handle_request(mg_connection * connection, void * user)
+{
+    auto & state = *static_cast<server_state *>(user);
+    active_request const active(state);
+    mg_request_info const & info = *mg_get_request_info(connection);
+    request received = make_request(info);
+    body_read const outcome =
+        read_body(connection, info.content_length, state.m_options.m_max_body_bytes,
+                  received.m_body);
+    if (outcome == body_read::cut_off)
+    {
+        mg_close_connection(connection);
+        return 499;
+    }
+    if (outcome == body_read::too_large)
+    {
+        write_response(connection, {413, "text/plain", {}, "request body too large\n"},
+                       false);
+        return 413;
+    }
+    response const answer = state.m_handler(received);
+    write_response(connection, answer, wants_keep_alive(received));
+    return answer.m_status;
+}
+
+mg_context * start_context(server_state & state)
+{
+    server_options const & options = state.m_options;
+    std::string const threads = std::to_string(options.m_threads);
+    std::string const request_timeout =
+        std::to_string(to_milliseconds(options.m_request_timeout));
+    std::string const keep_alive_timeout =
+        std::to_string(to_milliseconds(options.m_keep_alive_timeout));
+    char const * settings[] = {"listening_ports",
+                               options.m_address.c_str(),
+                               "num_threads",
+                               threads.c_str(),
+                               "request_timeout_ms",
+                               request_timeout.c_str(),
+                               "keep_alive_timeout_ms",
+                               keep_alive_timeout.c_str(),
+                               "enable_keep_alive",
+                               "yes",
+                               "tcp_nodelay",
+                               "1",
+                               "max_request_size",
+                               "16384",
+                               nullptr};
+    mg_callbacks callbacks{};
+    return mg_start(&callbacks, &state, settings);
+}
+
+} // namespace internal
+
+void server_deleter::operator()(server_state * state) const noexcept
+{
+    if (state->m_context != nullptr)
+    {
+        mg_stop(state->m_context);
+    }
+    delete state;
+}
+
+server start_server(server_options options, request_handler handler,
+                    std::error_code & error)
+{
+    server started(new server_state);
+    started->m_options = std::move(options);
+    started->m_handler = std::move(handler);
+    started->m_context = internal::start_context(*started);
+    if (started->m_context == nullptr)
+    {
+        error = http_errc::bind_failed;
+        return nullptr;
+    }
+    mg_set_request_handler(started->m_context, "**", internal::handle_request,
+                           started.get());
+    error.clear();
+    return started;
+}
+
+bool wait_until_idle(server_state & state, duration limit)
+{
+    std::unique_lock<std::mutex> lock(state.m_mutex);
+    return state.m_idle.wait_for(lock, limit, [&state] { return state.m_active == 0; });
+}
+
+} // namespace cassiahub::http
--- /dev/null
+++ b/src/peer/peer_protocol.capnp
@@ -0,0 +1,134 @@
+@0xd3a5f2c8b1e64a97;
+# Messages between entry instances. Field numbers never change; new fields are appended.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("cassiahub::peer_protocol");
+
+struct JobKey {
+  tenant @0 :Text;
+  homeDomain @1 :Text;
+  key @2 :Text;
+}
+
+struct AttemptId {
+  incarnation @0 :UInt64;
+  serial @1 :UInt64;
+}
+
+struct Resources {
+  millicores @0 :UInt32;
+  memoryMib @1 :UInt32;
+  accelerators @2 :UInt32;
+}
+
+struct FencingToken {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+}
+
+struct TaskSpec {
+  payload @0 :Data;
+  demand @1 :Resources;
+  declaredRunTimeNs @2 :Int64;
+}
+
+struct JobSpec {
+  key @0 :JobKey;
+  kind @1 :Text;
+  timeLimitNs @2 :Int64;
+  tasks @3 :List(TaskSpec);
+}
+
+struct JobAnswer {
+  errorCode @0 :Int32;      # job_errc, 0 for none
+  ran @1 :UInt8;            # run_state
+  retryAfterNs @2 :Int64;
+  results @3 :List(Data);
+}
+
+struct ForwardRequest {
+  request @0 :UInt64;
+  operation @1 :UInt8;      # key_operation
+  spec @2 :JobSpec;
+}
+
+struct RequestAnswered {
+  request @0 :UInt64;
+  answer @1 :JobAnswer;
+}
+
+struct ForwardTask {
+  attempt @0 :AttemptId;
+  job @1 :JobKey;
+  task @2 :UInt32;
+  kind @3 :Text;
+  payload @4 :Data;
+  demand @5 :Resources;
+  token @6 :FencingToken;
+  deadlineNs @7 :Int64;     # on the receiver's boot clock
+  sendBeforeNs @8 :Int64;   # on the receiver's boot clock
+}
+
+struct TaskReported {
+  attempt @0 :AttemptId;
+  outcome @1 :UInt8;        # attempt_outcome
+  payload @2 :Data;
+}
+
+struct PeerLoad {
+  freeSlots @0 :UInt32;
+  queuedTasks @1 :UInt32;
+}
+
+struct ShardHolding {
+  shard @0 :UInt32;
+  epoch @1 :UInt64;
+}
+
+struct Heartbeat {
+  incarnation @0 :UInt64;
+  domain @1 :Text;
+  peerAddress @2 :Text;
+  sentAtNs @3 :Int64;       # on the sender's boot clock
+  configurationVersion @4 :UInt64;
+  leaving @5 :Bool;
+  storeContact @6 :Bool;
+  holdings @7 :List(ShardHolding);
+  load @8 :PeerLoad;
+}
+
+struct KeyNotice {
+  request @0 :UInt64;
+  shard @1 :UInt32;
+  keys @2 :List(JobKey);
+}
+
+struct ConfigurationNotice {
+  version @0 :UInt64;
+  document @1 :Text;
+}
+
+struct Message {
+  union {
+    forwardRequest @0 :ForwardRequest;
+    requestAnswered @1 :RequestAnswered;
+    forwardTask @2 :ForwardTask;
+    taskReported @3 :TaskReported;
+    cancelTask @4 :AttemptId;
+    heartbeat @5 :Heartbeat;
+    loadReport @6 :PeerLoad;
+    keyNotice @7 :KeyNotice;
+    keyNoticeReceived @8 :UInt64;
+    configurationNotice @9 :ConfigurationNotice;
+  }
+}
+
+interface Peer {
+  deliver @0 (messages :List(Message)) -> ();
+  # Hands over messages in order. The answer means received, not carried out.
+}
+
+interface Entrance {
+  open @0 (secret :Data, instance :Text, incarnation :UInt64) -> (peer :Peer);
+  # Bootstrap capability of the internal port: nothing is reachable without the secret.
+}
