--- /dev/null
+++ b/src/telemetry/log.cpp
@@ -0,0 +1,103 @@
+#include <cassiahub/telemetry/log.hpp>
+
+#include <easylogging++.h>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace cassiahub::telemetry
+{
+
+namespace internal
+{
+
+std::string_view level_name(log_level level) noexcept
+{
+    switch (level)
+    {
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "error";
+}
+
+std::string utc_now()
+{
+    auto const now =
+        std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    auto const seconds = std::chrono::floor<std::chrono::seconds>(now);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds),
+                       (now - seconds).count());
+}
+
+} // namespace internal
+
+void configure_logging()
+{
+    el::Configurations configurations;
+    configurations.setToDefault();
+    configurations.setGlobally(el::ConfigurationType::Format, "%msg");
+    configurations.setGlobally(el::ConfigurationType::ToFile, "false");
+    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::reconfigureAllLoggers(configurations);
+}
+
+void write_log(log_level level, std::string_view instance, std::string_view code,
+               std::span<log_field const> fields)
+{
+    nlohmann::ordered_json line = {{"time", internal::utc_now()},
+                                   {"level", internal::level_name(level)},
+                                   {"instance", instance},
+                                   {"code", code}};
+    for (log_field const & field : fields)
+    {
+        line[std::string(field.m_name)] = field.m_value;
+    }
+    std::string const text =
+        line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    switch (level)
+    {
+    case log_level::info:
+        LOG(INFO) << text;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << text;
+        break;
+    case log_level::error:
+        LOG(ERROR) << text;
+        break;
+    }
+}
+
+log_permission admit_line(log_limiter & limiter, std::string_view code, time_point now)
+{
+    auto found = limiter.m_codes.find(code);
+    if (found == limiter.m_codes.end())
+    {
+        found = limiter.m_codes.emplace(code, code_budget{now, 0, 0}).first;
+    }
+    code_budget & budget = found->second;
+    if (now - budget.m_period_start >= limiter.m_period)
+    {
+        budget.m_period_start = now;
+        budget.m_written = 0;
+    }
+    if (budget.m_written >= limiter.m_lines_per_period)
+    {
+        ++budget.m_suppressed;
+        return {};
+    }
+    ++budget.m_written;
+    return {true, std::exchange(budget.m_suppressed, 0)};
+}
+
+} // namespace cassiahub::telemetry
