--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -44,10 +44,18 @@
 std::error_code check_admission(dispatch_state const & state, job_spec const & spec,
                                 time_point now);
 
+/// Counts a submission that was refused with \p error.
+void record_refusal(dispatch_state & state, std::error_code error);
+
 /// Queues every task of an admitted job.
 /// \pre check_admission() passed and no job with this key is present.
 void enqueue_job(dispatch_state & state, admitted_job job, time_point now);
 
+/// Moves the last time at which an attempt of the job may be sent, after its lease was
+/// renewed. A job whose time has passed when its turn comes fails with lease_lapsed.
+void extend_send_before(dispatch_state & state, job_key const & key,
+                        time_point send_before);
+
 /// Ends the job \p key as cancelled. O(tasks of the job); unknown keys are ignored.
 void cancel_job(dispatch_state & state, job_key const & key, time_point now,
                 effects & out);
--- /dev/null
+++ b/include/cassiahub/dispatch/run_time.hpp
@@ -0,0 +1,38 @@
+#ifndef CASSIAHUB_DISPATCH_RUN_TIME_HPP
+#define CASSIAHUB_DISPATCH_RUN_TIME_HPP
+
+#include <cassiahub/core/time.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace cassiahub::dispatch
+{
+
+/// Buckets of the run time histogram, four for each doubling from 1 ms to 65 s.
+constexpr std::size_t run_time_buckets = 64;
+
+/// Observed run times of one kind. Old observations lose weight by halving.
+struct run_time_estimate
+{
+    std::array<std::uint32_t, run_time_buckets> m_buckets{};
+    std::uint32_t m_count = 0;
+    double m_mean_seconds = 0;
+    time_point m_last_observation;
+};
+
+void observe_run_time(run_time_estimate & estimate, duration observed, time_point now);
+
+/// \returns the mean run time in seconds, or \p expected before the first observation.
+double mean_seconds(run_time_estimate const & estimate, duration expected) noexcept;
+
+/// \returns the upper bound of the bucket that holds the quantile \p fraction in [0, 1].
+/// \pre an observation was made
+duration run_time_quantile(run_time_estimate const & estimate, double fraction) noexcept;
+
+/// \returns true when there are enough recent observations to refuse work by them.
+bool is_established(run_time_estimate const & estimate, time_point now) noexcept;
+
+} // namespace cassiahub::dispatch
+
+#endif
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -4,23 +4,40 @@
 #include <cassiahub/config/fleet_configuration.hpp>
 #include <cassiahub/core/job.hpp>
 #include <cassiahub/dispatch/attempt.hpp>
+#include <cassiahub/dispatch/budget.hpp>
+#include <cassiahub/dispatch/capacity_index.hpp>
+#include <cassiahub/dispatch/counters.hpp>
+#include <cassiahub/dispatch/fair_queue.hpp>
+#include <cassiahub/dispatch/health.hpp>
+#include <cassiahub/dispatch/run_time.hpp>
+#include <cassiahub/dispatch/timer.hpp>
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cassiahub::dispatch
 {
 
+/// Index of an upstream that is none.
+constexpr std::uint32_t no_upstream = 0xffff'ffff;
+
 /// Progress of one task of a job.
 struct task_state
 {
     std::uint32_t m_attempts = 0;
+    std::uint32_t m_not_run = 0; ///< attempts that provably never started
+    std::uint32_t m_running = 0;
+    std::uint32_t m_last_upstream = no_upstream;
     bool m_done = false;
+    bool m_hedged = false;
     std::string m_result;
 };
 
@@ -33,33 +50,53 @@
     time_point m_send_before;
     std::vector<task_state> m_tasks;
     std::size_t m_done_count = 0;
-    bool m_started = false;
+    std::uint64_t m_serial = 0; ///< order of arrival
+    std::uint32_t m_kind = 0;
+    std::uint32_t m_tenant = 0;
+    std::uint32_t m_next_task = 0;       ///< first task that was never started
+    std::deque<std::uint32_t> m_retries; ///< tasks that are ready for another attempt
+    std::map<std::uint32_t, time_point> m_delayed; ///< tasks that wait before another
+    std::set<std::pair<std::uint32_t, attempt_id>> m_running; ///< by task
+    bool m_ran = false;          ///< some attempt is known to have run
+    bool m_may_have_run = false; ///< the outcome of some attempt is unknown
 };
 
-/// A task that waits for a slot.
-struct queued_task
+/// \returns the number of tasks of \p job that wait for a slot.
+inline std::size_t waiting_tasks(job_state const & job) noexcept
 {
-    job_key m_job;
-    std::uint32_t m_task = 0;
-};
+    return job.m_tasks.size() - job.m_next_task + job.m_retries.size();
+}
 
 /// An attempt that was ordered and has not been reported.
 struct running_attempt
 {
     job_key m_job;
     std::uint32_t m_task = 0;
-    std::string m_upstream;
+    std::uint32_t m_kind = 0;
+    std::uint32_t m_upstream = no_upstream; ///< none when it was forwarded
+    instance_id m_to;                       ///< peer that it was forwarded to, or empty
+    instance_id m_from;                     ///< peer that has forwarded it, or empty
     resources m_demand;
     time_point m_started;
+    time_point m_timeout;
+    time_point m_hedge_at; ///< zero when no hedge is due
+    double m_charge = 0;   ///< slot-seconds charged to the kind
+    bool m_probe = false;
+    bool m_cancelled = false; ///< nobody waits for its result; it keeps its slot
 };
 
 /// Slots and worker capacity of an upstream that this instance accounts for.
 struct upstream_state
 {
     config::upstream m_definition;
-    std::uint32_t m_free_slots = 0;
-    resources m_free;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_held = 0; ///< free slots that are not offered after a fast failure
+    resources m_used;
+    bool m_owned = true;
     bool m_leaving = false;
+    upstream_health m_health;
+    std::deque<std::pair<std::uint64_t, std::uint32_t>>
+        m_bound; ///< baseline: (job, task)
 };
 
 /// Room that another instance has reported.
@@ -77,11 +114,37 @@
     peer_load m_load;
 };
 
+/// What is known of another live instance.
+struct peer_state
+{
+    peer_capacity m_capacity;         ///< free slots less what was forwarded since
+    std::set<attempt_id> m_forwarded; ///< attempts that the peer runs for this instance
+    std::set<attempt_id> m_accepted;  ///< attempts of the peer that wait here
+};
+
 /// A task that another instance has forwarded to this one and that waits for a slot.
 struct forwarded_task
 {
     instance_id m_from;
     attempt_start m_start;
+    std::uint64_t m_serial = 0;
+    std::uint32_t m_kind = 0;
+    std::uint32_t m_tenant = 0;
+};
+
+/// Settings and statistics of one kind.
+struct kind_state
+{
+    config::work_kind m_definition;
+    run_time_estimate m_run_time;
+    std::size_t m_queued_tasks = 0; ///< local and forwarded tasks that wait
+};
+
+/// Settings and use of one tenant.
+struct tenant_state
+{
+    config::tenant m_definition;
+    std::size_t m_open_tasks = 0; ///< tasks of local jobs that are not done
 };
 
 /// Everything that dispatch decisions read and write. Owned by the decision thread.
@@ -90,13 +153,42 @@
     std::shared_ptr<config::fleet_configuration const> m_configuration;
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_next_serial = 1;
+    /// Failure domain of this instance; empty: every peer counts as local.
+    std::string m_domain;
+
     std::unordered_map<job_key, job_state> m_jobs;
+    std::unordered_map<std::uint64_t, job_key> m_job_keys; ///< by job_state::m_serial
     std::unordered_map<attempt_id, running_attempt> m_attempts;
-    std::map<std::uint32_t, std::deque<queued_task>> m_queues; ///< by urgency
-    std::map<std::string, upstream_state, std::less<>> m_upstreams;
-    std::map<instance_id, peer_capacity> m_peers;
-    std::deque<forwarded_task> m_forwarded;
-    std::uint64_t m_wasted_messages = 0;
+    timer_set m_timers;
+
+    std::vector<kind_state> m_kinds;
+    std::unordered_map<std::string, std::uint32_t> m_kind_index;
+    std::vector<tenant_state> m_tenants;
+    std::unordered_map<std::string, std::uint32_t> m_tenant_index;
+    fair_queue m_queue;
+    std::size_t m_queued_tasks = 0;
+
+    std::vector<upstream_state> m_upstreams;
+    std::map<std::string, std::uint32_t, std::less<>> m_upstream_index;
+    std::vector<std::uint32_t> m_unused_upstreams;
+    capacity_index m_room;
+    std::uint32_t m_offered_slots = 0; ///< sum of the slots in m_room
+    std::uint32_t m_owned_slots = 0;
+    std::uint32_t m_owned_count = 0;
+    std::uint32_t m_ejected_count = 0;       ///< ejected or probing
+    std::set<std::uint32_t> m_probe_targets; ///< probing upstreams without an attempt
+    result_window m_all_results;
+    std::vector<resources> m_largest_capacities; ///< no other capacity exceeds them
+
+    std::map<instance_id, peer_state> m_peers;
+    /// (other domain, minus free slots, instance): the first is the best target.
+    std::set<std::tuple<bool, std::int64_t, instance_id>> m_peer_order;
+    std::unordered_map<attempt_id, forwarded_task> m_forwarded;
+    std::unordered_set<attempt_id> m_finished_forwarded;
+
+    attempt_budget m_retry_budget;
+    attempt_budget m_hedge_budget;
+    dispatch_counters m_counters;
 };
 
 } // namespace cassiahub::dispatch
--- a/src/config/key_rules.cpp
+++ b/src/config/key_rules.cpp
@@ -157,6 +157,41 @@
 std::span<key_rule<dispatch_settings> const> dispatch_rules() noexcept
 {
     static constexpr key_rule<dispatch_settings> rules[] = {
+        {"policy", "fair or baseline", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             if (value == "fair")
+             {
+                 record.m_policy = dispatch_policy::fair;
+                 return true;
+             }
+             if (value == "baseline")
+             {
+                 record.m_policy = dispatch_policy::baseline;
+                 return true;
+             }
+             return false;
+         }},
+        {"ejection", "success_rate, consecutive_failures or none", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             if (value == "success_rate")
+             {
+                 record.m_ejection = ejection_policy::success_rate;
+                 return true;
+             }
+             if (value == "consecutive_failures")
+             {
+                 record.m_ejection = ejection_policy::consecutive_failures;
+                 return true;
+             }
+             if (value == "none")
+             {
+                 record.m_ejection = ejection_policy::none;
+                 return true;
+             }
+             return false;
+         }},
         {"max_attempts", "1 to 10", false,
          [](std::string_view value, dispatch_settings & record)
          {
@@ -167,6 +202,76 @@
          {
              return parse_number(value, 0, 100, record.m_retry_budget_percent);
          }},
+        {"retry_reserve", "0 to 1000", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 0, 1000, record.m_retry_reserve);
+         }},
+        {"retry_delay", "1ms to 1s", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_duration(value, 1ms, 1s, record.m_retry_delay);
+         }},
+        {"hedge_budget_percent", "0 to 100", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 0, 100, record.m_hedge_budget_percent);
+         }},
+        {"hedge_delay_percent", "100 to 1000", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 100, 1000, record.m_hedge_delay_percent);
+         }},
+        {"share_window", "0ms to 60s", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_duration(value, 0ms, 60s, record.m_share_window);
+         }},
+        {"ejection_window", "1s to 10min", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_duration(value, 1s, 10min, record.m_ejection_window);
+         }},
+        {"ejection_min_results", "1 to 1000", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 1, 1000, record.m_ejection_min_results);
+         }},
+        {"ejection_success_percent", "1 to 100", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 1, 100, record.m_ejection_success_percent);
+         }},
+        {"ejection_slow_percent", "150 to 10000", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 150, 10000, record.m_ejection_slow_percent);
+         }},
+        {"ejection_cap_percent", "0 to 90", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 0, 90, record.m_ejection_cap_percent);
+         }},
+        {"ejection_cooling", "100ms to 10min", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_duration(value, 100ms, 10min, record.m_ejection_cooling);
+         }},
+        {"breaker_threshold", "1 to 100", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_number(value, 1, 100, record.m_breaker_threshold);
+         }},
+        {"breaker_open_time", "100ms to 10min", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_duration(value, 100ms, 10min, record.m_breaker_open_time);
+         }},
+        {"attempt_timeout_margin", "100ms to 60s", false,
+         [](std::string_view value, dispatch_settings & record)
+         {
+             return parse_duration(value, 100ms, 60s, record.m_attempt_timeout_margin);
+         }},
         {"resubmission_window", "10s to 1440min", false,
          [](std::string_view value, dispatch_settings & record)
          {
--- /dev/null
+++ b/src/dispatch/admission.cpp
@@ -0,0 +1,133 @@
+#include "dispatch/shedding.hpp"
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+bool fits_some_worker(dispatch_state const & state, task_spec const & task)
+{
+    return std::any_of(
+        state.m_largest_capacities.begin(), state.m_largest_capacities.end(),
+        [&task](resources const & capacity) { return fits(task.m_demand, capacity); });
+}
+
+std::error_code check_size(dispatch_state const & state, job_spec const & spec)
+{
+    if (spec.m_tasks.empty() || spec.m_tasks.size() > max_tasks_per_job)
+    {
+        return job_errc::too_many_tasks;
+    }
+    bool const all_fit = std::all_of(spec.m_tasks.begin(), spec.m_tasks.end(),
+                                     [&state](task_spec const & task)
+                                     { return fits_some_worker(state, task); });
+    return all_fit ? std::error_code() : job_errc::never_fits;
+}
+
+std::error_code check_limits(dispatch_state const & state, job_spec const & spec,
+                             kind_state const & kind)
+{
+    std::size_t const count = spec.m_tasks.size();
+    if (kind.m_queued_tasks + count > kind.m_definition.m_queue_limit)
+    {
+        return job_errc::queue_full;
+    }
+    auto const tenant = state.m_tenant_index.find(spec.m_key.m_tenant);
+    tenant_state const & owner = state.m_tenants[tenant->second];
+    if (owner.m_open_tasks + count > owner.m_definition.m_max_tasks)
+    {
+        return job_errc::quota_exceeded;
+    }
+    return {};
+}
+
+/// Part of the owned slots that a kind is sure to get while it competes with the kinds
+/// that wait now.
+double guaranteed_slots(dispatch_state const & state, std::uint32_t kind_id)
+{
+    kind_queue const & queue = state.m_queue.m_kinds[kind_id];
+    double const share = queue.m_share;
+    double const active = static_cast<double>(state.m_queue.m_active_share) +
+                          (queue.m_item_count == 0 ? share : 0);
+    return std::max(1.0, state.m_owned_slots * share / active);
+}
+
+/// Time until the last waiting task of the kind starts, at the mean observed run time.
+duration expected_wait(dispatch_state const & state, std::uint32_t kind_id,
+                       std::size_t added)
+{
+    kind_state const & kind = state.m_kinds[kind_id];
+    double const slots = guaranteed_slots(state, kind_id);
+    double const before_last =
+        std::max(0.0, static_cast<double>(kind.m_queued_tasks + added) - slots);
+    double const mean =
+        mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(before_last * mean / slots));
+}
+
+std::error_code check_deadline(dispatch_state const & state, job_spec const & spec,
+                               std::uint32_t kind_id, time_point now)
+{
+    kind_state const & kind = state.m_kinds[kind_id];
+    if (spec.m_time_limit <= duration::zero())
+    {
+        return job_errc::deadline_unreachable;
+    }
+    if (!is_established(kind.m_run_time, now) || kind.m_queued_tasks == 0)
+    {
+        return {};
+    }
+    duration const needed =
+        expected_wait(state, kind_id, spec.m_tasks.size()) + shortest_run_time(kind, now);
+    return needed >= spec.m_time_limit ? job_errc::deadline_unreachable
+                                       : std::error_code();
+}
+
+} // namespace internal
+
+std::error_code check_admission(dispatch_state const & state, job_spec const & spec,
+                                time_point now)
+{
+    if (!state.m_configuration)
+    {
+        return job_errc::no_configuration;
+    }
+    if (config::find_tenant(*state.m_configuration, spec.m_key.m_tenant) == nullptr)
+    {
+        return job_errc::unknown_tenant;
+    }
+    if (config::find_kind(*state.m_configuration, spec.m_kind) == nullptr)
+    {
+        return job_errc::unknown_kind;
+    }
+    if (std::error_code const error = internal::check_size(state, spec))
+    {
+        return error;
+    }
+    std::uint32_t const kind = state.m_kind_index.at(spec.m_kind);
+    if (std::error_code const error =
+            internal::check_limits(state, spec, state.m_kinds[kind]))
+    {
+        return error;
+    }
+    return internal::check_deadline(state, spec, kind, now);
+}
+
+void record_refusal(dispatch_state & state, std::error_code error)
+{
+    auto const code = static_cast<std::size_t>(error.value());
+    if (error.category() == job_category() && code < job_errc_count)
+    {
+        ++state.m_counters.m_jobs_by_error[code];
+    }
+}
+
+} // namespace cassiahub::dispatch
--- /dev/null
+++ b/src/dispatch/attempts.cpp
@@ -0,0 +1,309 @@
+#include "dispatch/attempts.hpp"
+#include "dispatch/baseline.hpp"
+#include "dispatch/ejection.hpp"
+#include "dispatch/forwarding.hpp"
+#include "dispatch/hedging.hpp"
+#include "dispatch/jobs.hpp"
+#include "dispatch/retry.hpp"
+#include "dispatch/upstreams.hpp"
+
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+/// Longest time for which a fast failure withholds its slot.
+constexpr duration longest_hold = std::chrono::seconds(1);
+
+attempt_start describe_attempt(job_state const & job, std::uint32_t task, attempt_id id)
+{
+    attempt_start start;
+    start.m_attempt = id;
+    start.m_job = job.m_spec.m_key;
+    start.m_task = task;
+    start.m_kind = job.m_spec.m_kind;
+    start.m_payload = job.m_spec.m_tasks[task].m_payload;
+    start.m_demand = job.m_spec.m_tasks[task].m_demand;
+    start.m_token = job.m_token;
+    start.m_deadline = job.m_deadline;
+    start.m_send_before = job.m_send_before;
+    return start;
+}
+
+running_attempt record_of(dispatch_state const & state, attempt_start const & start,
+                          std::uint32_t kind, time_point now)
+{
+    running_attempt attempt;
+    attempt.m_job = start.m_job;
+    attempt.m_task = start.m_task;
+    attempt.m_kind = kind;
+    attempt.m_demand = start.m_demand;
+    attempt.m_started = now;
+    attempt.m_timeout = std::max(start.m_deadline, now) +
+                        state.m_configuration->m_dispatch.m_attempt_timeout_margin;
+    return attempt;
+}
+
+/// Charges the service, takes the slot and orders the start.
+void start_on_upstream(dispatch_state & state, attempt_start start,
+                       running_attempt & attempt, std::uint32_t tenant,
+                       std::uint32_t upstream_id, effects & out)
+{
+    kind_state const & kind = state.m_kinds[attempt.m_kind];
+    upstream_state & upstream = state.m_upstreams[upstream_id];
+    attempt.m_upstream = upstream_id;
+    attempt.m_charge =
+        mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
+    if (state.m_queue.m_kinds[attempt.m_kind].m_tenants.contains(tenant))
+    {
+        charge_service(state.m_queue, attempt.m_kind, tenant, attempt.m_charge);
+    }
+    attempt.m_probe = upstream.m_health.m_phase == health_phase::probing;
+    upstream.m_health.m_probe_running |= attempt.m_probe;
+    occupy_slot(state, upstream_id, attempt.m_demand);
+    start.m_upstream = upstream.m_definition.m_name;
+    start.m_upstream_address = upstream.m_definition.m_address;
+    out.m_starts.push_back(std::move(start));
+}
+
+void register_attempt(dispatch_state & state, attempt_id const & id,
+                      running_attempt attempt)
+{
+    state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    state.m_attempts.emplace(id, std::move(attempt));
+}
+
+void count_attempt(dispatch_state & state, job_state & job, std::uint32_t task,
+                   attempt_role role)
+{
+    config::dispatch_settings const & settings = state.m_configuration->m_dispatch;
+    task_state & entry = job.m_tasks[task];
+    if (entry.m_attempts == 0)
+    {
+        ++state.m_counters.m_first_attempts;
+        earn(state.m_retry_budget, settings.m_retry_budget_percent,
+             settings.m_retry_reserve);
+        earn(state.m_hedge_budget, settings.m_hedge_budget_percent, hedge_reserve);
+    }
+    else
+    {
+        ++(role == attempt_role::hedge ? state.m_counters.m_hedges
+                                       : state.m_counters.m_retries);
+    }
+    ++entry.m_attempts;
+    ++entry.m_running;
+}
+
+void start_attempt(dispatch_state & state, job_state & job, std::uint32_t task,
+                   attempt_target const & target, attempt_role role, time_point now,
+                   effects & out)
+{
+    attempt_id const id{state.m_incarnation, state.m_next_serial++};
+    attempt_start start = describe_attempt(job, task, id);
+    running_attempt attempt = record_of(state, start, job.m_kind, now);
+    count_attempt(state, job, task, role);
+    job.m_running.emplace(task, id);
+    if (target.m_peer.m_value.empty())
+    {
+        job.m_tasks[task].m_last_upstream = target.m_upstream;
+        start_on_upstream(state, std::move(start), attempt, job.m_tenant,
+                          target.m_upstream, out);
+    }
+    else
+    {
+        attempt.m_to = target.m_peer;
+        forward_attempt(state, target.m_peer, std::move(start), out);
+    }
+    schedule_hedge(state, job, attempt, id, now);
+    register_attempt(state, id, std::move(attempt));
+}
+
+void start_forwarded(dispatch_state & state, forwarded_task task, std::uint32_t upstream,
+                     time_point now, effects & out)
+{
+    attempt_id const id = task.m_start.m_attempt;
+    running_attempt attempt = record_of(state, task.m_start, task.m_kind, now);
+    attempt.m_from = task.m_from;
+    start_on_upstream(state, std::move(task.m_start), attempt, task.m_tenant, upstream,
+                      out);
+    register_attempt(state, id, std::move(attempt));
+}
+
+void cancel_attempt(dispatch_state & state, attempt_id const & id, effects & out)
+{
+    running_attempt & attempt = state.m_attempts.at(id);
+    if (attempt.m_cancelled)
+    {
+        return;
+    }
+    attempt.m_cancelled = true;
+    state.m_timers.erase({attempt.m_hedge_at, timer_kind::hedge_due, id});
+    if (!attempt.m_to.m_value.empty())
+    {
+        out.m_forward_cancels.push_back({attempt.m_to, id});
+    }
+    else
+    {
+        out.m_cancels.push_back(
+            {id, state.m_upstreams[attempt.m_upstream].m_definition.m_address});
+    }
+}
+
+/// Learns the run time and the health of the upstream from a finished attempt.
+void learn_from(dispatch_state & state, running_attempt const & attempt,
+                attempt_outcome outcome, time_point now)
+{
+    kind_state & kind = state.m_kinds[attempt.m_kind];
+    double const mean =
+        mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
+    duration const elapsed = now - attempt.m_started;
+    double const seconds = std::chrono::duration<double>(elapsed).count();
+    bool const succeeded = outcome == attempt_outcome::succeeded;
+    if (succeeded)
+    {
+        observe_run_time(kind.m_run_time, elapsed, now);
+    }
+    if (!attempt.m_cancelled || succeeded)
+    {
+        record_evidence(state, attempt.m_upstream,
+                        {succeeded, attempt.m_probe, seconds / std::max(mean, 0.001)},
+                        now);
+    }
+    // A failure that comes sooner than a result would must not attract more work.
+    duration const usual = std::min(
+        longest_hold,
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(mean)));
+    if (!succeeded && !attempt.m_cancelled && elapsed < usual && !is_baseline(state))
+    {
+        hold_slot(state, attempt.m_upstream, attempt.m_started + usual);
+    }
+}
+
+void leave_upstream(dispatch_state & state, running_attempt const & attempt,
+                    attempt_result const & result, time_point now)
+{
+    upstream_state & upstream = state.m_upstreams[attempt.m_upstream];
+    if (attempt.m_probe)
+    {
+        upstream.m_health.m_probe_running = false;
+    }
+    upstream.m_leaving |= result.m_upstream_leaving;
+    learn_from(state, attempt, result.m_outcome, now);
+    double const actual = std::chrono::duration<double>(now - attempt.m_started).count();
+    correct_charge(state.m_queue, attempt.m_kind, actual - attempt.m_charge);
+    vacate_slot(state, attempt.m_upstream, attempt.m_demand);
+}
+
+/// Counts a result that nobody waits for. A cancellation that came in time wastes none.
+void count_unwanted(dispatch_state & state, attempt_outcome outcome)
+{
+    if (outcome != attempt_outcome::not_run)
+    {
+        ++state.m_counters.m_late_results;
+    }
+}
+
+running_attempt take_attempt(dispatch_state & state, attempt_id const & id)
+{
+    auto const found = state.m_attempts.find(id);
+    running_attempt attempt = std::move(found->second);
+    state.m_attempts.erase(found);
+    state.m_timers.erase({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    state.m_timers.erase({attempt.m_hedge_at, timer_kind::hedge_due, id});
+    return attempt;
+}
+
+/// Stops the other attempts of a task that is done.
+void cancel_others(dispatch_state & state, job_state & job, std::uint32_t task,
+                   effects & out)
+{
+    auto next = job.m_running.lower_bound({task, attempt_id{}});
+    while (next != job.m_running.end() && next->first == task)
+    {
+        cancel_attempt(state, next->second, out);
+        next = job.m_running.erase(next);
+    }
+    job.m_tasks[task].m_running = 0;
+}
+
+void complete_task(dispatch_state & state, job_state & job, std::uint32_t task,
+                   std::string payload, effects & out)
+{
+    ++state.m_counters.m_useful_results;
+    task_state & entry = job.m_tasks[task];
+    entry.m_done = true;
+    entry.m_result = std::move(payload);
+    job.m_ran = true;
+    cancel_others(state, job, task, out);
+    --state.m_tenants[job.m_tenant].m_open_tasks;
+    if (++job.m_done_count == job.m_tasks.size())
+    {
+        finish_job(state, job, complete_answer(job), out);
+    }
+}
+
+void apply_to_job(dispatch_state & state, running_attempt const & attempt,
+                  attempt_result result, time_point now, random_source & random,
+                  effects & out)
+{
+    job_state & job = state.m_jobs.at(attempt.m_job);
+    job.m_running.erase({attempt.m_task, result.m_attempt});
+    --job.m_tasks[attempt.m_task].m_running;
+    if (result.m_outcome == attempt_outcome::succeeded)
+    {
+        complete_task(state, job, attempt.m_task, std::move(result.m_payload), out);
+    }
+    else
+    {
+        handle_unsuccessful(state, job, attempt.m_task, result.m_outcome, now, random,
+                            out);
+    }
+}
+
+void settle_attempt(dispatch_state & state, attempt_result result, time_point now,
+                    random_source & random, effects & out)
+{
+    running_attempt const attempt = take_attempt(state, result.m_attempt);
+    if (attempt.m_upstream != no_upstream)
+    {
+        leave_upstream(state, attempt, result, now);
+    }
+    if (!attempt.m_from.m_value.empty())
+    {
+        remember_forwarded(state, result.m_attempt, attempt.m_timeout);
+        out.m_forward_results.push_back({attempt.m_from, std::move(result)});
+        return;
+    }
+    if (!attempt.m_to.m_value.empty())
+    {
+        forget_peer_attempt(state, attempt.m_to, result.m_attempt);
+    }
+    if (attempt.m_cancelled)
+    {
+        count_unwanted(state, result.m_outcome);
+        return;
+    }
+    apply_to_job(state, attempt, std::move(result), now, random, out);
+}
+
+} // namespace internal
+
+void finish_attempt(dispatch_state & state, attempt_result result, time_point now,
+                    random_source & random, effects & out)
+{
+    if (!state.m_attempts.contains(result.m_attempt))
+    {
+        ++state.m_counters.m_duplicate_results;
+        return;
+    }
+    internal::settle_attempt(state, std::move(result), now, random, out);
+}
+
+} // namespace cassiahub::dispatch
--- /dev/null
+++ b/src/dispatch/cancellation.cpp
@@ -0,0 +1,20 @@
+#include "dispatch/attempts.hpp"
+#include "dispatch/jobs.hpp"
+
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+namespace cassiahub::dispatch
+{
+
+void cancel_job(dispatch_state & state, job_key const & key, time_point, effects & out)
+{
+    auto const found = state.m_jobs.find(key);
+    if (found != state.m_jobs.end())
+    {
+        job_state & job = found->second;
+        internal::finish_job(state, job,
+                             internal::failed_answer(job, job_errc::cancelled), out);
+    }
+}
+
+} // namespace cassiahub::dispatch
--- /dev/null
+++ b/src/dispatch/capacity_index.cpp
@@ -0,0 +1,115 @@
+#include <cassiahub/dispatch/capacity_index.hpp>
+
+#include <algorithm>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+/// Nodes that one search may visit. Dimensions that peak on different upstreams can
+/// lead the search astray; the bound keeps the cost of a decision constant.
+constexpr std::uint32_t visit_limit = 256;
+
+bool has_room(offered_room const & room, resources const & demand)
+{
+    return room.m_slots > 0 && fits(demand, room.m_free);
+}
+
+offered_room larger(offered_room const & left, offered_room const & right)
+{
+    return {std::max(left.m_slots, right.m_slots),
+            {std::max(left.m_free.m_millicores, right.m_free.m_millicores),
+             std::max(left.m_free.m_memory_mib, right.m_free.m_memory_mib),
+             std::max(left.m_free.m_accelerators, right.m_free.m_accelerators)}};
+}
+
+/// Arguments of the search that stay the same on every level.
+struct room_search
+{
+    capacity_index const & m_index;
+    resources const & m_demand;
+    std::uint32_t m_avoid;
+    std::uint64_t m_turns; ///< one random bit a level
+    std::uint32_t m_visits = 0;
+};
+
+std::optional<std::uint32_t> search_node(room_search & search, std::size_t node)
+{
+    if (++search.m_visits > visit_limit ||
+        !has_room(search.m_index.m_nodes[node], search.m_demand))
+    {
+        return std::nullopt;
+    }
+    if (node >= search.m_index.m_leaves)
+    {
+        auto const leaf = static_cast<std::uint32_t>(node - search.m_index.m_leaves);
+        return leaf == search.m_avoid ? std::nullopt : std::optional(leaf);
+    }
+    std::size_t const first = search.m_turns & 1;
+    search.m_turns >>= 1;
+    if (auto const found = search_node(search, 2 * node + first))
+    {
+        return found;
+    }
+    return search_node(search, 2 * node + 1 - first);
+}
+
+} // namespace internal
+
+void grow_index(capacity_index & index, std::size_t count)
+{
+    if (count <= index.m_leaves)
+    {
+        return;
+    }
+    std::size_t leaves = std::max<std::size_t>(index.m_leaves, 1);
+    while (leaves < count)
+    {
+        leaves *= 2;
+    }
+    capacity_index grown{leaves, std::vector<offered_room>(2 * leaves)};
+    for (std::size_t leaf = 0; leaf < index.m_leaves; ++leaf)
+    {
+        set_room(grown, static_cast<std::uint32_t>(leaf),
+                 index.m_nodes[index.m_leaves + leaf]);
+    }
+    index = std::move(grown);
+}
+
+void set_room(capacity_index & index, std::uint32_t leaf, offered_room room)
+{
+    std::size_t node = index.m_leaves + leaf;
+    index.m_nodes[node] = room;
+    while (node > 1)
+    {
+        node /= 2;
+        offered_room const merged =
+            internal::larger(index.m_nodes[2 * node], index.m_nodes[2 * node + 1]);
+        if (merged == index.m_nodes[node])
+        {
+            return;
+        }
+        index.m_nodes[node] = merged;
+    }
+}
+
+std::optional<std::uint32_t> find_room(capacity_index const & index,
+                                       resources const & demand, std::uint32_t avoid,
+                                       random_source & random)
+{
+    if (index.m_leaves == 0)
+    {
+        return std::nullopt;
+    }
+    internal::room_search search{index, demand, avoid, random()};
+    return internal::search_node(search, 1);
+}
+
+bool has_slot(capacity_index const & index) noexcept
+{
+    return index.m_leaves > 0 && index.m_nodes[1].m_slots > 0;
+}
+
+} // namespace cassiahub::dispatch
--- /dev/null
+++ b/src/dispatch/forwarding.cpp
@@ -0,0 +1,178 @@
+#include "dispatch/attempts.hpp"
+#include "dispatch/baseline.hpp"
+#include "dispatch/forwarding.hpp"
+#include "dispatch/jobs.hpp"
+
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+std::tuple<bool, std::int64_t, instance_id> order_of(dispatch_state const & state,
+                                                     peer_capacity const & peer)
+{
+    bool const other_domain = !state.m_domain.empty() && peer.m_domain != state.m_domain;
+    return {other_domain, -std::int64_t(peer.m_load.m_free_slots), peer.m_instance};
+}
+
+/// Lists a peer among the targets while it has free slots.
+void list_peer(dispatch_state & state, peer_capacity const & peer)
+{
+    if (peer.m_load.m_free_slots > 0)
+    {
+        state.m_peer_order.insert(order_of(state, peer));
+    }
+}
+
+instance_id const * best_peer(dispatch_state const & state)
+{
+    return state.m_peer_order.empty() ? nullptr
+                                      : &std::get<2>(*state.m_peer_order.begin());
+}
+
+void forward_attempt(dispatch_state & state, instance_id const & peer,
+                     attempt_start start, effects & out)
+{
+    peer_state & target = state.m_peers.at(peer);
+    state.m_peer_order.erase(order_of(state, target.m_capacity));
+    --target.m_capacity.m_load.m_free_slots;
+    list_peer(state, target.m_capacity);
+    target.m_forwarded.insert(start.m_attempt);
+    ++state.m_counters.m_forwards;
+    out.m_forwards.push_back({target.m_capacity.m_instance, std::move(start)});
+}
+
+void forget_peer_attempt(dispatch_state & state, instance_id const & peer,
+                         attempt_id const & id)
+{
+    auto const found = state.m_peers.find(peer);
+    if (found != state.m_peers.end())
+    {
+        found->second.m_forwarded.erase(id);
+    }
+}
+
+forwarded_task take_forwarded(dispatch_state & state, attempt_id const & id)
+{
+    auto const found = state.m_forwarded.find(id);
+    forwarded_task task = std::move(found->second);
+    state.m_forwarded.erase(found);
+    remove_item(state.m_queue, task.m_kind, task.m_tenant, {false, task.m_serial});
+    count_waiting(state, task.m_kind, -1);
+    state.m_timers.erase({task.m_start.m_send_before, timer_kind::forwarded_expiry, id});
+    auto const peer = state.m_peers.find(task.m_from);
+    if (peer != state.m_peers.end())
+    {
+        peer->second.m_accepted.erase(id);
+    }
+    return task;
+}
+
+void refuse_forwarded(dispatch_state & state, attempt_id const & id, effects & out)
+{
+    forwarded_task const task = take_forwarded(state, id);
+    remember_forwarded(state, id,
+                       task.m_start.m_deadline +
+                           state.m_configuration->m_dispatch.m_attempt_timeout_margin);
+    out.m_forward_results.push_back(
+        {task.m_from, {id, attempt_outcome::not_run, "", false}});
+}
+
+void remember_forwarded(dispatch_state & state, attempt_id const & id, time_point until)
+{
+    state.m_finished_forwarded.insert(id);
+    state.m_timers.insert({until, timer_kind::forget_forwarded, id});
+}
+
+} // namespace internal
+
+void set_peer(dispatch_state & state, peer_capacity peer)
+{
+    peer_state & known = state.m_peers[peer.m_instance];
+    state.m_peer_order.erase(internal::order_of(state, known.m_capacity));
+    known.m_capacity = std::move(peer);
+    internal::list_peer(state, known.m_capacity);
+}
+
+void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
+                 random_source & random, effects & out)
+{
+    auto const found = state.m_peers.find(instance);
+    if (found == state.m_peers.end())
+    {
+        return;
+    }
+    peer_state const gone = std::move(found->second);
+    state.m_peer_order.erase(internal::order_of(state, gone.m_capacity));
+    state.m_peers.erase(found);
+    for (attempt_id const & id : gone.m_accepted)
+    {
+        internal::take_forwarded(state, id);
+    }
+    for (attempt_id const & id : gone.m_forwarded)
+    {
+        internal::settle_attempt(state, {id, attempt_outcome::unknown, "", false}, now,
+                                 random, out);
+    }
+}
+
+void accept_forwarded(dispatch_state & state, instance_id const & from,
+                      attempt_start task, time_point)
+{
+    attempt_id const id = task.m_attempt;
+    if (state.m_forwarded.contains(id) || state.m_attempts.contains(id) ||
+        state.m_finished_forwarded.contains(id))
+    {
+        return;
+    }
+    forwarded_task entry;
+    entry.m_from = from;
+    entry.m_serial = state.m_next_serial++;
+    entry.m_kind = internal::kind_index(state, task.m_kind);
+    entry.m_tenant = internal::tenant_index(state, task.m_job.m_tenant);
+    entry.m_start = std::move(task);
+    std::uint32_t const weight = state.m_tenants[entry.m_tenant].m_definition.m_weight;
+    insert_item(state.m_queue, entry.m_kind, entry.m_tenant, weight,
+                {false, entry.m_serial}, {{}, id});
+    internal::count_waiting(state, entry.m_kind, 1);
+    state.m_timers.insert(
+        {entry.m_start.m_send_before, timer_kind::forwarded_expiry, id});
+    auto const peer = state.m_peers.find(from);
+    if (peer != state.m_peers.end())
+    {
+        peer->second.m_accepted.insert(id);
+    }
+    state.m_forwarded.emplace(id, std::move(entry));
+}
+
+void cancel_forwarded(dispatch_state & state, attempt_id const & attempt, time_point,
+                      effects & out)
+{
+    if (state.m_forwarded.contains(attempt))
+    {
+        internal::refuse_forwarded(state, attempt, out);
+        return;
+    }
+    auto const running = state.m_attempts.find(attempt);
+    if (running != state.m_attempts.end() && !running->second.m_from.m_value.empty())
+    {
+        internal::cancel_attempt(state, attempt, out);
+    }
+}
+
+peer_load current_load(dispatch_state const & state)
+{
+    peer_load load;
+    auto const queued = static_cast<std::uint32_t>(state.m_queued_tasks);
+    load.m_free_slots = state.m_offered_slots - std::min(state.m_offered_slots, queued);
+    load.m_queued_tasks = queued;
+    return load;
+}
+
+} // namespace cassiahub::dispatch
--- /dev/null
+++ b/src/dispatch/forwarding.hpp
@@ -0,0 +1,35 @@
+#ifndef CASSIAHUB_DISPATCH_FORWARDING_HPP
+#define CASSIAHUB_DISPATCH_FORWARDING_HPP
+
+#include <cassiahub/dispatch/effects.hpp>
+#include <cassiahub/dispatch/state.hpp>
+
+namespace cassiahub::dispatch::internal
+{
+
+/// \returns the peer to forward to, in the local domain first, or nullptr when none is
+/// known to have a free slot.
+instance_id const * best_peer(dispatch_state const & state);
+
+/// Sends \p start to \p peer and counts one of its free slots as taken.
+void forward_attempt(dispatch_state & state, instance_id const & peer,
+                     attempt_start start, effects & out);
+
+/// Ends the record that \p peer runs \p id.
+void forget_peer_attempt(dispatch_state & state, instance_id const & peer,
+                         attempt_id const & id);
+
+/// Takes a forwarded task out of the queue.
+/// \pre the task waits here
+forwarded_task take_forwarded(dispatch_state & state, attempt_id const & id);
+
+/// Reports a forwarded task that waits here as not run.
+void refuse_forwarded(dispatch_state & state, attempt_id const & id, effects & out);
+
+/// Remembers a finished attempt of a peer until \p until, so that a repeated message
+/// does not start it again.
+void remember_forwarded(dispatch_state & state, attempt_id const & id, time_point until);
+
+} // namespace cassiahub::dispatch::internal
+
+#endif
--- /dev/null
+++ b/src/dispatch/invariants.cpp
@@ -0,0 +1,151 @@
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+/// Use of one upstream as counted from the attempts.
+struct counted_use
+{
+    std::uint32_t m_running = 0;
+    resources m_used;
+};
+
+using fault_names = std::vector<std::string_view>;
+
+void add_fault(fault_names & faults, bool broken, std::string_view name)
+{
+    if (broken && std::find(faults.begin(), faults.end(), name) == faults.end())
+    {
+        faults.push_back(name);
+    }
+}
+
+void check_upstreams(dispatch_state const & state, fault_names & faults)
+{
+    std::vector<counted_use> counted(state.m_upstreams.size());
+    for (auto const & [id, attempt] : state.m_attempts)
+    {
+        if (attempt.m_upstream != no_upstream)
+        {
+            ++counted[attempt.m_upstream].m_running;
+            release(counted[attempt.m_upstream].m_used, attempt.m_demand);
+        }
+    }
+    std::uint32_t offered = 0;
+    for (std::size_t id = 0; id < counted.size(); ++id)
+    {
+        upstream_state const & upstream = state.m_upstreams[id];
+        offered += state.m_room.m_nodes[state.m_room.m_leaves + id].m_slots;
+        add_fault(faults,
+                  upstream.m_running != counted[id].m_running ||
+                      upstream.m_used != counted[id].m_used,
+                  "slots_accounted");
+        add_fault(faults,
+                  upstream.m_owned && upstream.m_running > upstream.m_definition.m_slots,
+                  "upstream_over_committed");
+    }
+    add_fault(faults, offered != state.m_offered_slots, "offered_slots_counted");
+}
+
+bool is_listed(dispatch_state const & state, attempt_id const & id,
+               running_attempt const & attempt)
+{
+    auto const job = state.m_jobs.find(attempt.m_job);
+    return job != state.m_jobs.end() &&
+           job->second.m_running.contains({attempt.m_task, id});
+}
+
+void check_attempts(dispatch_state const & state, fault_names & faults)
+{
+    for (auto const & [id, attempt] : state.m_attempts)
+    {
+        bool const wanted = attempt.m_from.m_value.empty() && !attempt.m_cancelled;
+        add_fault(faults, wanted != is_listed(state, id, attempt), "attempt_has_job");
+        bool const placed =
+            (attempt.m_upstream == no_upstream) != attempt.m_to.m_value.empty();
+        add_fault(faults, !placed, "attempt_has_one_place");
+        add_fault(faults,
+                  !state.m_timers.contains(
+                      {attempt.m_timeout, timer_kind::attempt_timeout, id}),
+                  "attempt_has_timeout");
+    }
+}
+
+void check_tasks(dispatch_state const & state, job_state const & job,
+                 fault_names & faults)
+{
+    bool const repeatable = state.m_kinds[job.m_kind].m_definition.m_repeatable;
+    std::size_t done = 0;
+    std::size_t running = 0;
+    for (task_state const & task : job.m_tasks)
+    {
+        done += task.m_done ? 1 : 0;
+        running += task.m_running;
+        add_fault(faults, !repeatable && task.m_attempts - task.m_not_run > 1,
+                  "non_repeatable_task_once");
+        add_fault(faults, task.m_done && task.m_running > 0, "done_task_rests");
+    }
+    add_fault(faults, done != job.m_done_count, "done_tasks_counted");
+    add_fault(faults, done == job.m_tasks.size(), "complete_job_answered");
+    add_fault(faults, running != job.m_running.size(), "running_tasks_counted");
+}
+
+void check_jobs(dispatch_state const & state, fault_names & faults)
+{
+    std::size_t waiting = state.m_forwarded.size();
+    std::size_t open = 0;
+    for (auto const & [key, job] : state.m_jobs)
+    {
+        waiting += waiting_tasks(job);
+        open += job.m_tasks.size() - job.m_done_count;
+        auto const listed = state.m_job_keys.find(job.m_serial);
+        add_fault(faults, listed == state.m_job_keys.end() || listed->second != key,
+                  "job_has_serial");
+        check_tasks(state, job, faults);
+    }
+    for (tenant_state const & tenant : state.m_tenants)
+    {
+        open -= tenant.m_open_tasks;
+    }
+    add_fault(faults, waiting != state.m_queued_tasks, "queue_counted");
+    add_fault(faults, open != 0, "open_tasks_counted");
+}
+
+void check_queue(dispatch_state const & state, fault_names & faults)
+{
+    std::size_t queued = 0;
+    std::uint64_t share = 0;
+    for (std::size_t id = 0; id < state.m_kinds.size(); ++id)
+    {
+        kind_queue const & queue = state.m_queue.m_kinds[id];
+        queued += state.m_kinds[id].m_queued_tasks;
+        std::size_t items = 0;
+        for (auto const & [tenant, entry] : queue.m_tenants)
+        {
+            items += entry.m_items.size();
+        }
+        share += items > 0 ? queue.m_share : 0;
+        add_fault(faults, items != queue.m_item_count, "queue_items_counted");
+    }
+    add_fault(faults, queued != state.m_queued_tasks, "kind_queues_counted");
+    add_fault(faults, share != state.m_queue.m_active_share, "active_share_counted");
+}
+
+} // namespace internal
+
+std::vector<std::string_view> check_invariants(dispatch_state const & state)
+{
+    std::vector<std::string_view> faults;
+    internal::check_upstreams(state, faults);
+    internal::check_attempts(state, faults);
+    internal::check_jobs(state, faults);
+    internal::check_queue(state, faults);
+    return faults;
+}
+
+} // namespace cassiahub::dispatch
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,79 @@
+#include "dispatch/forwarding.hpp"
+#include "dispatch/placement.hpp"
+
+namespace cassiahub::dispatch::internal
+{
+
+namespace
+{
+
+/// Prefers a quicker upstream, and of two alike the one with more free slots.
+bool is_better(upstream_state const & left, upstream_state const & right)
+{
+    constexpr double noticeable = 1.5;
+    double const left_slowness = left.m_health.m_slowness;
+    double const right_slowness = right.m_health.m_slowness;
+    if (left_slowness > noticeable * right_slowness ||
+        right_slowness > noticeable * left_slowness)
+    {
+        return left_slowness < right_slowness;
+    }
+    return left.m_running + left.m_held < right.m_running + right.m_held;
+}
+
+std::optional<std::uint32_t> pick_probe(dispatch_state const & state,
+                                        placement_request const & request)
+{
+    if (!request.m_repeatable || state.m_probe_targets.empty())
+    {
+        return std::nullopt;
+    }
+    std::uint32_t const id = *state.m_probe_targets.begin();
+    upstream_state const & upstream = state.m_upstreams[id];
+    resources needed = upstream.m_used;
+    release(needed, request.m_demand);
+    bool const has_room = fits(needed, upstream.m_definition.m_capacity);
+    return has_room && id != request.m_avoid ? std::optional(id) : std::nullopt;
+}
+
+/// The better of two random upstreams with room.
+std::optional<std::uint32_t> pick_of_two(dispatch_state const & state,
+                                         resources const & demand, std::uint32_t avoid,
+                                         random_source & random)
+{
+    auto const first = find_room(state.m_room, demand, avoid, random);
+    if (!first)
+    {
+        return first;
+    }
+    auto const second = find_room(state.m_room, demand, avoid, random);
+    return second && is_better(state.m_upstreams[*second], state.m_upstreams[*first])
+               ? second
+               : first;
+}
+
+} // namespace
+
+std::optional<std::uint32_t> pick_upstream(dispatch_state const & state,
+                                           placement_request const & request,
+                                           random_source & random)
+{
+    if (auto const probe = pick_probe(state, request))
+    {
+        return probe;
+    }
+    auto const found = pick_of_two(state, request.m_demand, request.m_avoid, random);
+    if (found || request.m_avoid == no_upstream || request.m_avoid_strictly)
+    {
+        return found;
+    }
+    return find_room(state.m_room, request.m_demand, no_upstream, random);
+}
+
+bool any_room(dispatch_state const & state)
+{
+    return state.m_offered_slots > 0 || !state.m_probe_targets.empty() ||
+           best_peer(state) != nullptr;
+}
+
+} // namespace cassiahub::dispatch::internal
--- /dev/null
+++ b/src/dispatch/retry.cpp
@@ -0,0 +1,121 @@
+#include "dispatch/baseline.hpp"
+#include "dispatch/jobs.hpp"
+#include "dispatch/retry.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace cassiahub::dispatch::internal
+{
+
+namespace
+{
+
+void record_outcome(dispatch_state & state, job_state & job, task_state & task,
+                    attempt_outcome outcome)
+{
+    if (outcome == attempt_outcome::not_run)
+    {
+        ++task.m_not_run;
+        ++state.m_counters.m_refused_results;
+        return;
+    }
+    ++state.m_counters.m_failed_results;
+    job.m_ran |= outcome == attempt_outcome::failed;
+    job.m_may_have_run |= outcome == attempt_outcome::unknown;
+}
+
+job_errc error_of(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::failed:
+        return job_errc::task_failed;
+    case attempt_outcome::unknown:
+        return job_errc::outcome_unknown;
+    default:
+        return job_errc::retries_exhausted;
+    }
+}
+
+/// A task of a non-repeatable kind is attempted again only when no attempt may have run.
+bool may_repeat(dispatch_state const & state, job_state const & job,
+                task_state const & task)
+{
+    return state.m_kinds[job.m_kind].m_definition.m_repeatable ||
+           task.m_not_run == task.m_attempts;
+}
+
+/// The second attempt follows at once; later ones wait, twice as long each time, and
+/// jittered so that tasks refused together do not come back together.
+duration delay_of(dispatch_state const & state, task_state const & task,
+                  random_source & random)
+{
+    if (task.m_attempts < 2)
+    {
+        return duration::zero();
+    }
+    std::uint32_t const doublings = std::min(task.m_attempts - 2, 6U);
+    duration const longest =
+        state.m_configuration->m_dispatch.m_retry_delay * (1 << doublings);
+    std::uniform_int_distribution<duration::rep> jitter(longest.count() / 2,
+                                                        longest.count());
+    return duration(jitter(random));
+}
+
+bool take_budget(dispatch_state & state)
+{
+    return is_baseline(state) || spend(state.m_retry_budget);
+}
+
+void schedule_retry(dispatch_state & state, job_state & job, std::uint32_t task,
+                    time_point now, random_source & random)
+{
+    duration const delay = is_baseline(state)
+                               ? duration::zero()
+                               : delay_of(state, job.m_tasks[task], random);
+    if (delay == duration::zero())
+    {
+        make_task_ready(state, job, task, random);
+        return;
+    }
+    job.m_delayed.emplace(task, now + delay);
+    state.m_timers.insert({now + delay, timer_kind::retry_due, {task, job.m_serial}});
+}
+
+} // namespace
+
+void handle_unsuccessful(dispatch_state & state, job_state & job,
+                         std::uint32_t task_index, attempt_outcome outcome,
+                         time_point now, random_source & random, effects & out)
+{
+    task_state & task = job.m_tasks[task_index];
+    record_outcome(state, job, task, outcome);
+    if (task.m_running > 0)
+    {
+        return; // a hedge of the same task may still succeed
+    }
+    if (!may_repeat(state, job, task))
+    {
+        finish_job(state, job, failed_answer(job, error_of(outcome)), out);
+    }
+    else if (task.m_attempts >= state.m_configuration->m_dispatch.m_max_attempts ||
+             !take_budget(state))
+    {
+        finish_job(state, job, failed_answer(job, job_errc::retries_exhausted), out);
+    }
+    else
+    {
+        schedule_retry(state, job, task_index, now, random);
+    }
+}
+
+void end_retry_delay(dispatch_state & state, std::uint64_t job_serial, std::uint32_t task,
+                     random_source & random)
+{
+    job_state & job = state.m_jobs.at(state.m_job_keys.at(job_serial));
+    job.m_delayed.erase(task);
+    make_task_ready(state, job, task, random);
+}
+
+} // namespace cassiahub::dispatch::internal
--- /dev/null
+++ b/src/dispatch/shedding.hpp
@@ -0,0 +1,20 @@
+#ifndef CASSIAHUB_DISPATCH_SHEDDING_HPP
+#define CASSIAHUB_DISPATCH_SHEDDING_HPP
+
+#include <cassiahub/dispatch/effects.hpp>
+#include <cassiahub/dispatch/state.hpp>
+
+namespace cassiahub::dispatch::internal
+{
+
+/// Ends a job that can no longer be answered in time, before it takes more service.
+/// \returns true when \p job was ended and is gone.
+bool shed_if_hopeless(dispatch_state & state, job_state & job, time_point now,
+                      effects & out);
+
+/// Shortest run time that is plausible for \p kind; zero when too little is known.
+duration shortest_run_time(kind_state const & kind, time_point now);
+
+} // namespace cassiahub::dispatch::internal
+
+#endif
--- /dev/null
+++ b/src/dispatch/upstreams.cpp
@@ -0,0 +1,294 @@
+#include "dispatch/upstreams.hpp"
+
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+offered_room room_of(upstream_state const & upstream)
+{
+    bool const usable = upstream.m_owned && !upstream.m_leaving &&
+                        upstream.m_health.m_phase == health_phase::healthy;
+    std::uint32_t const taken = upstream.m_running + upstream.m_held;
+    std::uint32_t const slots = upstream.m_definition.m_slots;
+    if (!usable || taken >= slots ||
+        !fits(upstream.m_used, upstream.m_definition.m_capacity))
+    {
+        return {};
+    }
+    offered_room room{slots - taken, upstream.m_definition.m_capacity};
+    reserve(room.m_free, upstream.m_used);
+    return room;
+}
+
+bool takes_probe(upstream_state const & upstream)
+{
+    return upstream.m_owned && !upstream.m_leaving &&
+           upstream.m_health.m_phase == health_phase::probing &&
+           !upstream.m_health.m_probe_running &&
+           upstream.m_running < upstream.m_definition.m_slots;
+}
+
+/// Frees the place of an upstream that is no longer owned and runs nothing.
+void drop_unowned(dispatch_state & state, std::uint32_t id)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    if (upstream.m_owned || upstream.m_running > 0 || upstream.m_held > 0)
+    {
+        return;
+    }
+    state.m_timers.erase(
+        {upstream.m_health.m_probe_at, timer_kind::upstream_probe, {0, id}});
+    state.m_upstream_index.erase(upstream.m_definition.m_name);
+    upstream = {};
+    upstream.m_owned = false;
+    state.m_unused_upstreams.push_back(id);
+}
+
+void refresh_room(dispatch_state & state, std::uint32_t id)
+{
+    offered_room const room = room_of(state.m_upstreams[id]);
+    state.m_offered_slots -= state.m_room.m_nodes[state.m_room.m_leaves + id].m_slots;
+    state.m_offered_slots += room.m_slots;
+    set_room(state.m_room, id, room);
+    if (takes_probe(state.m_upstreams[id]))
+    {
+        state.m_probe_targets.insert(id);
+    }
+    else
+    {
+        state.m_probe_targets.erase(id);
+    }
+}
+
+void occupy_slot(dispatch_state & state, std::uint32_t id, resources const & demand)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    ++upstream.m_running;
+    release(upstream.m_used, demand);
+    refresh_room(state, id);
+}
+
+void vacate_slot(dispatch_state & state, std::uint32_t id, resources const & demand)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    BOOST_ASSERT(upstream.m_running > 0);
+    --upstream.m_running;
+    reserve(upstream.m_used, demand);
+    refresh_room(state, id);
+    drop_unowned(state, id);
+}
+
+void hold_slot(dispatch_state & state, std::uint32_t id, time_point until)
+{
+    ++state.m_upstreams[id].m_held;
+    state.m_timers.insert(
+        {until, timer_kind::upstream_hold, {state.m_next_serial++, id}});
+    refresh_room(state, id);
+}
+
+void release_hold(dispatch_state & state, std::uint32_t id)
+{
+    --state.m_upstreams[id].m_held;
+    refresh_room(state, id);
+    drop_unowned(state, id);
+}
+
+std::uint32_t add_upstream(dispatch_state & state, config::upstream const & definition)
+{
+    auto id = static_cast<std::uint32_t>(state.m_upstreams.size());
+    if (!state.m_unused_upstreams.empty())
+    {
+        id = state.m_unused_upstreams.back();
+        state.m_unused_upstreams.pop_back();
+    }
+    else
+    {
+        state.m_upstreams.emplace_back();
+        grow_index(state.m_room, state.m_upstreams.size());
+    }
+    state.m_upstreams[id] = {};
+    state.m_upstreams[id].m_definition = definition;
+    state.m_upstream_index.emplace(definition.m_name, id);
+    return id;
+}
+
+/// Ends the ownership of an upstream. Its running attempts keep their slots.
+void disown(dispatch_state & state, std::uint32_t id)
+{
+    state.m_upstreams[id].m_owned = false;
+    refresh_room(state, id);
+    drop_unowned(state, id);
+}
+
+void own(dispatch_state & state, config::upstream const & definition)
+{
+    auto const found = state.m_upstream_index.find(definition.m_name);
+    std::uint32_t const id = found == state.m_upstream_index.end()
+                                 ? add_upstream(state, definition)
+                                 : found->second;
+    state.m_upstreams[id].m_owned = true;
+    refresh_room(state, id);
+}
+
+void recount_owned(dispatch_state & state)
+{
+    state.m_owned_slots = 0;
+    state.m_owned_count = 0;
+    state.m_ejected_count = 0;
+    std::uint64_t shares = 0;
+    for (upstream_state const & upstream : state.m_upstreams)
+    {
+        bool const ejected = upstream.m_health.m_phase != health_phase::healthy;
+        state.m_owned_slots += upstream.m_owned ? upstream.m_definition.m_slots : 0;
+        state.m_owned_count += upstream.m_owned ? 1 : 0;
+        state.m_ejected_count += upstream.m_owned && ejected ? 1 : 0;
+    }
+    for (config::work_kind const & kind : state.m_configuration->m_kinds)
+    {
+        shares += kind.m_share;
+    }
+    double const window =
+        std::chrono::duration<double>(state.m_configuration->m_dispatch.m_share_window)
+            .count();
+    state.m_queue.m_credit = window * static_cast<double>(state.m_owned_slots) /
+                             static_cast<double>(std::max<std::uint64_t>(shares, 1));
+}
+
+bool exceeds_another(std::vector<resources> const & largest, resources const & capacity)
+{
+    return std::any_of(largest.begin(), largest.end(),
+                       [&capacity](resources const & other)
+                       { return fits(capacity, other); });
+}
+
+/// Keeps the capacities that no other capacity covers. Fleets have few machine types, so
+/// the list is short.
+void list_largest_capacities(dispatch_state & state)
+{
+    std::vector<resources> & largest = state.m_largest_capacities;
+    largest.clear();
+    for (config::upstream const & upstream : state.m_configuration->m_upstreams)
+    {
+        if (exceeds_another(largest, upstream.m_capacity))
+        {
+            continue;
+        }
+        std::erase_if(largest, [&upstream](resources const & other)
+                      { return fits(other, upstream.m_capacity); });
+        largest.push_back(upstream.m_capacity);
+    }
+}
+
+void update_definitions(dispatch_state & state)
+{
+    for (config::upstream const & definition : state.m_configuration->m_upstreams)
+    {
+        auto const found = state.m_upstream_index.find(definition.m_name);
+        if (found != state.m_upstream_index.end())
+        {
+            state.m_upstreams[found->second].m_definition = definition;
+            refresh_room(state, found->second);
+        }
+    }
+}
+
+void update_kinds(dispatch_state & state)
+{
+    for (config::work_kind const & definition : state.m_configuration->m_kinds)
+    {
+        auto const next = static_cast<std::uint32_t>(state.m_kinds.size());
+        auto const [entry, added] =
+            state.m_kind_index.try_emplace(definition.m_name, next);
+        if (added)
+        {
+            state.m_kinds.emplace_back();
+        }
+        state.m_kinds[entry->second].m_definition = definition;
+        set_kind(state.m_queue, entry->second, definition.m_share, definition.m_urgency);
+    }
+}
+
+void update_tenants(dispatch_state & state)
+{
+    for (config::tenant const & definition : state.m_configuration->m_tenants)
+    {
+        auto const next = static_cast<std::uint32_t>(state.m_tenants.size());
+        auto const [entry, added] =
+            state.m_tenant_index.try_emplace(definition.m_name, next);
+        if (added)
+        {
+            state.m_tenants.emplace_back();
+        }
+        state.m_tenants[entry->second].m_definition = definition;
+    }
+}
+
+void fill_retry_budget(dispatch_state & state)
+{
+    config::dispatch_settings const & settings = state.m_configuration->m_dispatch;
+    bool const allowed = settings.m_retry_budget_percent > 0;
+    state.m_retry_budget.m_hundredths =
+        allowed ? std::uint64_t(settings.m_retry_reserve) * 100 : 0;
+}
+
+} // namespace internal
+
+void apply_configuration(dispatch_state & state,
+                         std::shared_ptr<config::fleet_configuration const> configuration)
+{
+    bool const first = !state.m_configuration;
+    state.m_configuration = std::move(configuration);
+    if (first)
+    {
+        internal::fill_retry_budget(state);
+    }
+    internal::update_kinds(state);
+    internal::update_tenants(state);
+    internal::update_definitions(state);
+    internal::list_largest_capacities(state);
+    internal::recount_owned(state);
+}
+
+void set_owned_upstreams(dispatch_state & state, std::span<std::string const> names)
+{
+    std::vector<std::uint32_t> lost;
+    for (auto const & [name, id] : state.m_upstream_index)
+    {
+        if (!std::binary_search(names.begin(), names.end(), name))
+        {
+            lost.push_back(id);
+        }
+    }
+    for (std::uint32_t const id : lost)
+    {
+        internal::disown(state, id);
+    }
+    for (config::upstream const & definition : state.m_configuration->m_upstreams)
+    {
+        if (std::binary_search(names.begin(), names.end(), definition.m_name))
+        {
+            internal::own(state, definition);
+        }
+    }
+    internal::recount_owned(state);
+}
+
+void set_upstream_leaving(dispatch_state & state, std::string_view upstream, bool leaving)
+{
+    auto const found = state.m_upstream_index.find(upstream);
+    if (found != state.m_upstream_index.end())
+    {
+        state.m_upstreams[found->second].m_leaving = leaving;
+        internal::refresh_room(state, found->second);
+    }
+}
+
+} // namespace cassiahub::dispatch
