--- a/include/cassiahub/core/error.hpp
+++ b/include/cassiahub/core/error.hpp
@@ -33,7 +33,8 @@
     already_answered = 20,
     no_configuration = 21,
     overloaded = 22,
-    retries_exhausted = 23
+    retries_exhausted = 23,
+    in_progress = 24 ///< answer to a query; the job has not finished
 };
 
 std::error_category const & job_category() noexcept;
--- /dev/null
+++ b/include/cassiahub/ownership/effects.hpp
@@ -0,0 +1,86 @@
+#ifndef CASSIAHUB_OWNERSHIP_EFFECTS_HPP
+#define CASSIAHUB_OWNERSHIP_EFFECTS_HPP
+
+#include <cassiahub/core/job.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace cassiahub::ownership
+{
+
+/// One row of an atomic write.
+struct row_change
+{
+    std::string m_name;
+    std::optional<std::uint64_t> m_expected_version; ///< 0: must not exist; empty: any
+    std::optional<std::string> m_value;              ///< empty: the row is deleted
+};
+
+struct store_write
+{
+    std::uint64_t m_request = 0;
+    std::string m_write_id;
+    std::vector<row_change> m_rows;
+};
+
+struct store_read
+{
+    std::uint64_t m_request = 0;
+    std::string m_prefix;
+};
+
+/// A job that may start from now on.
+struct cleared_job
+{
+    job_key m_key;
+    fencing_token m_token;
+};
+
+/// A job that was waiting and is refused as not run.
+struct refused_job
+{
+    job_key m_key;
+    std::error_code m_error;
+};
+
+/// Keys to send to another instance, which keeps them for a takeover.
+struct notice_order
+{
+    instance_id m_to;
+    std::uint64_t m_request = 0;
+    std::uint32_t m_shard = 0;
+    std::vector<job_key> m_keys;
+};
+
+enum class shard_change
+{
+    claimed,
+    serving,
+    released,
+    lost
+};
+
+struct shard_event
+{
+    shard_change m_change = shard_change::claimed;
+    std::uint32_t m_shard = 0;
+};
+
+/// What ownership wants done after one event, in order within each list.
+struct effects
+{
+    std::vector<store_write> m_writes;
+    std::vector<store_read> m_reads;
+    std::vector<cleared_job> m_cleared;
+    std::vector<refused_job> m_refused;
+    std::vector<notice_order> m_notices;
+    std::vector<shard_event> m_shard_events;
+};
+
+} // namespace cassiahub::ownership
+
+#endif
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -85,6 +85,8 @@
         return "overloaded";
     case job_errc::retries_exhausted:
         return "retries_exhausted";
+    case job_errc::in_progress:
+        return "in_progress";
     }
     return "unknown_error";
 }
--- /dev/null
+++ b/src/decision/jobs.cpp
@@ -0,0 +1,381 @@
+#include "decision/context.hpp"
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/membership/members.hpp>
+#include <cassiahub/ownership/owner.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace cassiahub::decision::internal
+{
+
+/// Wait that a refused caller is asked for: long enough for a lease row to be read and
+/// claimed, short enough for urgent work.
+constexpr duration refusal_retry_after = std::chrono::seconds(1);
+
+void answer(step_context & context, answer_route const & route, job_answer answer)
+{
+    if (route.m_uncertain && answer.m_ran == run_state::no)
+    {
+        answer = {job_errc::outcome_unknown, run_state::unknown, {}, {}};
+    }
+    if (!route.m_peer.m_value.empty())
+    {
+        send(context, route.m_peer, request_answered{route.m_request, std::move(answer)});
+    }
+    else if (context.m_state.m_callers.erase(route.m_caller) > 0)
+    {
+        context.m_actions.emplace_back(answer_caller{route.m_caller, std::move(answer)});
+    }
+}
+
+void refuse(step_context & context, answer_route const & route, std::error_code error)
+{
+    answer(context, route, {error, run_state::no, refusal_retry_after, {}});
+}
+
+/// Answers everyone who waits for the job and closes it.
+void close_job(step_context & context, job_key const & key, job_answer const & result)
+{
+    auto const found = context.m_state.m_open_jobs.find(key);
+    if (found == context.m_state.m_open_jobs.end())
+    {
+        return;
+    }
+    open_job const job = std::move(found->second);
+    context.m_state.m_open_jobs.erase(found);
+    context.m_actions.emplace_back(observe_job{
+        key.m_tenant, job.m_kind, context.m_now - job.m_submitted, result.m_error});
+    for (answer_route const & route : job.m_waiting)
+    {
+        answer(context, route, result);
+    }
+}
+
+void finish_job(step_context & context, dispatch::job_outcome outcome)
+{
+    auto const found = context.m_state.m_open_jobs.find(outcome.m_key);
+    if (found == context.m_state.m_open_jobs.end())
+    {
+        return;
+    }
+    if (found->second.m_abort)
+    {
+        outcome.m_answer =
+            found->second.m_started
+                ? job_answer{job_errc::outcome_unknown, run_state::unknown, {}, {}}
+                : job_answer{
+                      found->second.m_abort, run_state::no, refusal_retry_after, {}};
+    }
+    ownership::finish_job(context.m_state.m_ownership, outcome.m_key, outcome.m_answer,
+                          context.m_now);
+    close_job(context, outcome.m_key, outcome.m_answer);
+}
+
+void abort_job(step_context & context, job_key const & key, std::error_code error)
+{
+    auto const found = context.m_state.m_open_jobs.find(key);
+    if (found == context.m_state.m_open_jobs.end())
+    {
+        return;
+    }
+    found->second.m_abort = error;
+    dispatch::effects effects;
+    dispatch::cancel_job(context.m_state.m_dispatch, key, context.m_now, effects);
+    apply(context, std::move(effects));
+}
+
+/// Limits a start of an own job by the lease.
+/// \returns false when it may not be sent; the job is then ended.
+bool permit_start(step_context & context, dispatch::attempt_start & start)
+{
+    auto const found = context.m_state.m_open_jobs.find(start.m_job);
+    if (found == context.m_state.m_open_jobs.end())
+    {
+        return false;
+    }
+    std::optional<time_point> const limit = ownership::start_limit(
+        context.m_state.m_ownership, start.m_job, start.m_token, context.m_now);
+    if (!limit)
+    {
+        abort_job(context, start.m_job, job_errc::lease_lapsed);
+        return false;
+    }
+    start.m_send_before = std::min(start.m_send_before, *limit);
+    found->second.m_started = true;
+    return true;
+}
+
+/// Sends a task to a peer, with its times on the clock of the peer.
+void forward(step_context & context, dispatch::task_forward & task)
+{
+    membership::member const * const peer =
+        membership::find_live(context.m_state.m_membership, task.m_to);
+    if (peer == nullptr)
+    {
+        dispatch::effects effects;
+        dispatch::finish_attempt(
+            context.m_state.m_dispatch,
+            {task.m_start.m_attempt, dispatch::attempt_outcome::not_run, {}, false},
+            context.m_now, context.m_random, effects);
+        apply(context, std::move(effects));
+        return;
+    }
+    task.m_start.m_deadline = membership::to_peer_clock(*peer, task.m_start.m_deadline);
+    task.m_start.m_send_before =
+        membership::to_peer_clock(*peer, task.m_start.m_send_before);
+    membership::note_request(context.m_state.m_membership, task.m_to, context.m_now);
+    send(context, task.m_to, forward_task{std::move(task.m_start)});
+}
+
+void apply(step_context & context, dispatch::effects effects)
+{
+    // A start follows the cancellations that make room for it.
+    for (dispatch::attempt_cancel & cancel : effects.m_cancels)
+    {
+        context.m_actions.emplace_back(std::move(cancel));
+    }
+    for (dispatch::forward_cancel const & cancel : effects.m_forward_cancels)
+    {
+        send(context, cancel.m_to, cancel_task{cancel.m_attempt});
+    }
+    std::uint64_t const incarnation = context.m_state.m_identity.m_incarnation;
+    for (dispatch::attempt_start & start : effects.m_starts)
+    {
+        // The lease of a task that another instance sent is bounded by its limit.
+        if (start.m_attempt.m_incarnation != incarnation || permit_start(context, start))
+        {
+            context.m_actions.emplace_back(std::move(start));
+        }
+    }
+    for (dispatch::task_forward & task : effects.m_forwards)
+    {
+        if (permit_start(context, task.m_start))
+        {
+            forward(context, task);
+        }
+    }
+    for (dispatch::forward_result & result : effects.m_forward_results)
+    {
+        context.m_state.m_accepted.erase(result.m_result.m_attempt);
+        send(context, result.m_to, task_reported{std::move(result.m_result)});
+    }
+    for (dispatch::job_outcome & outcome : effects.m_finished)
+    {
+        finish_job(context, std::move(outcome));
+    }
+}
+
+/// Queues a job that ownership has cleared.
+void queue_job(step_context & context, ownership::cleared_job const & cleared)
+{
+    entry_state & state = context.m_state;
+    auto const found = state.m_open_jobs.find(cleared.m_key);
+    if (found == state.m_open_jobs.end())
+    {
+        return;
+    }
+    open_job & job = found->second;
+    std::error_code error =
+        dispatch::check_admission(state.m_dispatch, job.m_spec, context.m_now);
+    if (!error && job.m_deadline <= context.m_now)
+    {
+        error = job_errc::deadline_exceeded;
+    }
+    if (error)
+    {
+        finish_job(context,
+                   {cleared.m_key, {error, run_state::no, refusal_retry_after, {}}});
+        return;
+    }
+    job.m_queued = true;
+    job.m_token = cleared.m_token;
+    dispatch::enqueue_job(
+        state.m_dispatch,
+        {std::move(job.m_spec), cleared.m_token, job.m_deadline, job.m_deadline},
+        context.m_now);
+}
+
+/// Ends the jobs of a lost shard that have not started. The others go on to their answer.
+void lose_shard(step_context & context, std::uint32_t shard)
+{
+    entry_state & state = context.m_state;
+    std::vector<job_key> waiting;
+    for (auto const & [key, job] : state.m_open_jobs)
+    {
+        if (job.m_queued && !job.m_started &&
+            ownership::shard_of(key, state.m_ownership.m_shards.size()) == shard)
+        {
+            waiting.push_back(key);
+        }
+    }
+    for (job_key const & key : waiting)
+    {
+        abort_job(context, key, job_errc::lease_lapsed);
+    }
+}
+
+std::string_view code_of(ownership::shard_change change) noexcept
+{
+    switch (change)
+    {
+    case ownership::shard_change::claimed:
+        return "shard_claimed";
+    case ownership::shard_change::serving:
+        return "shard_serving";
+    case ownership::shard_change::released:
+        return "shard_released";
+    case ownership::shard_change::lost:
+        return "shard_lost";
+    }
+    return "shard_changed";
+}
+
+void apply(step_context & context, ownership::effects effects)
+{
+    entry_state & state = context.m_state;
+    for (ownership::store_write & write : effects.m_writes)
+    {
+        context.m_actions.emplace_back(to_action(std::move(write)));
+    }
+    for (ownership::store_read & read : effects.m_reads)
+    {
+        context.m_actions.emplace_back(
+            read_store{read.m_request, std::move(read.m_prefix)});
+    }
+    for (ownership::notice_order & notice : effects.m_notices)
+    {
+        send(context, notice.m_to,
+             key_notice{notice.m_request, notice.m_shard, std::move(notice.m_keys)});
+    }
+    for (ownership::refused_job const & refused : effects.m_refused)
+    {
+        close_job(context, refused.m_key,
+                  {refused.m_error, run_state::no, refusal_retry_after, {}});
+    }
+    for (ownership::shard_event const & event : effects.m_shard_events)
+    {
+        context.m_actions.emplace_back(
+            log_event{code_of(event.m_change),
+                      state.m_identity.m_domain + "/" + std::to_string(event.m_shard),
+                      {}});
+        if (event.m_change == ownership::shard_change::lost)
+        {
+            lose_shard(context, event.m_shard);
+        }
+    }
+    for (ownership::cleared_job const & cleared : effects.m_cleared)
+    {
+        queue_job(context, cleared);
+    }
+}
+
+void open(step_context & context, answer_route const & route, job_spec & spec,
+          std::uint64_t job_hash, time_point deadline)
+{
+    entry_state & state = context.m_state;
+    std::error_code error =
+        dispatch::check_admission(state.m_dispatch, spec, context.m_now);
+    if (!error)
+    {
+        config::work_kind const * const kind =
+            config::find_kind(*state.m_dispatch.m_configuration, spec.m_kind);
+        error = ownership::admit_job(
+            state.m_ownership, {spec.m_key, job_hash, kind->m_repeatable, deadline});
+    }
+    if (error)
+    {
+        refuse(context, route, error);
+        return;
+    }
+    open_job job;
+    job.m_kind = spec.m_kind;
+    job.m_submitted = context.m_now;
+    job.m_waiting.push_back(route);
+    job.m_job_hash = job_hash;
+    job.m_deadline = deadline;
+    job_key key = spec.m_key;
+    job.m_spec = std::move(spec);
+    state.m_open_jobs.emplace(std::move(key), std::move(job));
+}
+
+/// Handles a request for a job that is open here.
+void handle_open_job(step_context & context, answer_route const & route,
+                     key_operation operation, job_spec const & spec, open_job & job)
+{
+    switch (operation)
+    {
+    case key_operation::submit:
+        if (ownership::hash_job(spec) != job.m_job_hash)
+        {
+            answer(context, route, {job_errc::key_reused, run_state::unknown, {}, {}});
+            return;
+        }
+        job.m_waiting.push_back(route);
+        break;
+    case key_operation::query:
+        answer(context, route,
+               {job_errc::in_progress, run_state::unknown, refusal_retry_after, {}});
+        break;
+    case key_operation::cancel:
+    {
+        job.m_waiting.push_back(route);
+        dispatch::effects effects;
+        if (job.m_queued)
+        {
+            dispatch::cancel_job(context.m_state.m_dispatch, spec.m_key, context.m_now,
+                                 effects);
+        }
+        else
+        {
+            effects.m_finished.push_back(
+                {spec.m_key, {job_errc::cancelled, run_state::no, {}, {}}});
+        }
+        apply(context, std::move(effects));
+        break;
+    }
+    }
+}
+
+bool handle_own_key(step_context & context, answer_route const & route,
+                    key_operation operation, job_spec & spec, time_point deadline)
+{
+    entry_state & state = context.m_state;
+    if (auto const found = state.m_open_jobs.find(spec.m_key);
+        found != state.m_open_jobs.end())
+    {
+        handle_open_job(context, route, operation, spec, found->second);
+        return true;
+    }
+    bool const submit = operation == key_operation::submit;
+    std::uint64_t const job_hash = submit ? ownership::hash_job(spec) : 0;
+    ownership::key_lookup lookup =
+        ownership::find_key(state.m_ownership, spec.m_key, job_hash);
+    switch (lookup.m_status)
+    {
+    case ownership::key_status::not_owner:
+        return false;
+    case ownership::key_status::not_known:
+        if (submit)
+        {
+            open(context, route, spec, job_hash, deadline);
+        }
+        else
+        {
+            refuse(context, route, job_errc::not_found);
+        }
+        return true;
+    case ownership::key_status::waiting:
+        // An open record has an open job; check_invariants() watches over that.
+        answer(context, route, {job_errc::outcome_unknown, run_state::unknown, {}, {}});
+        return true;
+    case ownership::key_status::answered:
+        answer(context, route, std::move(lookup.m_answer));
+        return true;
+    }
+    return false;
+}
+
+} // namespace cassiahub::decision::internal
--- /dev/null
+++ b/src/decision/peers.cpp
@@ -0,0 +1,407 @@
+#include "decision/context.hpp"
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/membership/members.hpp>
+#include <cassiahub/membership/rendezvous.hpp>
+#include <cassiahub/ownership/owner.hpp>
+
+#include <algorithm>
+
+namespace cassiahub::decision::internal
+{
+
+/// Shortest time between two copies of the configuration to the same peer, and between
+/// two checks of the same version.
+constexpr duration configuration_notice_period = std::chrono::seconds(1);
+/// Shortest time between two load reports; each peer in the domain beyond the second
+/// makes it longer, so that reports stay below 48 messages a second.
+constexpr duration shortest_report_period = std::chrono::milliseconds(50);
+
+std::uint64_t configuration_version(entry_state const & state) noexcept
+{
+    return state.m_dispatch.m_configuration ? state.m_dispatch.m_configuration->m_version
+                                            : 0;
+}
+
+void send(step_context & context, instance_id const & to, peer_message message)
+{
+    auto const & members = context.m_state.m_membership.m_members;
+    auto const found = members.find(to);
+    if (found != members.end())
+    {
+        context.m_actions.emplace_back(send_peer{
+            to, std::string(membership::address_of(found->second)), std::move(message)});
+    }
+}
+
+void set_load(step_context & context, instance_id const & peer,
+              membership::member const & entry, dispatch::peer_load load)
+{
+    if (entry.m_report.m_leaving)
+    {
+        load.m_free_slots = 0; // its upstreams belong to others from now on
+    }
+    dispatch::set_peer(context.m_state.m_dispatch, {peer, entry.m_domain, load});
+}
+
+void remove_peer(step_context & context, instance_id const & peer)
+{
+    dispatch::effects effects;
+    dispatch::remove_peer(context.m_state.m_dispatch, peer, context.m_now,
+                          context.m_random, effects);
+    apply(context, std::move(effects));
+    recover_requests(context, peer);
+}
+
+void send_configuration(step_context & context, instance_id const & peer,
+                        std::uint64_t known_version)
+{
+    entry_state & state = context.m_state;
+    std::uint64_t const version = configuration_version(state);
+    time_point & next = state.m_next_notice[peer];
+    if (known_version >= version || state.m_document.empty() || context.m_now < next)
+    {
+        return;
+    }
+    next = context.m_now + configuration_notice_period;
+    send(context, peer, configuration_notice{version, state.m_document});
+}
+
+void learn_holdings(step_context & context, membership::member const & entry)
+{
+    ownership::effects effects;
+    for (membership::held_shard const & holding : entry.m_report.m_holdings)
+    {
+        ownership::observe_holding(context.m_state.m_ownership, holding.m_shard,
+                                   holding.m_epoch, effects);
+    }
+    apply(context, std::move(effects));
+}
+
+void receive_heartbeat(step_context & context, instance_id const & from,
+                       heartbeat message)
+{
+    entry_state & state = context.m_state;
+    membership::member_report report{message.m_incarnation,
+                                     std::move(message.m_domain),
+                                     std::move(message.m_peer_address),
+                                     message.m_sent_at,
+                                     message.m_configuration_version,
+                                     message.m_leaving,
+                                     message.m_store_contact,
+                                     {}};
+    for (shard_holding const & holding : message.m_holdings)
+    {
+        report.m_holdings.push_back({holding.m_shard, holding.m_epoch});
+    }
+    membership::report_effect const effect = membership::receive_report(
+        state.m_membership, from, std::move(report), context.m_now);
+    if (effect == membership::report_effect::ignored)
+    {
+        return;
+    }
+    if (effect == membership::report_effect::restarted)
+    {
+        remove_peer(context, from);
+    }
+    membership::member const & entry = state.m_membership.m_members.at(from);
+    set_load(context, from, entry, message.m_load);
+    if (entry.m_domain == state.m_identity.m_domain)
+    {
+        if (effect != membership::report_effect::refreshed)
+        {
+            ownership::effects effects;
+            ownership::inform_peer(state.m_ownership, from, effects);
+            apply(context, std::move(effects));
+        }
+        learn_holdings(context, entry);
+    }
+    send_configuration(context, from, entry.m_report.m_configuration_version);
+}
+
+void receive_load(step_context & context, instance_id const & from,
+                  dispatch::peer_load load)
+{
+    membership::member const * const entry =
+        membership::find_live(context.m_state.m_membership, from);
+    if (entry != nullptr)
+    {
+        set_load(context, from, *entry, load);
+    }
+}
+
+void lose_connection(step_context & context, instance_id const & peer)
+{
+    entry_state & state = context.m_state;
+    auto const known = state.m_dispatch.m_peers.find(peer);
+    bool const live = membership::find_live(state.m_membership, peer) != nullptr;
+    dispatch::peer_capacity capacity;
+    bool const restore = live && known != state.m_dispatch.m_peers.end();
+    if (restore)
+    {
+        capacity = known->second;
+    }
+    // Results on the broken connection may be lost, so what was forwarded is unknown.
+    remove_peer(context, peer);
+    if (restore)
+    {
+        dispatch::set_peer(state.m_dispatch, std::move(capacity));
+    }
+}
+
+void receive_list(step_context & context, instances_listed const & listed)
+{
+    entry_state & state = context.m_state;
+    std::vector<membership::listed_member> entries;
+    std::set<std::string> upstreams;
+    for (listed_instance const & item : listed.m_instances)
+    {
+        if (item.m_is_entry)
+        {
+            entries.push_back(
+                {{item.m_name}, item.m_domain, item.m_address, item.m_leaving});
+            continue;
+        }
+        upstreams.insert(item.m_name);
+        bool const was_leaving = state.m_leaving_upstreams.contains(item.m_name);
+        bool const is_new = !state.m_listed_upstreams.contains(item.m_name);
+        if (item.m_leaving)
+        {
+            state.m_leaving_upstreams.insert(item.m_name);
+            dispatch::set_upstream_leaving(state.m_dispatch, item.m_name, true);
+        }
+        else if (was_leaving || is_new)
+        {
+            // Only a change is passed on: an upstream's own announcement comes before
+            // the lagging list.
+            state.m_leaving_upstreams.erase(item.m_name);
+            dispatch::set_upstream_leaving(state.m_dispatch, item.m_name, false);
+        }
+    }
+    state.m_listed_upstreams = std::move(upstreams);
+    membership::merge_list(state.m_membership, entries);
+}
+
+/// Sets the upstreams that this instance accounts for.
+void share_upstreams(step_context & context)
+{
+    entry_state & state = context.m_state;
+    std::string const & self = state.m_identity.m_instance.m_value;
+    std::vector<std::string> owned;
+    for (config::upstream const & upstream :
+         state.m_dispatch.m_configuration->m_upstreams)
+    {
+        if (upstream.m_domain == state.m_identity.m_domain &&
+            !state.m_accountants.empty() &&
+            state.m_accountants[membership::rendezvous_choice(state.m_accountants,
+                                                              upstream.m_name)] == self)
+        {
+            owned.push_back(upstream.m_name);
+        }
+    }
+    dispatch::set_owned_upstreams(state.m_dispatch, owned);
+    for (std::string const & name : state.m_leaving_upstreams)
+    {
+        dispatch::set_upstream_leaving(state.m_dispatch, name, true);
+    }
+}
+
+/// Tells ownership who is live and which shards this instance should own.
+void share_shards(step_context & context)
+{
+    entry_state & state = context.m_state;
+    auto const count = static_cast<std::uint32_t>(state.m_ownership.m_shards.size());
+    std::vector<std::size_t> const owners =
+        membership::assign_shards(state.m_claimants, count);
+    std::vector<std::uint32_t> preferred;
+    for (std::uint32_t shard = 0; shard < owners.size(); ++shard)
+    {
+        if (state.m_claimants[owners[shard]] == state.m_identity.m_instance.m_value)
+        {
+            preferred.push_back(shard);
+        }
+    }
+    ownership::effects effects;
+    ownership::set_surroundings(
+        state.m_ownership,
+        membership::live_members(state.m_membership, state.m_identity.m_domain),
+        preferred, context.m_now, effects);
+    apply(context, std::move(effects));
+}
+
+/// Members of the domain that share its work, this instance included, sorted.
+struct domain_view
+{
+    std::vector<std::string> m_accountants;
+    std::vector<std::string> m_claimants; ///< those that reach the store, if any does
+};
+
+domain_view current_view(step_context const & context)
+{
+    entry_state const & state = context.m_state;
+    domain_view view;
+    std::vector<std::string> with_store;
+    for (instance_id const & id :
+         membership::live_members(state.m_membership, state.m_identity.m_domain))
+    {
+        view.m_accountants.push_back(id.m_value);
+        if (state.m_membership.m_members.at(id).m_report.m_store_contact)
+        {
+            with_store.push_back(id.m_value);
+        }
+    }
+    if (!state.m_draining || view.m_accountants.empty())
+    {
+        view.m_accountants.push_back(state.m_identity.m_instance.m_value);
+    }
+    if (!state.m_draining &&
+        ownership::has_store_contact(state.m_ownership, context.m_now))
+    {
+        with_store.push_back(state.m_identity.m_instance.m_value);
+    }
+    std::sort(view.m_accountants.begin(), view.m_accountants.end());
+    std::sort(with_store.begin(), with_store.end());
+    view.m_claimants = with_store.empty() ? view.m_accountants : with_store;
+    return view;
+}
+
+/// Computes again what follows from the members when they have changed.
+void refresh_view(step_context & context)
+{
+    entry_state & state = context.m_state;
+    time_point & started = state.m_membership.m_started_at;
+    if (started == time_point())
+    {
+        started = context.m_now;
+    }
+    bool const discovering = context.m_now - started < membership::discovery_time;
+    if (discovering || !state.m_dispatch.m_configuration)
+    {
+        return;
+    }
+    domain_view view = current_view(context);
+    if (!state.m_view_known || view.m_accountants != state.m_accountants)
+    {
+        state.m_accountants = std::move(view.m_accountants);
+        share_upstreams(context);
+    }
+    if (!state.m_view_known || view.m_claimants != state.m_claimants ||
+        state.m_ownership.m_peers !=
+            membership::live_members(state.m_membership, state.m_identity.m_domain))
+    {
+        state.m_claimants = std::move(view.m_claimants);
+        share_shards(context);
+    }
+    state.m_view_known = true;
+}
+
+void change_configuration(step_context & context, configuration_changed & changed)
+{
+    entry_state & state = context.m_state;
+    if (!changed.m_configuration ||
+        configuration_version(state) >= changed.m_configuration->m_version)
+    {
+        return;
+    }
+    config::failure_domain const * const domain =
+        config::find_domain(*changed.m_configuration, state.m_identity.m_domain);
+    if (domain != nullptr)
+    {
+        ownership::configure(state.m_ownership, domain->m_shards,
+                             changed.m_configuration->m_dispatch.m_resubmission_window);
+    }
+    state.m_document = std::move(changed.m_document);
+    dispatch::apply_configuration(state.m_dispatch, std::move(changed.m_configuration));
+    state.m_view_known = false;
+    refresh_view(context);
+}
+
+void receive_configuration(step_context & context, configuration_notice & notice)
+{
+    entry_state & state = context.m_state;
+    bool const recent = notice.m_version <= state.m_checked_version &&
+                        context.m_now - state.m_checked_at < configuration_notice_period;
+    if (notice.m_version <= configuration_version(state) || recent)
+    {
+        return;
+    }
+    state.m_checked_version = notice.m_version;
+    state.m_checked_at = context.m_now;
+    context.m_actions.emplace_back(
+        check_document{notice.m_version, std::move(notice.m_document)});
+}
+
+heartbeat make_heartbeat(step_context const & context)
+{
+    entry_state const & state = context.m_state;
+    heartbeat message;
+    message.m_incarnation = state.m_identity.m_incarnation;
+    message.m_domain = state.m_identity.m_domain;
+    message.m_peer_address = state.m_identity.m_peer_address;
+    message.m_sent_at = context.m_now;
+    message.m_configuration_version = configuration_version(state);
+    message.m_leaving = state.m_draining;
+    message.m_store_contact =
+        ownership::has_store_contact(state.m_ownership, context.m_now);
+    auto const & shards = state.m_ownership.m_shards;
+    for (std::uint32_t index = 0; index < shards.size(); ++index)
+    {
+        if (shards[index].m_phase == ownership::shard_phase::serving)
+        {
+            message.m_holdings.push_back({index, shards[index].m_epoch});
+        }
+    }
+    message.m_load = dispatch::current_load(state.m_dispatch);
+    return message;
+}
+
+void send_load(step_context & context)
+{
+    entry_state & state = context.m_state;
+    dispatch::peer_load const load = dispatch::current_load(state.m_dispatch);
+    if (context.m_now < state.m_next_load_report ||
+        load.m_free_slots == state.m_reported_slots)
+    {
+        return;
+    }
+    std::vector<instance_id> const peers =
+        membership::live_members(state.m_membership, state.m_identity.m_domain);
+    duration const spread = std::chrono::milliseconds(21) * peers.size();
+    state.m_next_load_report =
+        context.m_now + std::max<duration>(shortest_report_period, spread);
+    state.m_reported_slots = load.m_free_slots;
+    if (spread >= membership::domain_heartbeat_period)
+    {
+        return; // heartbeats are as frequent
+    }
+    for (instance_id const & peer : peers)
+    {
+        send(context, peer, load_report{load});
+    }
+}
+
+void advance_peers(step_context & context)
+{
+    entry_state & state = context.m_state;
+    for (instance_id const & failed :
+         membership::expire_members(state.m_membership, context.m_now))
+    {
+        context.m_actions.emplace_back(log_event{"peer_failed", failed.m_value, {}});
+        remove_peer(context, failed);
+    }
+    refresh_view(context);
+    std::vector<instance_id> const due = membership::take_due_heartbeats(
+        state.m_membership, context.m_now, context.m_random);
+    if (!due.empty())
+    {
+        heartbeat const message = make_heartbeat(context);
+        for (instance_id const & peer : due)
+        {
+            send(context, peer, message);
+        }
+    }
+    send_load(context);
+}
+
+} // namespace cassiahub::decision::internal
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -1,7 +1,12 @@
+#include "decision/context.hpp"
+
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision/step.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/membership/members.hpp>
+#include <cassiahub/ownership/owner.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cassiahub::decision
@@ -10,154 +15,168 @@
 namespace internal
 {
 
-/// Arguments of step() that every handler needs.
-struct step_context
-{
-    entry_state & m_state;
-    time_point m_now;
-    random_source & m_random;
-    std::vector<action> & m_actions;
-};
-
-void answer(step_context & context, answer_route const & route, job_answer answer)
+ownership::stored_row to_stored_row(table_row const & row)
 {
-    context.m_actions.emplace_back(answer_caller{route.m_caller, std::move(answer)});
+    return {row.m_name, row.m_version, row.m_value};
 }
 
-void refuse(step_context & context, answer_route const & route, std::error_code error)
+write_store to_action(ownership::store_write write)
 {
-    answer(context, route, {error, run_state::no, std::chrono::seconds(1), {}});
+    write_store result{write.m_request, std::move(write.m_write_id), {}};
+    for (ownership::row_change & row : write.m_rows)
+    {
+        result.m_rows.push_back(
+            {std::move(row.m_name), row.m_expected_version, std::move(row.m_value)});
+    }
+    return result;
 }
 
-void finish_open_job(step_context & context, dispatch::job_outcome const & outcome)
+ownership::store_result to_result(store_outcome outcome) noexcept
 {
-    auto const found = context.m_state.m_open_jobs.find(outcome.m_key);
-    if (found == context.m_state.m_open_jobs.end())
-    {
-        return;
-    }
-    open_job const job = std::move(found->second);
-    context.m_state.m_open_jobs.erase(found);
-    context.m_actions.emplace_back(observe_job{outcome.m_key.m_tenant, job.m_kind,
-                                               context.m_now - job.m_submitted,
-                                               outcome.m_answer.m_error});
-    for (answer_route const & route : job.m_waiting)
+    switch (outcome)
     {
-        answer(context, route, outcome.m_answer);
+    case store_outcome::done:
+        return ownership::store_result::done;
+    case store_outcome::conflict:
+        return ownership::store_result::conflict;
+    case store_outcome::unavailable:
+        return ownership::store_result::unavailable;
     }
+    return ownership::store_result::unavailable;
 }
 
-/// Turns the dispatcher's effects into actions, in the order that keeps a start after
-/// the cancellations that make room for it.
-void apply_effects(step_context & context, dispatch::effects effects)
+void handle(step_context & context, caller_request & request)
 {
-    for (dispatch::attempt_cancel & cancel : effects.m_cancels)
-    {
-        context.m_actions.emplace_back(std::move(cancel));
-    }
-    for (dispatch::attempt_start & start : effects.m_starts)
-    {
-        context.m_actions.emplace_back(std::move(start));
-    }
-    for (dispatch::job_outcome const & outcome : effects.m_finished)
-    {
-        finish_open_job(context, outcome);
-    }
+    context.m_state.m_callers.insert(request.m_caller);
+    handle_request(context, {request.m_caller, {}, 0, false}, request.m_operation,
+                   std::move(request.m_spec));
 }
 
-void advance(step_context & context)
+void handle(step_context & context, caller_gone & gone)
+{
+    // The job goes on: the caller may submit it again to get the answer.
+    context.m_state.m_callers.erase(gone.m_caller);
+}
+
+void finish_attempt(step_context & context, dispatch::attempt_result result)
 {
     dispatch::effects effects;
-    dispatch::advance(context.m_state.m_dispatch, context.m_now, context.m_random,
-                      effects);
-    apply_effects(context, std::move(effects));
+    dispatch::finish_attempt(context.m_state.m_dispatch, std::move(result), context.m_now,
+                             context.m_random, effects);
+    apply(context, std::move(effects));
 }
 
-void submit(step_context & context, answer_route const & route, job_spec spec)
+void handle(step_context & context, attempt_finished & finished)
 {
-    entry_state & state = context.m_state;
-    if (auto const open = state.m_open_jobs.find(spec.m_key);
-        open != state.m_open_jobs.end())
-    {
-        open->second.m_waiting.push_back(route);
-        return;
-    }
-    if (state.m_draining)
-    {
-        refuse(context, route, job_errc::draining);
-        return;
-    }
-    if (std::error_code const error =
-            dispatch::check_admission(state.m_dispatch, spec, context.m_now))
-    {
-        refuse(context, route, error);
-        return;
-    }
-    state.m_open_jobs.emplace(spec.m_key, open_job{spec.m_kind, context.m_now, {route}});
-    time_point const deadline = context.m_now + spec.m_time_limit;
-    dispatch::enqueue_job(state.m_dispatch, {std::move(spec), {}, deadline, deadline},
-                          context.m_now);
+    finish_attempt(context, std::move(finished.m_result));
 }
 
-void handle(step_context & context, caller_request & request)
+void handle_message(step_context & context, instance_id const & from,
+                    forward_request & message)
 {
-    answer_route const route{request.m_caller, {}, 0};
-    switch (request.m_operation)
-    {
-    case key_operation::submit:
-        submit(context, route, std::move(request.m_spec));
-        break;
-    case key_operation::query:
-        refuse(context, route, job_errc::not_found);
-        break;
-    case key_operation::cancel:
-    {
-        dispatch::effects effects;
-        dispatch::cancel_job(context.m_state.m_dispatch, request.m_spec.m_key,
-                             context.m_now, effects);
-        apply_effects(context, std::move(effects));
-        break;
-    }
-    }
+    membership::note_request(context.m_state.m_membership, from, context.m_now);
+    handle_request(context, {0, from, message.m_request, false}, message.m_operation,
+                   std::move(message.m_spec));
 }
 
-void handle(step_context &, caller_gone &) {}
+void handle_message(step_context & context, instance_id const & from,
+                    request_answered & message)
+{
+    receive_answer(context, from, std::move(message));
+}
 
-void handle(step_context & context, attempt_finished & finished)
+void handle_message(step_context & context, instance_id const & from,
+                    forward_task & message)
 {
-    dispatch::effects effects;
-    dispatch::finish_attempt(context.m_state.m_dispatch, std::move(finished.m_result),
-                             context.m_now, context.m_random, effects);
-    apply_effects(context, std::move(effects));
+    membership::note_request(context.m_state.m_membership, from, context.m_now);
+    context.m_state.m_accepted.insert(message.m_start.m_attempt);
+    dispatch::accept_forwarded(context.m_state.m_dispatch, from,
+                               std::move(message.m_start), context.m_now);
 }
 
-void handle(step_context &, peer_message_received &) {}
+void handle_message(step_context & context, instance_id const &, task_reported & message)
+{
+    finish_attempt(context, std::move(message.m_result));
+}
 
-void handle(step_context &, peer_disconnected &) {}
+void handle_message(step_context & context, instance_id const &, cancel_task & message)
+{
+    dispatch::effects effects;
+    dispatch::cancel_forwarded(context.m_state.m_dispatch, message.m_attempt,
+                               context.m_now, effects);
+    apply(context, std::move(effects));
+}
 
-void handle(step_context &, store_answered &) {}
+void handle_message(step_context & context, instance_id const & from, heartbeat & message)
+{
+    receive_heartbeat(context, from, std::move(message));
+}
 
-void handle(step_context &, instances_listed &) {}
+void handle_message(step_context & context, instance_id const & from,
+                    load_report & message)
+{
+    receive_load(context, from, message.m_load);
+}
 
-void handle(step_context & context, configuration_changed & changed)
+void handle_message(step_context & context, instance_id const & from,
+                    key_notice & message)
 {
-    entry_state & state = context.m_state;
-    std::shared_ptr<config::fleet_configuration const> const & current =
-        state.m_dispatch.m_configuration;
-    if (current && current->m_version >= changed.m_configuration->m_version)
+    if (ownership::receive_notice(context.m_state.m_ownership, message.m_shard,
+                                  message.m_keys, context.m_now))
     {
-        return;
+        send(context, from, key_notice_received{message.m_request});
     }
-    std::vector<std::string> owned;
-    for (config::upstream const & upstream : changed.m_configuration->m_upstreams)
+}
+
+void handle_message(step_context & context, instance_id const & from,
+                    key_notice_received & message)
+{
+    ownership::effects effects;
+    ownership::receive_acknowledgement(context.m_state.m_ownership, from,
+                                       message.m_request, effects);
+    apply(context, std::move(effects));
+}
+
+void handle_message(step_context & context, instance_id const &,
+                    configuration_notice & message)
+{
+    receive_configuration(context, message);
+}
+
+void handle(step_context & context, peer_message_received & received)
+{
+    std::visit([&](auto & message) { handle_message(context, received.m_from, message); },
+               received.m_message);
+}
+
+void handle(step_context & context, peer_disconnected & disconnected)
+{
+    lose_connection(context, disconnected.m_peer);
+}
+
+void handle(step_context & context, store_answered & answered)
+{
+    std::vector<ownership::stored_row> rows;
+    rows.reserve(answered.m_rows.size());
+    for (table_row const & row : answered.m_rows)
     {
-        if (upstream.m_domain == state.m_identity.m_domain)
-        {
-            owned.push_back(upstream.m_name);
-        }
+        rows.push_back(to_stored_row(row));
     }
-    dispatch::apply_configuration(state.m_dispatch, std::move(changed.m_configuration));
-    dispatch::set_owned_upstreams(state.m_dispatch, owned);
+    ownership::effects effects;
+    ownership::receive_store_answer(context.m_state.m_ownership, answered.m_request,
+                                    to_result(answered.m_outcome), rows, context.m_now,
+                                    effects);
+    apply(context, std::move(effects));
+}
+
+void handle(step_context & context, instances_listed & listed)
+{
+    receive_list(context, listed);
+}
+
+void handle(step_context & context, configuration_changed & changed)
+{
+    change_configuration(context, changed);
 }
 
 void handle(step_context &, tick &) {}
@@ -165,6 +184,73 @@
 void handle(step_context & context, drain_requested &)
 {
     context.m_state.m_draining = true;
+    ownership::begin_drain(context.m_state.m_ownership);
+    // The other instances learn of it with the next event, not with the next period.
+    context.m_state.m_membership.m_next_domain_heartbeat = {};
+    context.m_state.m_membership.m_next_remote_heartbeat = {};
+}
+
+void advance(step_context & context)
+{
+    entry_state & state = context.m_state;
+    if (context.m_now >= state.m_next_scan)
+    {
+        state.m_next_scan = context.m_now + scan_period;
+        advance_peers(context);
+        advance_requests(context);
+    }
+    ownership::effects ownership_effects;
+    ownership::advance(state.m_ownership, context.m_now, ownership_effects);
+    apply(context, std::move(ownership_effects));
+    dispatch::effects dispatch_effects;
+    dispatch::advance(state.m_dispatch, context.m_now, context.m_random,
+                      dispatch_effects);
+    apply(context, std::move(dispatch_effects));
+}
+
+void check_routes(entry_state const & state, std::vector<std::string_view> & broken)
+{
+    std::size_t reachable = 0;
+    auto const count = [&state, &reachable](answer_route const & route)
+    {
+        reachable +=
+            route.m_peer.m_value.empty() && state.m_callers.contains(route.m_caller) ? 1
+                                                                                     : 0;
+    };
+    for (auto const & [key, job] : state.m_open_jobs)
+    {
+        std::for_each(job.m_waiting.begin(), job.m_waiting.end(), count);
+    }
+    for (auto const & [number, request] : state.m_forwarded)
+    {
+        count(request.m_route);
+    }
+    if (reachable != state.m_callers.size())
+    {
+        broken.emplace_back("caller_without_route_to_its_answer");
+    }
+}
+
+void check_open_records(entry_state const & state, std::vector<std::string_view> & broken)
+{
+    for (ownership::shard_state const & shard : state.m_ownership.m_shards)
+    {
+        for (auto const & [key, entry] : shard.m_records)
+        {
+            bool const open = entry.m_phase == ownership::record_phase::pending ||
+                              entry.m_phase == ownership::record_phase::admitted;
+            auto const job = state.m_open_jobs.find(key);
+            if (open && job == state.m_open_jobs.end())
+            {
+                broken.emplace_back("open_record_without_open_job");
+            }
+            else if (entry.m_phase == ownership::record_phase::pending &&
+                     job->second.m_queued)
+            {
+                broken.emplace_back("job_queued_before_its_record");
+            }
+        }
+    }
 }
 
 } // namespace internal
@@ -173,6 +259,13 @@
 {
     entry_state state;
     state.m_dispatch.m_incarnation = identity.m_incarnation;
+    state.m_membership.m_self = identity.m_instance;
+    state.m_membership.m_domain = identity.m_domain;
+    state.m_ownership.m_self = identity.m_instance;
+    state.m_ownership.m_incarnation = identity.m_incarnation;
+    state.m_ownership.m_domain = identity.m_domain;
+    // An answer to a request of an earlier incarnation must not match a new request.
+    state.m_next_request = identity.m_incarnation;
     state.m_identity = std::move(identity);
     return state;
 }
@@ -180,6 +273,7 @@
 void step(entry_state & state, event occurred, time_point now, random_source & random,
           std::vector<action> & actions)
 {
+    state.m_now = now;
     internal::step_context context{state, now, random, actions};
     std::visit([&context](auto & occurrence) { internal::handle(context, occurrence); },
                occurred);
@@ -188,12 +282,25 @@
 
 std::vector<std::string_view> check_invariants(entry_state const & state)
 {
-    return dispatch::check_invariants(state.m_dispatch);
+    std::vector<std::string_view> broken = dispatch::check_invariants(state.m_dispatch);
+    for (std::string_view const name : membership::check_invariants(state.m_membership))
+    {
+        broken.push_back(name);
+    }
+    for (std::string_view const name : ownership::check_invariants(state.m_ownership))
+    {
+        broken.push_back(name);
+    }
+    internal::check_routes(state, broken);
+    internal::check_open_records(state, broken);
+    return broken;
 }
 
 bool is_idle(entry_state const & state) noexcept
 {
-    return state.m_open_jobs.empty();
+    return state.m_draining && state.m_open_jobs.empty() && state.m_forwarded.empty() &&
+           state.m_accepted.empty() &&
+           ownership::is_released(state.m_ownership, state.m_now);
 }
 
 } // namespace cassiahub::decision
--- /dev/null
+++ b/src/membership/members.cpp
@@ -0,0 +1,253 @@
+#include <cassiahub/membership/members.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::membership
+{
+
+namespace internal
+{
+
+bool is_retired(member const & entry, std::uint64_t incarnation, time_point now)
+{
+    return std::any_of(entry.m_retired.begin(), entry.m_retired.end(),
+                       [&](retired_incarnation const & retired)
+                       {
+                           return retired.m_incarnation == incarnation &&
+                                  now - retired.m_retired_at < retired_incarnation_time;
+                       });
+}
+
+void retire(member & entry, time_point now)
+{
+    std::erase_if(entry.m_retired, [now](retired_incarnation const & retired)
+                  { return now - retired.m_retired_at >= retired_incarnation_time; });
+    entry.m_retired.push_back({entry.m_report.m_incarnation, now});
+}
+
+/// Treats a gap between calls as an own suspension: what was sent meanwhile is still to
+/// be read, so the others keep the time that they had left.
+void forgive_suspension(membership_state & state, time_point now)
+{
+    duration const gap = now - state.m_last_call;
+    if (state.m_last_call != time_point() && gap > suspension_gap)
+    {
+        for (auto & [id, entry] : state.m_members)
+        {
+            entry.m_heard_at += gap;
+        }
+    }
+    state.m_last_call = now;
+}
+
+duration domain_period(membership_state const & state)
+{
+    auto const peers = std::count_if(state.m_members.begin(), state.m_members.end(),
+                                     [&state](auto const & item)
+                                     { return item.second.m_domain == state.m_domain; });
+    duration const spread = std::chrono::nanoseconds(std::chrono::seconds(1)) * peers /
+                            domain_heartbeats_per_second;
+    return std::clamp<duration>(spread, domain_heartbeat_period,
+                                longest_domain_heartbeat_period);
+}
+
+bool is_target(member const & entry, time_point now)
+{
+    return entry.m_live || entry.m_listed || entry.m_interest_until > now;
+}
+
+/// Appends remote_heartbeat_targets random members of each other domain, and every
+/// member there with which requests are exchanged.
+void append_remote_targets(membership_state const & state, time_point now,
+                           random_source & random, std::vector<instance_id> & targets)
+{
+    std::map<std::string_view, std::vector<instance_id>> others;
+    for (auto const & [id, entry] : state.m_members)
+    {
+        if (entry.m_domain == state.m_domain || !is_target(entry, now))
+        {
+            continue;
+        }
+        if (entry.m_interest_until > now)
+        {
+            targets.push_back(id);
+        }
+        else
+        {
+            others[entry.m_domain].push_back(id);
+        }
+    }
+    for (auto & [domain, candidates] : others)
+    {
+        std::shuffle(candidates.begin(), candidates.end(), random);
+        candidates.resize(std::min(candidates.size(), remote_heartbeat_targets));
+        targets.insert(targets.end(), candidates.begin(), candidates.end());
+    }
+}
+
+} // namespace internal
+
+void merge_list(membership_state & state, std::span<listed_member const> listed)
+{
+    for (auto & [id, entry] : state.m_members)
+    {
+        entry.m_listed = false;
+        entry.m_listed_address.clear();
+    }
+    for (listed_member const & item : listed)
+    {
+        if (item.m_instance == state.m_self)
+        {
+            continue;
+        }
+        member & entry = state.m_members[item.m_instance];
+        if (!entry.m_live)
+        {
+            entry.m_domain = item.m_domain;
+        }
+        entry.m_listed = true;
+        entry.m_listed_address = item.m_address;
+    }
+}
+
+report_effect receive_report(membership_state & state, instance_id const & from,
+                             member_report report, time_point now)
+{
+    if (from == state.m_self)
+    {
+        return report_effect::ignored;
+    }
+    member & entry = state.m_members[from];
+    bool const heard_before = entry.m_report_at != time_point();
+    bool const replaced =
+        heard_before && entry.m_report.m_incarnation != report.m_incarnation;
+    bool const stale = replaced
+                           ? internal::is_retired(entry, report.m_incarnation, now)
+                           : heard_before && report.m_sent_at < entry.m_report.m_sent_at;
+    if (stale)
+    {
+        return report_effect::ignored;
+    }
+    if (replaced)
+    {
+        internal::retire(entry, now);
+    }
+    report_effect const effect = !entry.m_live ? report_effect::joined
+                                 : replaced    ? report_effect::restarted
+                                               : report_effect::refreshed;
+    entry.m_domain = report.m_domain;
+    entry.m_report = std::move(report);
+    entry.m_live = true;
+    entry.m_heard_at = now;
+    entry.m_report_at = now;
+    return effect;
+}
+
+void note_request(membership_state & state, instance_id const & peer, time_point now)
+{
+    auto const found = state.m_members.find(peer);
+    if (found != state.m_members.end())
+    {
+        found->second.m_interest_until = now + request_interest;
+    }
+}
+
+std::vector<instance_id> expire_members(membership_state & state, time_point now)
+{
+    internal::forgive_suspension(state, now);
+    std::vector<instance_id> failed;
+    for (auto & [id, entry] : state.m_members)
+    {
+        duration const timeout = entry.m_domain == state.m_domain
+                                     ? domain_failure_timeout
+                                     : remote_failure_timeout;
+        if (entry.m_live && now - entry.m_heard_at >= timeout)
+        {
+            entry.m_live = false;
+            failed.push_back(id);
+        }
+    }
+    std::erase_if(state.m_members,
+                  [now](auto const & item)
+                  {
+                      member const & entry = item.second;
+                      return !entry.m_live && !entry.m_listed &&
+                             now - entry.m_heard_at >= forget_time;
+                  });
+    return failed;
+}
+
+std::vector<instance_id> take_due_heartbeats(membership_state & state, time_point now,
+                                             random_source & random)
+{
+    std::vector<instance_id> targets;
+    if (state.m_next_domain_heartbeat <= now)
+    {
+        state.m_next_domain_heartbeat = now + internal::domain_period(state);
+        for (auto const & [id, entry] : state.m_members)
+        {
+            if (entry.m_domain == state.m_domain && internal::is_target(entry, now))
+            {
+                targets.push_back(id);
+            }
+        }
+    }
+    if (state.m_next_remote_heartbeat <= now)
+    {
+        state.m_next_remote_heartbeat = now + remote_heartbeat_period;
+        internal::append_remote_targets(state, now, random, targets);
+    }
+    return targets;
+}
+
+member const * find_live(membership_state const & state, instance_id const & instance)
+{
+    auto const found = state.m_members.find(instance);
+    return found != state.m_members.end() && found->second.m_live ? &found->second
+                                                                  : nullptr;
+}
+
+std::string_view address_of(member const & entry) noexcept
+{
+    return entry.m_listed_address.empty() ? entry.m_report.m_address
+                                          : entry.m_listed_address;
+}
+
+std::vector<instance_id> live_members(membership_state const & state,
+                                      std::string_view domain)
+{
+    std::vector<instance_id> live;
+    for (auto const & [id, entry] : state.m_members)
+    {
+        if (entry.m_live && entry.m_domain == domain && !entry.m_report.m_leaving)
+        {
+            live.push_back(id);
+        }
+    }
+    return live;
+}
+
+time_point to_peer_clock(member const & peer, time_point local) noexcept
+{
+    return peer.m_report.m_sent_at + (local - peer.m_report_at);
+}
+
+std::vector<std::string_view> check_invariants(membership_state const & state)
+{
+    std::vector<std::string_view> broken;
+    if (state.m_members.contains(state.m_self))
+    {
+        broken.emplace_back("instance_is_its_own_peer");
+    }
+    for (auto const & [id, entry] : state.m_members)
+    {
+        if (entry.m_live && entry.m_report_at == time_point())
+        {
+            broken.emplace_back("live_member_never_heard");
+        }
+    }
+    return broken;
+}
+
+} // namespace cassiahub::membership
--- /dev/null
+++ b/src/ownership/leases.cpp
@@ -0,0 +1,519 @@
+#include "ownership/shard_records.hpp"
+
+#include <cassiahub/core/error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::ownership
+{
+
+namespace internal
+{
+
+/// Interval of the scan for deadlines and expired records.
+constexpr duration scan_period = std::chrono::milliseconds(20);
+/// Time since the last answer for which the store counts as reachable.
+constexpr duration contact_time = std::chrono::seconds(3);
+
+/// \returns the holder's own limit of a lease that was written at \p sent_at.
+time_point lease_limit(time_point sent_at) noexcept
+{
+    return sent_at + lease_time * (100 - clock_rate_error_percent) / 100 - expiry_margin;
+}
+
+bool is_mine(ownership_state const & state, lease_value const & lease)
+{
+    return lease.m_owner == state.m_self && lease.m_incarnation == state.m_incarnation;
+}
+
+void begin_loading(ownership_state & state, std::uint32_t index, std::uint64_t epoch,
+                   effects & out)
+{
+    shard_state & shard = state.m_shards[index];
+    shard.m_phase = shard_phase::loading;
+    shard.m_epoch = epoch;
+    shard.m_valid_until = {};
+    shard.m_renewed_at = {};
+    shard.m_releasing = state.m_draining;
+    shard.m_load_request = 0;
+    out.m_shard_events.push_back({shard_change::claimed, index});
+}
+
+/// Takes in one lease row. Rows older than the known version are from an answer that
+/// was overtaken by a write.
+void observe_lease(ownership_state & state, std::uint32_t index, std::uint64_t version,
+                   lease_value const & lease, time_point now, effects & out)
+{
+    shard_state & shard = state.m_shards[index];
+    if (version < shard.m_row_version)
+    {
+        return;
+    }
+    bool const changed = version != shard.m_row_version;
+    if (changed || !shard.m_observed)
+    {
+        shard.m_unchanged_since = now;
+    }
+    shard.m_observed = true;
+    shard.m_row_version = version;
+    shard.m_lease = lease;
+    bool const mine = version != 0 && is_mine(state, lease);
+    if (is_owned(shard))
+    {
+        if (changed && (!mine || lease.m_epoch != shard.m_epoch))
+        {
+            drop_shard(state, index,
+                       shard.m_release_sent ? shard_change::released : shard_change::lost,
+                       out);
+        }
+        return;
+    }
+    bool const in_flight =
+        state.m_write && state.m_write->m_purpose != write_purpose::record;
+    if (in_flight)
+    {
+        return;
+    }
+    shard.m_phase = shard_phase::idle;
+    // A claim of this process that took effect after its answer was given up.
+    if (mine && lease.m_epoch > shard.m_epoch)
+    {
+        begin_loading(state, index, lease.m_epoch, out);
+    }
+}
+
+void receive_leases(ownership_state & state, std::span<stored_row const> rows,
+                    time_point now, effects & out)
+{
+    std::vector<std::pair<std::uint64_t, lease_value>> leases(state.m_shards.size());
+    for (stored_row const & row : rows)
+    {
+        std::uint32_t index = 0;
+        if (!parse_lease_row_name(row.m_name, state.m_domain, index) ||
+            index >= leases.size())
+        {
+            continue;
+        }
+        lease_value lease;
+        if (!parse_lease(row.m_value, lease))
+        {
+            // Someone holds it in a form that is not understood: wait the usual time.
+            lease = {{"?"}, 0, 0, lease_time};
+        }
+        leases[index] = {row.m_version, lease};
+    }
+    for (std::uint32_t index = 0; index < leases.size(); ++index)
+    {
+        observe_lease(state, index, leases[index].first, leases[index].second, now, out);
+    }
+    state.m_read_needed = false;
+}
+
+void receive_records(ownership_state & state, std::uint32_t index,
+                     std::span<stored_row const> rows, time_point now, effects & out)
+{
+    shard_state & shard = state.m_shards[index];
+    shard.m_load_request = 0;
+    for (stored_row const & row : rows)
+    {
+        job_key key;
+        record_value value;
+        if (!parse_record_row_name(row.m_name, state.m_domain, index, key))
+        {
+            continue;
+        }
+        // A row that cannot be read still shows that the key was admitted.
+        if (!parse_record(row.m_value, value))
+        {
+            value = {};
+        }
+        record & entry = shard.m_records[key];
+        entry.m_phase =
+            value.m_finished ? record_phase::finished : record_phase::earlier_admitted;
+        entry.m_job_hash = value.m_job_hash;
+        entry.m_epoch = value.m_epoch;
+        entry.m_error = value.m_error;
+        entry.m_ran = value.m_ran;
+        entry.m_row_possible = true;
+        settle(shard, key, entry, now);
+    }
+    adopt_noticed(state, index, now);
+    shard.m_phase = shard_phase::serving;
+    out.m_shard_events.push_back({shard_change::serving, index});
+}
+
+void note_contact(ownership_state & state, store_result result, time_point now)
+{
+    if (result != store_result::unavailable)
+    {
+        state.m_store_down = false;
+        state.m_last_contact = now;
+        return;
+    }
+    state.m_store_down = true;
+    state.m_read_needed = true;
+    state.m_next_lease_read = now + store_probe_period;
+    // Time in which the holder could not renew does not count against it.
+    for (shard_state & shard : state.m_shards)
+    {
+        shard.m_observed = false;
+    }
+}
+
+/// Finishes the records of one part of a committed write.
+void commit_records(ownership_state & state, shard_state & shard, write_part const & part,
+                    time_point now, effects & out)
+{
+    bool const lapsed = now >= shard.m_valid_until;
+    for (auto const & [key, revision] : part.m_records)
+    {
+        auto const found = shard.m_records.find(key);
+        if (found == shard.m_records.end() || found->second.m_revision != revision)
+        {
+            continue;
+        }
+        record & entry = found->second;
+        bool const pending = entry.m_phase == record_phase::pending;
+        if (pending && lapsed)
+        {
+            continue; // the next write renews the lease and clears the job
+        }
+        entry.m_dirty = false;
+        if (pending)
+        {
+            clear_pending(state, part.m_shard, key, entry, out);
+        }
+    }
+    std::vector<job_key> deleted;
+    std::erase_if(shard.m_dirty,
+                  [&shard, &deleted](job_key const & key)
+                  {
+                      record const & entry = shard.m_records.at(key);
+                      if (!entry.m_dirty && entry.m_phase == record_phase::obsolete)
+                      {
+                          deleted.push_back(key);
+                      }
+                      return !entry.m_dirty;
+                  });
+    for (job_key const & key : deleted)
+    {
+        erase_record(state, shard, key);
+    }
+}
+
+void commit_part(ownership_state & state, pending_write const & write,
+                 write_part const & part, time_point now, effects & out)
+{
+    shard_state & shard = state.m_shards[part.m_shard];
+    switch (write.m_purpose)
+    {
+    case write_purpose::claim:
+        begin_loading(state, part.m_shard, part.m_epoch, out);
+        shard.m_lease = {state.m_self, state.m_incarnation, part.m_epoch, lease_time};
+        break;
+    case write_purpose::release:
+        if (is_owned(shard) && shard.m_epoch == part.m_epoch)
+        {
+            drop_shard(state, part.m_shard, shard_change::released, out);
+        }
+        shard.m_lease = {{}, 0, part.m_epoch, lease_time};
+        return;
+    case write_purpose::record:
+        break;
+    }
+    if (!is_owned(shard) || shard.m_epoch != part.m_epoch)
+    {
+        return;
+    }
+    shard.m_valid_until = lease_limit(write.m_sent_at);
+    shard.m_renewed_at = write.m_sent_at;
+    shard.m_release_sent = false;
+    commit_records(state, shard, part, now, out);
+}
+
+void receive_write_result(ownership_state & state, store_result result,
+                          std::span<stored_row const> rows, time_point now, effects & out)
+{
+    pending_write const write = std::move(*state.m_write);
+    state.m_write.reset();
+    if (result != store_result::done)
+    {
+        state.m_read_needed = true;
+        for (write_part const & part : write.m_parts)
+        {
+            shard_state & shard = state.m_shards[part.m_shard];
+            if (result == store_result::conflict &&
+                shard.m_phase == shard_phase::claiming)
+            {
+                shard.m_phase = shard_phase::idle;
+            }
+        }
+        return;
+    }
+    for (stored_row const & row : rows)
+    {
+        std::uint32_t index = 0;
+        if (parse_lease_row_name(row.m_name, state.m_domain, index) &&
+            index < state.m_shards.size())
+        {
+            state.m_shards[index].m_row_version =
+                std::max(state.m_shards[index].m_row_version, row.m_version);
+        }
+    }
+    for (write_part const & part : write.m_parts)
+    {
+        commit_part(state, write, part, now, out);
+    }
+}
+
+void advance_reads(ownership_state & state, time_point now, effects & out)
+{
+    bool const due =
+        now >= state.m_next_lease_read || (state.m_read_needed && !state.m_store_down);
+    if (state.m_lease_request == 0 && due)
+    {
+        state.m_lease_request = state.m_next_request++;
+        state.m_lease_sent_at = now;
+        state.m_next_lease_read =
+            now + (state.m_store_down ? store_probe_period : lease_read_period);
+        out.m_reads.push_back({state.m_lease_request, lease_prefix(state.m_domain)});
+    }
+    for (std::uint32_t index = 0; index < state.m_shards.size(); ++index)
+    {
+        shard_state & shard = state.m_shards[index];
+        if (shard.m_phase == shard_phase::loading && shard.m_load_request == 0 &&
+            !state.m_store_down)
+        {
+            shard.m_load_request = state.m_next_request++;
+            shard.m_load_sent_at = now;
+            out.m_reads.push_back(
+                {shard.m_load_request, record_prefix(state.m_domain, index)});
+        }
+    }
+}
+
+/// Gives up requests that the platform client never answered.
+void expire_requests(ownership_state & state, time_point now, effects & out)
+{
+    if (state.m_lease_request != 0 &&
+        now - state.m_lease_sent_at >= store_request_timeout)
+    {
+        receive_store_answer(state, state.m_lease_request, store_result::unavailable, {},
+                             now, out);
+    }
+    if (state.m_write && now - state.m_write->m_sent_at >= store_request_timeout)
+    {
+        receive_store_answer(state, state.m_write->m_request, store_result::unavailable,
+                             {}, now, out);
+    }
+    for (shard_state & shard : state.m_shards)
+    {
+        if (shard.m_load_request != 0 &&
+            now - shard.m_load_sent_at >= store_request_timeout)
+        {
+            shard.m_load_request = 0;
+        }
+    }
+}
+
+/// Lets shards go that another member should own.
+void advance_handover(ownership_state & state, time_point now)
+{
+    for (shard_state & shard : state.m_shards)
+    {
+        if (shard.m_phase != shard_phase::serving || state.m_draining)
+        {
+            continue;
+        }
+        duration const unpreferred = now - shard.m_unpreferred_since;
+        bool const give_up = !shard.m_preferred &&
+                             (unpreferred >= handover_limit ||
+                              (unpreferred >= handover_delay && shard.m_open_count == 0));
+        shard.m_releasing = give_up || shard.m_release_sent;
+    }
+}
+
+/// Restarts the observation of lease rows after an own suspension: what other instances
+/// tell about unrecorded keys has to arrive before a claim.
+void detect_suspension(ownership_state & state, time_point now)
+{
+    if (state.m_last_call != time_point() && now - state.m_last_call > suspension_gap)
+    {
+        for (shard_state & shard : state.m_shards)
+        {
+            shard.m_observed = false;
+        }
+        state.m_read_needed = true;
+    }
+    state.m_last_call = now;
+}
+
+} // namespace internal
+
+void configure(ownership_state & state, std::uint32_t shard_count, duration window)
+{
+    state.m_resubmission_window = window;
+    if (state.m_shards.empty())
+    {
+        state.m_shards.resize(shard_count);
+        state.m_read_needed = true;
+    }
+}
+
+void set_surroundings(ownership_state & state, std::vector<instance_id> peers,
+                      std::span<std::uint32_t const> preferred, time_point now,
+                      effects & out)
+{
+    state.m_peers = std::move(peers);
+    for (std::uint32_t index = 0; index < state.m_shards.size(); ++index)
+    {
+        shard_state & shard = state.m_shards[index];
+        bool const wanted = std::binary_search(preferred.begin(), preferred.end(), index);
+        if (shard.m_preferred && !wanted)
+        {
+            shard.m_unpreferred_since = now;
+        }
+        shard.m_preferred = wanted;
+    }
+    for (auto & [request, notice] : state.m_notices)
+    {
+        std::erase_if(notice.m_waiting,
+                      [&state](instance_id const & peer)
+                      {
+                          return std::find(state.m_peers.begin(), state.m_peers.end(),
+                                           peer) == state.m_peers.end();
+                      });
+    }
+    internal::settle_notices(state, out);
+}
+
+void receive_store_answer(ownership_state & state, std::uint64_t request,
+                          store_result result, std::span<stored_row const> rows,
+                          time_point now, effects & out)
+{
+    if (state.m_write && state.m_write->m_request == request)
+    {
+        internal::note_contact(state, result, now);
+        internal::receive_write_result(state, result, rows, now, out);
+        return;
+    }
+    if (request != 0 && request == state.m_lease_request)
+    {
+        state.m_lease_request = 0;
+        internal::note_contact(state, result, now);
+        if (result == store_result::done)
+        {
+            internal::receive_leases(state, rows, now, out);
+        }
+        return;
+    }
+    for (std::uint32_t index = 0; index < state.m_shards.size(); ++index)
+    {
+        shard_state & shard = state.m_shards[index];
+        if (request == 0 || shard.m_load_request != request)
+        {
+            continue;
+        }
+        shard.m_load_request = 0;
+        internal::note_contact(state, result, now);
+        if (result == store_result::done && shard.m_phase == shard_phase::loading)
+        {
+            internal::receive_records(state, index, rows, now, out);
+        }
+        return;
+    }
+}
+
+void observe_holding(ownership_state & state, std::uint32_t shard, std::uint64_t epoch,
+                     effects & out)
+{
+    if (shard < state.m_shards.size() && internal::is_owned(state.m_shards[shard]) &&
+        epoch > state.m_shards[shard].m_epoch)
+    {
+        internal::drop_shard(state, shard, shard_change::lost, out);
+        state.m_read_needed = true;
+    }
+}
+
+void begin_drain(ownership_state & state)
+{
+    state.m_draining = true;
+    for (shard_state & shard : state.m_shards)
+    {
+        shard.m_releasing = internal::is_owned(shard);
+    }
+}
+
+bool is_released(ownership_state const & state, time_point now) noexcept
+{
+    return std::all_of(state.m_shards.begin(), state.m_shards.end(),
+                       [&state, now](shard_state const & shard)
+                       {
+                           return shard.m_phase == shard_phase::idle ||
+                                  (state.m_store_down && now >= shard.m_valid_until);
+                       });
+}
+
+bool has_store_contact(ownership_state const & state, time_point now) noexcept
+{
+    return !state.m_store_down && state.m_last_contact != time_point() &&
+           now - state.m_last_contact < internal::contact_time;
+}
+
+void advance(ownership_state & state, time_point now, effects & out)
+{
+    if (state.m_shards.empty())
+    {
+        return;
+    }
+    internal::detect_suspension(state, now);
+    internal::expire_requests(state, now, out);
+    if (now >= state.m_next_scan)
+    {
+        state.m_next_scan = now + internal::scan_period;
+        internal::expire_records(state, now, out);
+    }
+    internal::advance_handover(state, now);
+    internal::advance_reads(state, now, out);
+    internal::advance_notices(state, now, out);
+    internal::advance_writes(state, now, out);
+}
+
+std::vector<std::string_view> check_invariants(ownership_state const & state)
+{
+    std::vector<std::string_view> broken;
+    for (shard_state const & shard : state.m_shards)
+    {
+        std::size_t open = 0;
+        std::size_t dirty = 0;
+        for (auto const & [key, entry] : shard.m_records)
+        {
+            open += entry.m_phase == record_phase::pending ||
+                            entry.m_phase == record_phase::admitted
+                        ? 1
+                        : 0;
+            dirty += entry.m_dirty ? 1 : 0;
+            if (entry.m_phase == record_phase::admitted && entry.m_dirty &&
+                !entry.m_noticed)
+            {
+                broken.emplace_back("admitted_without_record_or_notice");
+            }
+        }
+        if (open != shard.m_open_count)
+        {
+            broken.emplace_back("open_record_count_wrong");
+        }
+        if (dirty != shard.m_dirty.size())
+        {
+            broken.emplace_back("dirty_record_not_listed");
+        }
+        if (!internal::is_owned(shard) && !shard.m_records.empty())
+        {
+            broken.emplace_back("records_of_shard_not_owned");
+        }
+    }
+    return broken;
+}
+
+} // namespace cassiahub::ownership
--- /dev/null
+++ b/src/ownership/notices.cpp
@@ -0,0 +1,211 @@
+#include "ownership/shard_records.hpp"
+
+#include <cassiahub/core/error.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cassiahub::ownership
+{
+
+namespace internal
+{
+
+void send_notice(pending_notice const & notice, std::uint64_t request, effects & out)
+{
+    for (instance_id const & peer : notice.m_waiting)
+    {
+        out.m_notices.push_back({peer, request, notice.m_shard, notice.m_keys});
+    }
+}
+
+bool is_pending(shard_state const & shard, job_key const & key)
+{
+    auto const found = shard.m_records.find(key);
+    return found != shard.m_records.end() &&
+           found->second.m_phase == record_phase::pending;
+}
+
+/// Announces the pending repeatable jobs of one shard and refuses the others while the
+/// store is down. While it is only slow, the others go on waiting for it.
+void announce_pending(ownership_state & state, std::uint32_t index, time_point now,
+                      effects & out)
+{
+    shard_state & shard = state.m_shards[index];
+    std::erase_if(shard.m_pending,
+                  [&shard](job_key const & key) { return !is_pending(shard, key); });
+    pending_notice notice;
+    std::vector<job_key> refused;
+    for (job_key const & key : shard.m_pending)
+    {
+        record & entry = shard.m_records.at(key);
+        if (entry.m_noticed)
+        {
+            continue;
+        }
+        // A release that may still take effect lets another instance claim at once.
+        bool const announced =
+            entry.m_repeatable && !state.m_peers.empty() && !shard.m_release_sent;
+        if (announced)
+        {
+            entry.m_noticed = true;
+            notice.m_keys.push_back(key);
+        }
+        else if (state.m_store_down)
+        {
+            refused.push_back(key);
+        }
+    }
+    for (job_key const & key : refused)
+    {
+        refuse_pending(state, shard, key, job_errc::store_unavailable, out);
+    }
+    if (!notice.m_keys.empty())
+    {
+        notice.m_shard = index;
+        notice.m_epoch = shard.m_epoch;
+        notice.m_waiting = {state.m_peers.begin(), state.m_peers.end()};
+        notice.m_sent_at = now;
+        std::uint64_t const request = state.m_next_request++;
+        send_notice(notice, request, out);
+        state.m_notices.emplace(request, std::move(notice));
+    }
+}
+
+void end_notice(ownership_state & state, pending_notice const & notice, effects & out)
+{
+    shard_state & shard = state.m_shards[notice.m_shard];
+    if (shard.m_phase != shard_phase::serving || shard.m_epoch != notice.m_epoch)
+    {
+        return;
+    }
+    for (job_key const & key : notice.m_keys)
+    {
+        if (!is_pending(shard, key))
+        {
+            continue;
+        }
+        if (notice.m_acknowledged)
+        {
+            clear_pending(state, notice.m_shard, key, shard.m_records.at(key), out);
+        }
+        else
+        {
+            refuse_pending(state, shard, key, job_errc::store_unavailable, out);
+        }
+    }
+}
+
+void settle_notices(ownership_state & state, effects & out)
+{
+    std::vector<pending_notice> ended;
+    std::erase_if(state.m_notices,
+                  [&ended](auto & item)
+                  {
+                      bool const complete = item.second.m_waiting.empty();
+                      if (complete)
+                      {
+                          ended.push_back(std::move(item.second));
+                      }
+                      return complete;
+                  });
+    for (pending_notice const & notice : ended)
+    {
+        end_notice(state, notice, out);
+    }
+}
+
+void advance_notices(ownership_state & state, time_point now, effects & out)
+{
+    if (is_store_bypassed(state, now))
+    {
+        for (std::uint32_t index = 0; index < state.m_shards.size(); ++index)
+        {
+            if (state.m_shards[index].m_phase == shard_phase::serving)
+            {
+                announce_pending(state, index, now, out);
+            }
+        }
+    }
+    for (auto & [request, notice] : state.m_notices)
+    {
+        if (now - notice.m_sent_at >= notice_resend_period)
+        {
+            notice.m_sent_at = now;
+            send_notice(notice, request, out);
+        }
+    }
+}
+
+void adopt_noticed(ownership_state & state, std::uint32_t index, time_point now)
+{
+    shard_state & shard = state.m_shards[index];
+    for (auto const & [key, noticed] : state.m_noticed)
+    {
+        if (noticed.m_shard != index || shard.m_records.contains(key))
+        {
+            continue;
+        }
+        record & entry = shard.m_records[key];
+        entry.m_phase = record_phase::earlier_admitted;
+        entry.m_epoch = shard.m_epoch;
+        mark_dirty(shard, key, entry);
+        settle(shard, key, entry, now);
+    }
+}
+
+} // namespace internal
+
+bool receive_notice(ownership_state & state, std::uint32_t shard,
+                    std::span<job_key const> keys, time_point now)
+{
+    if (shard < state.m_shards.size() &&
+        state.m_shards[shard].m_phase != shard_phase::idle)
+    {
+        return false;
+    }
+    for (job_key const & key : keys)
+    {
+        state.m_noticed.insert_or_assign(key, noticed_key{shard, now});
+        state.m_noticed_expiry.emplace_back(now, key);
+    }
+    return true;
+}
+
+void receive_acknowledgement(ownership_state & state, instance_id const & from,
+                             std::uint64_t request, effects & out)
+{
+    auto const found = state.m_notices.find(request);
+    if (found != state.m_notices.end() && found->second.m_waiting.erase(from) > 0)
+    {
+        found->second.m_acknowledged = true;
+        internal::settle_notices(state, out);
+    }
+}
+
+void inform_peer(ownership_state & state, instance_id const & peer, effects & out)
+{
+    std::map<std::uint32_t, std::vector<job_key>> keys;
+    for (std::uint32_t index = 0; index < state.m_shards.size(); ++index)
+    {
+        for (auto const & [key, entry] : state.m_shards[index].m_records)
+        {
+            if (entry.m_noticed && entry.m_dirty &&
+                entry.m_phase != record_phase::obsolete)
+            {
+                keys[index].push_back(key);
+            }
+        }
+    }
+    for (auto const & [key, noticed] : state.m_noticed)
+    {
+        keys[noticed.m_shard].push_back(key);
+    }
+    for (auto & [shard, list] : keys)
+    {
+        out.m_notices.push_back({peer, state.m_next_request++, shard, std::move(list)});
+    }
+}
+
+} // namespace cassiahub::ownership
--- /dev/null
+++ b/src/ownership/writes.cpp
@@ -0,0 +1,190 @@
+#include "ownership/shard_records.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::ownership::internal
+{
+
+/// Number of waiting records from which a shard is written before its renewal is due.
+constexpr std::size_t full_part = max_rows_per_write / 2;
+
+bool is_claimable(ownership_state const & state, shard_state const & shard,
+                  time_point now)
+{
+    if (state.m_draining || !shard.m_preferred || !shard.m_observed ||
+        shard.m_phase != shard_phase::idle)
+    {
+        return false;
+    }
+    // The holder counts its lease from before its last write, which is before the row
+    // was seen; so its lease is over when this time has passed here.
+    duration const wait =
+        shard.m_lease.m_lease_time * (100 + clock_rate_error_percent) / 100;
+    return shard.m_row_version == 0 || shard.m_lease.m_owner.m_value.empty() ||
+           now - shard.m_unchanged_since >= wait;
+}
+
+bool is_releasable(shard_state const & shard)
+{
+    return shard.m_phase == shard_phase::serving && shard.m_releasing &&
+           shard.m_open_count == 0 && shard.m_dirty.size() < full_part;
+}
+
+bool has_pending(shard_state & shard)
+{
+    std::erase_if(shard.m_pending,
+                  [&shard](job_key const & key)
+                  {
+                      auto const found = shard.m_records.find(key);
+                      return found == shard.m_records.end() ||
+                             found->second.m_phase != record_phase::pending;
+                  });
+    return !shard.m_pending.empty();
+}
+
+bool needs_record_write(shard_state & shard, time_point now)
+{
+    return is_owned(shard) && (now - shard.m_renewed_at >= renewal_period ||
+                               has_pending(shard) || shard.m_dirty.size() >= full_part);
+}
+
+row_change lease_change(ownership_state const & state, std::uint32_t index,
+                        lease_value const & value)
+{
+    return {lease_row_name(state.m_domain, index), state.m_shards[index].m_row_version,
+            format_lease(value)};
+}
+
+/// Adds up to \p limit records of the shard to the write. They need no condition of
+/// their own: only the holder of the lease row's version writes records of the shard.
+void append_records(shard_state & shard, std::size_t limit, write_part & part,
+                    std::vector<row_change> & rows)
+{
+    std::size_t const count = std::min(limit, shard.m_dirty.size());
+    for (std::size_t position = 0; position < count; ++position)
+    {
+        job_key const & key = shard.m_dirty[position];
+        record & entry = shard.m_records.at(key);
+        row_change row{record_row_name(part.m_shard, key), std::nullopt, std::nullopt};
+        if (entry.m_phase != record_phase::obsolete)
+        {
+            row.m_value = format_record({entry.m_job_hash, entry.m_epoch,
+                                         entry.m_phase == record_phase::finished,
+                                         entry.m_error, entry.m_ran});
+        }
+        entry.m_row_possible = true;
+        part.m_records.emplace_back(key, entry.m_revision);
+        rows.push_back(std::move(row));
+    }
+}
+
+void append_claim(ownership_state & state, std::uint32_t index, pending_write & write,
+                  std::vector<row_change> & rows)
+{
+    shard_state & shard = state.m_shards[index];
+    std::uint64_t const epoch = shard.m_lease.m_epoch + 1;
+    rows.push_back(lease_change(state, index,
+                                {state.m_self, state.m_incarnation, epoch, lease_time}));
+    shard.m_phase = shard_phase::claiming;
+    write.m_parts.push_back({index, epoch, {}});
+}
+
+void append_release(ownership_state & state, std::uint32_t index, pending_write & write,
+                    std::vector<row_change> & rows)
+{
+    shard_state & shard = state.m_shards[index];
+    rows.push_back(lease_change(state, index, {{}, 0, shard.m_epoch, lease_time}));
+    write_part part{index, shard.m_epoch, {}};
+    append_records(shard, max_rows_per_write, part, rows);
+    shard.m_release_sent = true;
+    write.m_parts.push_back(std::move(part));
+}
+
+void append_record_part(ownership_state & state, std::uint32_t index, std::size_t limit,
+                        pending_write & write, std::vector<row_change> & rows)
+{
+    shard_state & shard = state.m_shards[index];
+    rows.push_back(lease_change(
+        state, index, {state.m_self, state.m_incarnation, shard.m_epoch, lease_time}));
+    write_part part{index, shard.m_epoch, {}};
+    append_records(shard, limit, part, rows);
+    write.m_parts.push_back(std::move(part));
+}
+
+void fill_write(ownership_state & state, time_point now, pending_write & write,
+                std::vector<row_change> & rows)
+{
+    std::vector<std::uint32_t> claims;
+    std::vector<std::uint32_t> releases;
+    std::vector<std::uint32_t> records;
+    for (std::uint32_t index = 0; index < state.m_shards.size(); ++index)
+    {
+        shard_state & shard = state.m_shards[index];
+        if (is_claimable(state, shard, now))
+        {
+            claims.push_back(index);
+        }
+        else if (is_releasable(shard))
+        {
+            releases.push_back(index);
+        }
+        else if (needs_record_write(shard, now))
+        {
+            records.push_back(index);
+        }
+    }
+    // A claim may lose a race, which would fail everything else in the same write.
+    if (!claims.empty())
+    {
+        write.m_purpose = write_purpose::claim;
+        for (std::uint32_t const index : claims)
+        {
+            append_claim(state, index, write, rows);
+        }
+    }
+    else if (!releases.empty())
+    {
+        write.m_purpose = write_purpose::release;
+        append_release(state, releases.front(), write, rows);
+    }
+    else
+    {
+        for (std::uint32_t const index : records)
+        {
+            append_record_part(state, index, max_rows_per_write / records.size(), write,
+                               rows);
+        }
+    }
+}
+
+void advance_writes(ownership_state & state, time_point now, effects & out)
+{
+    bool const allowed = !state.m_write && !state.m_store_down && !state.m_read_needed &&
+                         now - state.m_last_write >= shortest_write_interval &&
+                         state.m_next_write_token <= now + write_burst;
+    if (!allowed)
+    {
+        return;
+    }
+    pending_write write;
+    std::vector<row_change> rows;
+    fill_write(state, now, write, rows);
+    if (rows.empty())
+    {
+        return;
+    }
+    write.m_request = state.m_next_request++;
+    write.m_sent_at = now;
+    state.m_last_write = now;
+    state.m_next_write_token =
+        std::max(state.m_next_write_token, now) + write_token_period;
+    out.m_writes.push_back({write.m_request,
+                            fmt::format("{:x}-{}", state.m_incarnation, write.m_request),
+                            std::move(rows)});
+    state.m_write = std::move(write);
+}
+
+} // namespace cassiahub::ownership::internal
