Add the exchange of messages between entry instances

Cause: instances could not reach each other. Change: peer::run_exchange serves the internal port and connects to peers with Cap'n Proto RPC on one KJ event loop. A break of either direction ends the session with that peer and is reported once. Conclusion: the daemon can be wired to it.

--- /dev/null
+++ b/include/cassiahub/peer/error.hpp
@@ -0,0 +1,26 @@
+#ifndef CASSIAHUB_PEER_ERROR_HPP
+#define CASSIAHUB_PEER_ERROR_HPP
+
+#include <system_error>
+
+namespace cassiahub::peer
+{
+
+/// Failures of the exchange with other instances as a whole.
+enum class peer_errc
+{
+    bind_failed = 1,      ///< cannot listen on the peer address
+    event_loop_failed = 2 ///< the event loop threw
+};
+
+std::error_category const & peer_category() noexcept;
+std::error_code make_error_code(peer_errc value) noexcept;
+
+} // namespace cassiahub::peer
+
+template <>
+struct std::is_error_code_enum<cassiahub::peer::peer_errc> : std::true_type
+{
+};
+
+#endif
--- /dev/null
+++ b/src/peer/backlog.cpp
@@ -0,0 +1,74 @@
+#include "peer/exchange_state.hpp"
+
+#include <utility>
+
+namespace cassiahub::peer::internal
+{
+
+namespace
+{
+
+/// Time after which a full decision ring is tried again. The ring cannot wake an event
+/// loop when it gets room.
+constexpr duration retry_period = std::chrono::milliseconds(2);
+
+void push_events(exchange_state & state);
+
+void schedule_retry(exchange_state & state)
+{
+    if (state.m_backlog.m_retry_scheduled)
+    {
+        return;
+    }
+    state.m_backlog.m_retry_scheduled = true;
+    state.m_tasks.add(state.m_timer.afterDelay(to_kj(retry_period))
+                          .then(
+                              [&state]
+                              {
+                                  state.m_backlog.m_retry_scheduled = false;
+                                  push_events(state);
+                              }));
+}
+
+void push_events(exchange_state & state)
+{
+    event_backlog & backlog = state.m_backlog;
+    while (!backlog.m_events.empty() &&
+           state.m_rings.m_events.try_push(std::move(backlog.m_events.front())))
+    {
+        backlog.m_events.pop_front();
+        ++backlog.m_pushed;
+    }
+    while (!backlog.m_calls.empty() && backlog.m_calls.front().m_last <= backlog.m_pushed)
+    {
+        backlog.m_calls.front().m_answer->fulfill();
+        backlog.m_calls.pop_front();
+    }
+    if (!backlog.m_events.empty())
+    {
+        schedule_retry(state);
+    }
+}
+
+} // namespace
+
+void add_event(exchange_state & state, decision::event occurred)
+{
+    state.m_backlog.m_events.push_back(std::move(occurred));
+    ++state.m_backlog.m_accepted;
+    push_events(state);
+}
+
+kj::Promise<void> when_pushed(exchange_state & state)
+{
+    event_backlog & backlog = state.m_backlog;
+    if (backlog.m_pushed == backlog.m_accepted)
+    {
+        return kj::READY_NOW;
+    }
+    auto paired = kj::newPromiseAndFulfiller<void>();
+    backlog.m_calls.push_back({backlog.m_accepted, kj::mv(paired.fulfiller)});
+    return kj::mv(paired.promise);
+}
+
+} // namespace cassiahub::peer::internal
--- /dev/null
+++ b/src/peer/exchange.cpp
@@ -0,0 +1,169 @@
+#include "peer/exchange_state.hpp"
+
+#include <kj/async-unix.h>
+#include <unistd.h>
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::peer
+{
+
+namespace internal
+{
+
+namespace
+{
+
+void drain_ring(exchange_state & state)
+{
+    std::uint64_t wakes = 0;
+    [[maybe_unused]] ssize_t const count =
+        ::read(state.m_rings.m_wake_fd, &wakes, sizeof wakes);
+    std::vector<decision::send_peer> messages;
+    state.m_rings.m_outgoing.pop_all(messages, duration::zero());
+    for (decision::send_peer & message : messages)
+    {
+        queue_message(state, std::move(message));
+    }
+    send_queued(state);
+}
+
+/// Handles what woke the event loop, until a stop is requested.
+kj::Promise<void> serve_ring(exchange_state & state,
+                             kj::UnixEventPort::FdObserver & observer,
+                             std::stop_token const & stop)
+{
+    // The wait is armed before the ring is emptied, so that no wake-up is missed.
+    auto readable = observer.whenBecomesReadable();
+    drain_ring(state);
+    if (stop.stop_requested())
+    {
+        return kj::READY_NOW;
+    }
+    return readable.then([&state, &observer, &stop]
+                         { return serve_ring(state, observer, stop); });
+}
+
+void send_rest(exchange_state & state)
+{
+    state.m_stopping = true;
+    if (is_drained(state))
+    {
+        return;
+    }
+    auto drained = kj::newPromiseAndFulfiller<void>();
+    state.m_drained = kj::mv(drained.fulfiller);
+    state.m_timer
+        .timeoutAfter(to_kj(state.m_options.m_limits.m_drain_time),
+                      kj::mv(drained.promise))
+        // What could not be sent in time is lost like on a broken connection.
+        .then([] {}, [](kj::Exception &&) {})
+        .wait(state.m_io.waitScope);
+}
+
+kj::Own<kj::ConnectionReceiver> listen(kj::AsyncIoContext & io,
+                                       std::string const & address)
+{
+    return io.provider->getNetwork()
+        .parseAddress({address.c_str(), address.size()})
+        .wait(io.waitScope)
+        ->listen();
+}
+
+/// Reports every session as broken when the event loop fails: the restarted duty knows
+/// nothing of them.
+void report_all_broken(exchange_state const & state, std::stop_token const & stop)
+{
+    std::set<std::string> instances;
+    for (auto const & [instance, link] : state.m_links)
+    {
+        instances.insert(instance);
+    }
+    for (auto const & [id, connection] : state.m_incoming)
+    {
+        instances.insert(connection->m_instance);
+    }
+    instances.erase("");
+    for (std::string const & instance : instances)
+    {
+        state.m_rings.m_events.push(decision::peer_disconnected{{instance}}, stop);
+    }
+}
+
+void serve(exchange_state & state, kj::ConnectionReceiver & receiver,
+           std::stop_token const & stop)
+{
+    kj::UnixEventPort::FdObserver observer(state.m_io.unixEventPort,
+                                           state.m_rings.m_wake_fd,
+                                           kj::UnixEventPort::FdObserver::OBSERVE_READ);
+    std::stop_callback const wake(stop,
+                                  [&state]
+                                  {
+                                      std::uint64_t const one = 1;
+                                      [[maybe_unused]] ssize_t const written = ::write(
+                                          state.m_rings.m_wake_fd, &one, sizeof one);
+                                  });
+    try
+    {
+        accept_connections(state, receiver);
+        serve_ring(state, observer, stop).wait(state.m_io.waitScope);
+        send_rest(state);
+    }
+    catch (...)
+    {
+        report_all_broken(state, stop);
+        throw;
+    }
+}
+
+} // namespace
+
+void break_session(exchange_state & state, std::string const & instance)
+{
+    ++state.m_counters.m_sessions_broken;
+    close_incoming(state, instance);
+    if (auto const found = state.m_links.find(instance); found != state.m_links.end())
+    {
+        reset_link(state, found->second);
+    }
+    add_event(state, decision::peer_disconnected{{instance}});
+}
+
+} // namespace internal
+
+bool is_periodic(decision::peer_message const & message) noexcept
+{
+    return std::holds_alternative<decision::heartbeat>(message) ||
+           std::holds_alternative<decision::load_report>(message);
+}
+
+std::error_code run_exchange(exchange_options const & options,
+                             exchange_rings const & rings, exchange_counters & counters,
+                             std::stop_token const & stop)
+{
+    try
+    {
+        kj::AsyncIoContext io = kj::setupAsyncIo();
+        kj::Own<kj::ConnectionReceiver> receiver;
+        try
+        {
+            receiver = internal::listen(io, options.m_listen_address);
+        }
+        catch (kj::Exception const &)
+        {
+            return peer_errc::bind_failed;
+        }
+        internal::exchange_state state(options, rings, counters, io);
+        internal::serve(state, *receiver, stop);
+        return {};
+    }
+    catch (kj::Exception const &)
+    {
+        return peer_errc::event_loop_failed;
+    }
+}
+
+} // namespace cassiahub::peer
--- /dev/null
+++ b/src/peer/incoming.cpp
@@ -0,0 +1,268 @@
+#include "peer/exchange_state.hpp"
+
+#include <cassiahub/codec/job_json.hpp>
+#include <cassiahub/codec/peer_codec.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::peer::internal
+{
+
+namespace
+{
+
+/// Calls of one connection that may wait for the decision duty, in bytes.
+constexpr std::size_t flow_limit = 16 * 1024 * 1024;
+/// Pause after a failed accept(), for example when no descriptor is free.
+constexpr duration accept_pause = std::chrono::milliseconds(100);
+/// A peer that vanished without closing its connection is noticed after
+/// keepalive_idle + keepalive_count * keepalive_interval seconds.
+constexpr int keepalive_idle = 10;
+constexpr int keepalive_interval = 5;
+constexpr int keepalive_count = 4;
+
+using secret_digest = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
+
+secret_digest digest(void const * data, std::size_t size)
+{
+    secret_digest value{};
+    SHA256(static_cast<unsigned char const *>(data), size, value.data());
+    return value;
+}
+
+/// Compares digests, so that neither content nor length shows in the time it takes.
+bool is_secret(std::string_view expected, capnp::Data::Reader given)
+{
+    secret_digest const left = digest(expected.data(), expected.size());
+    secret_digest const right = digest(given.begin(), given.size());
+    return CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+incoming_connection * find_connection(exchange_state & state, std::uint64_t id)
+{
+    auto const found = state.m_incoming.find(id);
+    return found == state.m_incoming.end() ? nullptr : found->second.get();
+}
+
+void remove_connection(exchange_state & state, std::uint64_t id)
+{
+    if (auto found = state.m_incoming.extract(id))
+    {
+        destroy_later(state, kj::mv(found.mapped()));
+    }
+}
+
+/// A heartbeat speaks for its sender, so its incarnation must be the one of open().
+bool has_other_incarnation(decision::peer_message const & message,
+                           std::uint64_t incarnation)
+{
+    auto const * const heartbeat = std::get_if<decision::heartbeat>(&message);
+    return heartbeat != nullptr && heartbeat->m_incarnation != incarnation;
+}
+
+/// Receives the messages of one connection.
+class peer_server final : public peer_protocol::Peer::Server
+{
+public:
+    peer_server(exchange_state & state, std::uint64_t id) : m_state(state), m_id(id) {}
+
+    kj::Promise<void> deliver(DeliverContext context) override
+    {
+        incoming_connection * const connection = find_connection(m_state, m_id);
+        KJ_REQUIRE(connection != nullptr, "connection was replaced");
+        std::vector<decision::peer_message> messages;
+        std::error_code const error = decode_batch(context.getParams().getMessages(),
+                                                   connection->m_incarnation, messages);
+        if (error)
+        {
+            ++m_state.m_counters.m_batches_rejected;
+            KJ_FAIL_REQUIRE("batch rejected", error.message().c_str());
+        }
+        context.releaseParams();
+        m_state.m_counters.m_messages_received += messages.size();
+        for (decision::peer_message & message : messages)
+        {
+            add_event(m_state, decision::peer_message_received{{connection->m_instance},
+                                                               std::move(message)});
+        }
+        return when_pushed(m_state);
+    }
+
+private:
+    /// Decodes a whole batch before anything of it is passed on.
+    static std::error_code
+    decode_batch(capnp::List<peer_protocol::Message>::Reader source,
+                 std::uint64_t incarnation,
+                 std::vector<decision::peer_message> & messages)
+    {
+        for (peer_protocol::Message::Reader const encoded : source)
+        {
+            decision::peer_message & message = messages.emplace_back();
+            std::error_code const error = codec::decode_peer_message(encoded, message);
+            if (error || has_other_incarnation(message, incarnation))
+            {
+                return error ? error : codec::peer_codec_errc::out_of_range;
+            }
+        }
+        return {};
+    }
+
+    exchange_state & m_state;
+    std::uint64_t m_id;
+};
+
+/// Bootstrap capability of one connection.
+class entrance_server final : public peer_protocol::Entrance::Server
+{
+public:
+    entrance_server(exchange_state & state, std::uint64_t id) : m_state(state), m_id(id)
+    {
+    }
+
+    kj::Promise<void> open(OpenContext context) override
+    {
+        auto const params = context.getParams();
+        incoming_connection * const connection = find_connection(m_state, m_id);
+        if (connection == nullptr || !accepts(*connection, params))
+        {
+            ++m_state.m_counters.m_opens_rejected;
+            // One text for every reason, so that nothing can be learnt from it.
+            KJ_FAIL_REQUIRE("open rejected");
+        }
+        std::string const instance(params.getInstance().begin(),
+                                   params.getInstance().size());
+        bool const reopened =
+            std::any_of(m_state.m_incoming.begin(), m_state.m_incoming.end(),
+                        [&instance](auto const & entry)
+                        { return entry.second->m_instance == instance; });
+        if (reopened)
+        {
+            // Messages on the earlier connection may be lost.
+            break_session(m_state, instance);
+        }
+        connection->m_instance = instance;
+        connection->m_incarnation = params.getIncarnation();
+        context.getResults().setPeer(kj::heap<peer_server>(m_state, m_id));
+        return kj::READY_NOW;
+    }
+
+private:
+    bool accepts(incoming_connection const & connection,
+                 peer_protocol::Entrance::OpenParams::Reader params) const
+    {
+        exchange_options const & options = m_state.m_options;
+        std::string_view const instance(params.getInstance().begin(),
+                                        params.getInstance().size());
+        std::string_view const target(params.getTarget().begin(),
+                                      params.getTarget().size());
+        return is_secret(options.m_secret, params.getSecret()) &&
+               connection.m_instance.empty() && codec::is_valid_key(instance) &&
+               options.m_instance != instance && options.m_instance == target;
+    }
+
+    exchange_state & m_state;
+    std::uint64_t m_id;
+};
+
+void handle_close(exchange_state & state, std::uint64_t id)
+{
+    incoming_connection * const connection = find_connection(state, id);
+    if (connection == nullptr)
+    {
+        return;
+    }
+    std::string const instance = connection->m_instance;
+    remove_connection(state, id);
+    if (!instance.empty())
+    {
+        break_session(state, instance);
+    }
+}
+
+/// Closes a connection that has not been opened in time.
+void check_opened(exchange_state & state, std::uint64_t id)
+{
+    incoming_connection const * const connection = find_connection(state, id);
+    if (connection != nullptr && connection->m_instance.empty())
+    {
+        remove_connection(state, id);
+    }
+}
+
+void enable_keepalive(kj::AsyncIoStream & stream)
+{
+    int const enabled = 1;
+    stream.setsockopt(SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
+    stream.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, &keepalive_idle, sizeof keepalive_idle);
+    stream.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, &keepalive_interval,
+                      sizeof keepalive_interval);
+    stream.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, &keepalive_count, sizeof keepalive_count);
+    stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+}
+
+void add_connection(exchange_state & state, kj::Own<kj::AsyncIoStream> stream)
+{
+    exchange_limits const & limits = state.m_options.m_limits;
+    if (state.m_incoming.size() >= limits.m_incoming_connections)
+    {
+        ++state.m_counters.m_opens_rejected;
+        return;
+    }
+    enable_keepalive(*stream);
+    std::uint64_t const id = state.m_next_generation++;
+    capnp::ReaderOptions reading;
+    reading.traversalLimitInWords = limits.m_message_bytes / sizeof(capnp::word);
+    auto connection = kj::heap<incoming_connection>(
+        kj::mv(stream), kj::heap<entrance_server>(state, id), reading);
+    connection->m_rpc.setFlowLimit(flow_limit / sizeof(capnp::word));
+    state.m_tasks.add(connection->m_network.onDisconnect().then(
+        [&state, id] { handle_close(state, id); }));
+    state.m_tasks.add(state.m_timer.afterDelay(to_kj(limits.m_call_timeout))
+                          .then([&state, id] { check_opened(state, id); }));
+    state.m_incoming.emplace(id, kj::mv(connection));
+}
+
+} // namespace
+
+void accept_connections(exchange_state & state, kj::ConnectionReceiver & receiver)
+{
+    state.m_tasks.add(receiver.accept().then(
+        [&state, &receiver](kj::Own<kj::AsyncIoStream> && stream)
+        {
+            add_connection(state, kj::mv(stream));
+            accept_connections(state, receiver);
+        },
+        [&state, &receiver](kj::Exception &&)
+        {
+            state.m_tasks.add(
+                state.m_timer.afterDelay(to_kj(accept_pause))
+                    .then([&state, &receiver] { accept_connections(state, receiver); }));
+        }));
+}
+
+void close_incoming(exchange_state & state, std::string_view instance)
+{
+    std::vector<std::uint64_t> closed;
+    for (auto const & [id, connection] : state.m_incoming)
+    {
+        if (connection->m_instance == instance)
+        {
+            closed.push_back(id);
+        }
+    }
+    for (std::uint64_t const id : closed)
+    {
+        remove_connection(state, id);
+    }
+}
+
+} // namespace cassiahub::peer::internal
--- /dev/null
+++ b/tests/peer_test.cpp
@@ -0,0 +1,471 @@
+/// \file Messages between two exchanges over loopback.
+
+#include <cassiahub/peer.hpp>
+#include <cassiahub/runtime.hpp>
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+
+using namespace cassiahub;
+using namespace cassiahub::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Longest wait for something that must happen; reached only when it does not.
+constexpr duration patience = 30s;
+
+/// A listening TCP socket on a free port of 127.0.0.1.
+class listening_socket
+{
+public:
+    listening_socket() : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        CPPUNIT_ASSERT(bind(m_fd, reinterpret_cast<sockaddr *>(&address), size) == 0);
+        CPPUNIT_ASSERT(listen(m_fd, 8) == 0);
+        getsockname(m_fd, reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+
+    listening_socket(listening_socket const &) = delete;
+    listening_socket & operator=(listening_socket const &) = delete;
+
+    ~listening_socket()
+    {
+        close(m_fd);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_port);
+    }
+
+    int port() const
+    {
+        return m_port;
+    }
+
+private:
+    int m_fd;
+    int m_port = 0;
+};
+
+std::string free_address()
+{
+    return listening_socket().address();
+}
+
+/// One instance: an exchange on its own thread with its rings.
+class node
+{
+public:
+    node(std::string const & name, std::size_t event_capacity = 4096,
+         std::string const & address = free_address())
+        : m_wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)), m_outgoing(4096, m_wake_fd),
+          m_events(event_capacity)
+    {
+        m_options.m_instance = name;
+        m_options.m_incarnation = 7;
+        m_options.m_listen_address = address;
+        m_options.m_secret = "a shared secret of the fleet";
+        // A slow machine must not look like a broken connection.
+        m_options.m_limits.m_call_timeout = patience;
+    }
+
+    node(node const &) = delete;
+    node & operator=(node const &) = delete;
+
+    ~node()
+    {
+        stop();
+        close(m_wake_fd);
+    }
+
+    void start()
+    {
+        m_thread = std::jthread(
+            [this](std::stop_token const & stop)
+            {
+                m_result = peer::run_exchange(
+                    m_options, {m_outgoing, m_events, m_wake_fd}, m_counters, stop);
+            });
+    }
+
+    void stop()
+    {
+        if (m_thread.joinable())
+        {
+            m_thread.request_stop();
+            m_thread.join();
+        }
+    }
+
+    void send(node const & to, peer_message message)
+    {
+        send_to(to.m_options.m_instance, to.m_options.m_listen_address,
+                std::move(message));
+    }
+
+    void send_to(std::string const & name, std::string const & address,
+                 peer_message message)
+    {
+        m_outgoing.push({{name}, address, std::move(message)}, {});
+    }
+
+    template <typename Event>
+    Event next()
+    {
+        std::optional<event> occurred = m_events.pop(patience);
+        CPPUNIT_ASSERT(occurred);
+        CPPUNIT_ASSERT(std::holds_alternative<Event>(*occurred));
+        return std::get<Event>(std::move(*occurred));
+    }
+
+    /// Waits for the key_notice_received with the number \p request.
+    void expect_number(peer_request request)
+    {
+        auto const received = next<peer_message_received>();
+        CPPUNIT_ASSERT_EQUAL(request,
+                             std::get<key_notice_received>(received.m_message).m_request);
+    }
+
+    /// Sends numbered messages until one arrives: messages may be lost around a break.
+    void send_until_received(node & to)
+    {
+        for (int attempt = 0; attempt < 3000; ++attempt)
+        {
+            send(to, key_notice_received{999});
+            std::optional<event> const occurred = to.m_events.pop(10ms);
+            if (occurred && std::holds_alternative<peer_message_received>(*occurred))
+            {
+                return;
+            }
+        }
+        CPPUNIT_FAIL("no message arrived");
+    }
+
+    int m_wake_fd;
+    peer::exchange_options m_options;
+    peer::exchange_counters m_counters;
+    runtime::bounded_ring<send_peer> m_outgoing;
+    runtime::bounded_ring<event> m_events;
+    std::error_code m_result;
+    std::jthread m_thread;
+};
+
+// Guards against messages that are lost, reordered or taken from strangers.
+class exchange_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(exchange_test);
+    CPPUNIT_TEST(message_arrives_under_name_of_sender);
+    CPPUNIT_TEST(many_messages_arrive_in_order);
+    CPPUNIT_TEST(full_decision_ring_delays_and_loses_nothing);
+    CPPUNIT_TEST(stop_request_sends_what_is_queued);
+    CPPUNIT_TEST(wrong_secret_is_rejected);
+    CPPUNIT_TEST(other_target_is_rejected);
+    CPPUNIT_TEST(heartbeat_of_other_incarnation_is_rejected);
+    CPPUNIT_TEST(random_bytes_leave_exchange_serving);
+    CPPUNIT_TEST(address_in_use_returns_bind_failed);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<node> m_north;
+    std::unique_ptr<node> m_south;
+
+    void start_both()
+    {
+        m_north->start();
+        m_south->start();
+    }
+
+public:
+    void setUp() override
+    {
+        m_north = std::make_unique<node>("north-1");
+        m_south = std::make_unique<node>("south-1");
+    }
+
+    void tearDown() override
+    {
+        m_north.reset();
+        m_south.reset();
+    }
+
+    void message_arrives_under_name_of_sender()
+    {
+        start_both();
+        m_north->send(*m_south, key_notice_received{1});
+        auto const received = m_south->next<peer_message_received>();
+        CPPUNIT_ASSERT_EQUAL(std::string("north-1"), received.m_from.m_value);
+    }
+
+    void many_messages_arrive_in_order()
+    {
+        start_both();
+        for (peer_request request = 0; request < 10'000; ++request)
+        {
+            m_north->send(*m_south, key_notice_received{request});
+            if (request % 1000 == 999)
+            {
+                for (peer_request expected = request - 999; expected <= request;
+                     ++expected)
+                {
+                    m_south->expect_number(expected);
+                }
+            }
+        }
+        // Batching: far fewer calls than messages.
+        CPPUNIT_ASSERT(m_north->m_counters.m_deliver_calls < 10'000);
+    }
+
+    void full_decision_ring_delays_and_loses_nothing()
+    {
+        m_south = std::make_unique<node>("south-1", 2);
+        start_both();
+        for (peer_request request = 0; request < 2'000; ++request)
+        {
+            m_north->send(*m_south, key_notice_received{request});
+        }
+        for (peer_request request = 0; request < 2'000; ++request)
+        {
+            m_south->expect_number(request);
+        }
+    }
+
+    void stop_request_sends_what_is_queued()
+    {
+        m_south->start();
+        m_north->m_options.m_limits.m_drain_time = patience;
+        for (peer_request request = 0; request < 100; ++request)
+        {
+            m_north->send(*m_south, key_notice_received{request});
+        }
+        m_north->start();
+        m_north->stop();
+        for (peer_request request = 0; request < 100; ++request)
+        {
+            m_south->expect_number(request);
+        }
+    }
+
+    void wrong_secret_is_rejected()
+    {
+        m_north->m_options.m_secret = "another secret of some length";
+        start_both();
+        m_north->send(*m_south, key_notice_received{1});
+        CPPUNIT_ASSERT_EQUAL(std::string("south-1"),
+                             m_north->next<peer_disconnected>().m_peer.m_value);
+        CPPUNIT_ASSERT(m_south->m_counters.m_opens_rejected > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_south->m_events.size());
+    }
+
+    void other_target_is_rejected()
+    {
+        start_both();
+        m_north->send_to("south-2", m_south->m_options.m_listen_address,
+                         key_notice_received{1});
+        CPPUNIT_ASSERT_EQUAL(std::string("south-2"),
+                             m_north->next<peer_disconnected>().m_peer.m_value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_south->m_events.size());
+    }
+
+    void heartbeat_of_other_incarnation_is_rejected()
+    {
+        start_both();
+        heartbeat sent;
+        sent.m_domain = "north";
+        sent.m_incarnation = m_north->m_options.m_incarnation + 1;
+        m_north->send(*m_south, sent);
+        m_north->next<peer_disconnected>();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                             m_south->m_counters.m_batches_rejected.load());
+    }
+
+    void random_bytes_leave_exchange_serving()
+    {
+        start_both();
+        // Proves that the port is open before the bytes are sent.
+        m_north->send_until_received(*m_south);
+        std::mt19937_64 random(20'261'204);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        std::string const & text = m_south->m_options.m_listen_address;
+        address.sin_port =
+            htons(static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1))));
+        for (int round = 0; round < 500; ++round)
+        {
+            int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            CPPUNIT_ASSERT(::connect(fd, reinterpret_cast<sockaddr *>(&address),
+                                     sizeof address) == 0);
+            std::string bytes(random() % 512, '\0');
+            for (char & byte : bytes)
+            {
+                byte = static_cast<char>(random());
+            }
+            ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            close(fd);
+        }
+        m_north->send_until_received(*m_south);
+    }
+
+    void address_in_use_returns_bind_failed()
+    {
+        listening_socket const taken;
+        node third("north-2", 16, taken.address());
+        third.start();
+        third.m_thread.join();
+        CPPUNIT_ASSERT(third.m_result == peer::peer_errc::bind_failed);
+    }
+};
+
+// Guards against requests that wait for an instance that is gone.
+class broken_session_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(broken_session_test);
+    CPPUNIT_TEST(unreachable_peer_is_reported);
+    CPPUNIT_TEST(unreachable_peer_without_requests_is_not_reported);
+    CPPUNIT_TEST(stopped_peer_is_reported_to_both_directions);
+    CPPUNIT_TEST(restarted_peer_is_reached_again);
+    CPPUNIT_TEST(silent_listener_is_reported_after_timeout);
+    CPPUNIT_TEST(unanswered_deliver_call_is_reported);
+    CPPUNIT_TEST(full_queue_drops_oldest_reports_first);
+    CPPUNIT_TEST(full_queue_of_requests_is_reported);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<node> m_north;
+    std::unique_ptr<node> m_south;
+
+    /// Waits until \p count reports were dropped.
+    static void wait_for_dropped(node const & from, std::uint64_t count)
+    {
+        for (int round = 0; round < 30'000 && from.m_counters.m_reports_dropped < count;
+             ++round)
+        {
+            std::this_thread::sleep_for(1ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(count, from.m_counters.m_reports_dropped.load());
+    }
+
+public:
+    void setUp() override
+    {
+        m_north = std::make_unique<node>("north-1");
+        m_south = std::make_unique<node>("south-1");
+    }
+
+    void tearDown() override
+    {
+        m_north.reset();
+        m_south.reset();
+    }
+
+    void unreachable_peer_is_reported()
+    {
+        m_north->start();
+        m_north->send(*m_south, forward_request{});
+        m_north->next<peer_disconnected>();
+    }
+
+    void unreachable_peer_without_requests_is_not_reported()
+    {
+        m_north->start();
+        m_north->send(*m_south, load_report{});
+        m_north->send_to("south-2", free_address(), key_notice_received{1});
+        // The report about south-2 would come after one about south-1.
+        CPPUNIT_ASSERT_EQUAL(std::string("south-2"),
+                             m_north->next<peer_disconnected>().m_peer.m_value);
+    }
+
+    void stopped_peer_is_reported_to_both_directions()
+    {
+        m_north->start();
+        m_south->start();
+        m_north->send_until_received(*m_south);
+        m_north->stop();
+        CPPUNIT_ASSERT_EQUAL(std::string("north-1"),
+                             m_south->next<peer_disconnected>().m_peer.m_value);
+    }
+
+    void restarted_peer_is_reached_again()
+    {
+        m_north->start();
+        m_south->start();
+        m_north->send_until_received(*m_south);
+        std::string const address = m_south->m_options.m_listen_address;
+        m_south = std::make_unique<node>("south-1", 4096, address);
+        m_south->start();
+        m_north->send_until_received(*m_south);
+        m_north->next<peer_disconnected>();
+    }
+
+    void silent_listener_is_reported_after_timeout()
+    {
+        listening_socket const silent;
+        m_north->m_options.m_limits.m_call_timeout = 100ms;
+        m_north->start();
+        m_north->send_to("south-1", silent.address(), forward_request{});
+        m_north->next<peer_disconnected>();
+    }
+
+    void unanswered_deliver_call_is_reported()
+    {
+        m_south = std::make_unique<node>("south-1", 1);
+        m_north->m_options.m_limits.m_call_timeout = 100ms;
+        m_north->start();
+        m_south->start();
+        m_north->send(*m_south, key_notice_received{1});
+        m_north->send(*m_south, key_notice_received{2});
+        m_north->next<peer_disconnected>();
+    }
+
+    void full_queue_drops_oldest_reports_first()
+    {
+        listening_socket const silent;
+        m_north->m_options.m_limits.m_queued_messages = 3;
+        m_north->m_options.m_limits.m_call_timeout = patience;
+        m_north->start();
+        m_north->send_to("south-1", silent.address(), load_report{});
+        m_north->send_to("south-1", silent.address(), load_report{});
+        for (peer_request request = 1; request <= 3; ++request)
+        {
+            m_north->send_to("south-1", silent.address(), key_notice_received{request});
+        }
+        wait_for_dropped(*m_north, 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                             m_north->m_counters.m_messages_refused.load());
+    }
+
+    void full_queue_of_requests_is_reported()
+    {
+        listening_socket const silent;
+        m_north->m_options.m_limits.m_queued_messages = 3;
+        m_north->m_options.m_limits.m_call_timeout = patience;
+        m_north->start();
+        for (peer_request request = 1; request <= 4; ++request)
+        {
+            m_north->send_to("south-1", silent.address(), key_notice_received{request});
+        }
+        m_north->next<peer_disconnected>();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                             m_north->m_counters.m_messages_refused.load());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(exchange_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(broken_session_test);
+
+} // namespace
