Add section edits by compare-and-set and salted team keys

Change: check_edit() decides on an edit without I/O: key, ownership, expected version, whole document. apply_edit() writes the section, the version row and one of 100 history rows in one conditional batch and repeats the check when only the version row conflicts. Key hashes carry a salt. The version row gives the document's version. The reader takes section names from the section lines.

Conclusion: two edits that are invalid together cannot both be written.

--- a/include/cassiahub/config.hpp
+++ b/include/cassiahub/config.hpp
@@ -7,6 +7,9 @@
 #include <cassiahub/config/fleet_configuration.hpp>
 #include <cassiahub/config/fleet_document.hpp>
 #include <cassiahub/config/ini_document.hpp>
+#include <cassiahub/config/key_documentation.hpp>
 #include <cassiahub/config/process_settings.hpp>
+#include <cassiahub/config/section_edit.hpp>
+#include <cassiahub/config/team_key.hpp>
 
 #endif
--- a/include/cassiahub/config/error.hpp
+++ b/include/cassiahub/config/error.hpp
@@ -19,7 +19,24 @@
     missing_key = 6,
     bad_value = 7,
     unknown_reference = 8,
-    duplicate_section = 9
+    duplicate_section = 9,
+    not_authenticated = 10,     ///< unknown team or wrong team key
+    not_owner = 11,             ///< the section belongs to another team
+    version_conflict = 12,      ///< the section has another version than expected
+    precondition_required = 13, ///< the edit names no expected version
+    section_mismatch = 14,      ///< the text is not exactly the section of that name
+    section_not_found = 15,     ///< there is no section of that name
+    invalid_document = 16,      ///< the document would be invalid; see the faults
+    still_referenced = 17,      ///< another section names the deleted one
+    fixed_value = 18,           ///< the value is fixed for the life of the section
+    duplicate_address = 19,     ///< two upstreams have the same address
+    inconsistent_value = 20,    ///< values contradict each other, or a sum is too high
+    text_too_large = 21,        ///< the section's text exceeds max_section_bytes
+    contended = 22,             ///< other edits came first each time; nothing written
+    store_unavailable = 23,     ///< the table could not be read; nothing written
+    edit_outcome_unknown = 24,  ///< the answer of the write was lost and not found again
+    malformed_request = 25,     ///< a header or the body cannot be read
+    overloaded = 26             ///< too many operator requests at once; nothing written
 };
 
 std::error_category const & config_category() noexcept;
--- a/include/cassiahub/config/fleet_configuration.hpp
+++ b/include/cassiahub/config/fleet_configuration.hpp
@@ -45,6 +45,7 @@
     std::uint32_t m_slots = 8;
     std::uint32_t m_connections = 64;
     resources m_capacity{16'000, 32'768, 0};
+    bool m_draining = false; ///< receives no new work; running tasks finish
 };
 
 /// A failure domain and the region that contains it.
@@ -56,11 +57,15 @@
     std::uint32_t m_shards = 8; ///< key shards; fixed for the life of the domain
 };
 
+/// Team that owns [dispatch] and every [team.NAME] without a key "owner".
+constexpr std::string_view administrators = "platform";
+
 /// A team that may edit the sections that name it as owner.
 struct team
 {
     std::string m_name;
-    std::string m_key_hash; ///< "sha256:<hex>"; the key itself is never stored
+    std::string m_key_hash; ///< "sha256:<salt>:<digest>"; the key is never stored
+    std::string m_owner;    ///< empty: the team config::administrators
 };
 
 /// The checked form of the fleet document. Every reference inside it resolves, names
@@ -88,6 +93,10 @@
 failure_domain const * find_domain(fleet_configuration const & configuration,
                                    std::string_view name) noexcept;
 
+/// \returns the team called \p name, or nullptr. O(log n).
+team const * find_team(fleet_configuration const & configuration,
+                       std::string_view name) noexcept;
+
 } // namespace cassiahub::config
 
 #endif
--- a/include/cassiahub/config/fleet_document.hpp
+++ b/include/cassiahub/config/fleet_document.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/config/error.hpp>
 #include <cassiahub/config/fleet_configuration.hpp>
+#include <cassiahub/config/ini_document.hpp>
 
 #include <optional>
 #include <string_view>
@@ -20,6 +21,11 @@
 std::optional<fleet_configuration>
 parse_fleet_document(std::string_view text, std::vector<config_fault> & faults);
 
+/// Checks sections that were parsed before, as one document. The lines in the faults are
+/// those of \p document. Otherwise like parse_fleet_document().
+std::optional<fleet_configuration>
+check_fleet_document(ini_document const & document, std::vector<config_fault> & faults);
+
 } // namespace cassiahub::config
 
 #endif
--- a/src/config/error.cpp
+++ b/src/config/error.cpp
@@ -38,6 +38,40 @@
             return "unknown_reference";
         case config_errc::duplicate_section:
             return "duplicate_section";
+        case config_errc::not_authenticated:
+            return "not_authenticated";
+        case config_errc::not_owner:
+            return "not_owner";
+        case config_errc::version_conflict:
+            return "version_conflict";
+        case config_errc::precondition_required:
+            return "precondition_required";
+        case config_errc::section_mismatch:
+            return "section_mismatch";
+        case config_errc::section_not_found:
+            return "section_not_found";
+        case config_errc::invalid_document:
+            return "invalid_document";
+        case config_errc::still_referenced:
+            return "still_referenced";
+        case config_errc::fixed_value:
+            return "fixed_value";
+        case config_errc::duplicate_address:
+            return "duplicate_address";
+        case config_errc::inconsistent_value:
+            return "inconsistent_value";
+        case config_errc::text_too_large:
+            return "text_too_large";
+        case config_errc::contended:
+            return "contended";
+        case config_errc::store_unavailable:
+            return "store_unavailable";
+        case config_errc::edit_outcome_unknown:
+            return "edit_outcome_unknown";
+        case config_errc::malformed_request:
+            return "malformed_request";
+        case config_errc::overloaded:
+            return "overloaded";
         }
         return "unknown_error";
     }
--- a/src/config/fleet_configuration.cpp
+++ b/src/config/fleet_configuration.cpp
@@ -39,4 +39,10 @@
     return internal::find_by_name<failure_domain>(configuration.m_domains, name);
 }
 
+team const * find_team(fleet_configuration const & configuration,
+                       std::string_view name) noexcept
+{
+    return internal::find_by_name<team>(configuration.m_teams, name);
+}
+
 } // namespace cassiahub::config
--- a/src/config/fleet_document.cpp
+++ b/src/config/fleet_document.cpp
@@ -6,7 +6,9 @@
 #include <cassiahub/config/ini_document.hpp>
 
 #include <algorithm>
+#include <map>
 #include <string>
+#include <utility>
 
 namespace cassiahub::config
 {
@@ -79,11 +81,23 @@
               { return left.m_name < right.m_name; });
 }
 
-bool has_team(fleet_configuration const & configuration, std::string_view name)
+/// \returns what \p entry must name, or an empty view when it names it already.
+std::string_view missing_reference(ini_entry const & entry,
+                                   fleet_configuration const & configuration)
 {
-    return std::any_of(configuration.m_teams.begin(), configuration.m_teams.end(),
-                       [name](team const & candidate)
-                       { return candidate.m_name == name; });
+    if (entry.m_key == "owner" || entry.m_key == "offered_to")
+    {
+        return find_team(configuration, entry.m_value) == nullptr
+                   ? "a [team.NAME] of this document"
+                   : std::string_view();
+    }
+    if (entry.m_key == "domain")
+    {
+        return find_domain(configuration, entry.m_value) == nullptr
+                   ? "a [domain.NAME] of this document"
+                   : std::string_view();
+    }
+    return {};
 }
 
 /// Checks that every reference in \p section names something in \p configuration.
@@ -92,16 +106,106 @@
 {
     for (ini_entry const & entry : section.m_entries)
     {
-        bool const bad_owner =
-            entry.m_key == "owner" && !has_team(configuration, entry.m_value);
-        bool const bad_domain = entry.m_key == "domain" &&
-                                find_domain(configuration, entry.m_value) == nullptr;
-        if (bad_owner || bad_domain)
+        std::string_view const wanted = missing_reference(entry, configuration);
+        if (!wanted.empty())
         {
             faults.push_back({config_errc::unknown_reference, section.m_name, entry.m_key,
-                              entry.m_line,
-                              bad_owner ? "a [team.NAME] of this document"
-                                        : "a [domain.NAME] of this document"});
+                              entry.m_line, std::string(wanted)});
+        }
+    }
+}
+
+/// Appends a fault at the line of \p key, or of the section when it lacks the key.
+void add_fault(ini_section const & section, std::string_view key, config_errc error,
+               std::string allowed, fault_list & faults)
+{
+    ini_entry const * const entry = find_entry(section, key);
+    faults.push_back({error, section.m_name, std::string(key),
+                      entry == nullptr ? section.m_line : entry->m_line,
+                      std::move(allowed)});
+}
+
+/// Reads \p key as a number. \returns \p absent when the key is absent or malformed.
+std::uint32_t number_of(ini_section const & section, std::string_view key,
+                        std::uint32_t absent)
+{
+    std::uint32_t value = absent;
+    if (ini_entry const * const entry = find_entry(section, key))
+    {
+        parse_number(entry->m_value, 0, UINT32_MAX, value);
+    }
+    return value;
+}
+
+/// What the checks across sections add up.
+struct document_totals
+{
+    std::uint64_t m_share = 0;
+    std::uint64_t m_shards = 0;
+    std::map<std::string_view, std::string_view> m_addresses; ///< to section names
+};
+
+/// With a higher sum a kind of share 1 would get less than 0.01% of the fleet.
+constexpr std::uint64_t max_share_sum = 10'000;
+/// Each shard is a lease row that is renewed every few seconds.
+constexpr std::uint64_t max_shard_sum = 4'096;
+
+void check_upstream(ini_section const & section, document_totals & totals,
+                    fault_list & faults)
+{
+    std::uint32_t const slots = number_of(section, "slots", upstream().m_slots);
+    std::uint32_t const connections =
+        number_of(section, "connections", upstream().m_connections);
+    if (slots > connections)
+    {
+        add_fault(section, "slots", config_errc::inconsistent_value,
+                  "at most the connections, " + std::to_string(connections), faults);
+    }
+    if (ini_entry const * const address = find_entry(section, "address"))
+    {
+        auto const [first, added] =
+            totals.m_addresses.emplace(address->m_value, section.m_name);
+        if (!added)
+        {
+            add_fault(section, "address", config_errc::duplicate_address,
+                      "an address that [" + std::string(first->second) + "] does not use",
+                      faults);
+        }
+    }
+}
+
+/// Checks what one section alone cannot show. The section that exceeds a sum is the one
+/// that is reported.
+void check_consistency(ini_section const & section, document_totals & totals,
+                       fault_list & faults)
+{
+    if (section.m_name.starts_with("upstream."))
+    {
+        check_upstream(section, totals, faults);
+    }
+    else if (section.m_name.starts_with("kind."))
+    {
+        std::uint32_t const share = number_of(section, "share", 0);
+        totals.m_share += share;
+        if (totals.m_share > max_share_sum && totals.m_share - share <= max_share_sum)
+        {
+            add_fault(section, "share", config_errc::inconsistent_value,
+                      "shares of all kinds that add up to at most " +
+                          std::to_string(max_share_sum),
+                      faults);
+        }
+    }
+    else if (section.m_name.starts_with("domain."))
+    {
+        std::uint32_t const shards =
+            number_of(section, "shards", failure_domain().m_shards);
+        totals.m_shards += shards;
+        if (totals.m_shards > max_shard_sum && totals.m_shards - shards <= max_shard_sum)
+        {
+            add_fault(section, "shards", config_errc::inconsistent_value,
+                      "shards of all domains that add up to at most " +
+                          std::to_string(max_shard_sum),
+                      faults);
         }
     }
 }
@@ -113,6 +217,15 @@
 {
     std::size_t const faults_before = faults.size();
     ini_document const document = parse_ini(text, faults);
+    std::optional<fleet_configuration> configuration =
+        check_fleet_document(document, faults);
+    return faults.size() == faults_before ? std::move(configuration) : std::nullopt;
+}
+
+std::optional<fleet_configuration>
+check_fleet_document(ini_document const & document, std::vector<config_fault> & faults)
+{
+    std::size_t const faults_before = faults.size();
     fleet_configuration configuration;
     for (ini_section const & section : document.m_sections)
     {
@@ -123,9 +236,11 @@
     internal::sort_by_name(configuration.m_kinds);
     internal::sort_by_name(configuration.m_tenants);
     internal::sort_by_name(configuration.m_upstreams);
+    internal::document_totals totals;
     for (ini_section const & section : document.m_sections)
     {
         internal::check_references(section, configuration, faults);
+        internal::check_consistency(section, totals, faults);
     }
     if (faults.size() != faults_before)
     {
--- a/src/config/ini_document.cpp
+++ b/src/config/ini_document.cpp
@@ -3,6 +3,8 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 namespace cassiahub::config
 {
@@ -11,15 +13,43 @@
 {
 
 /// Reading position and result of one call of parse_ini(). inih's handler receives no
-/// line number, so the reader counts the lines that it hands out.
+/// line number, is not called for a section without keys, and receives at most 49 bytes
+/// of a section's name, so the reader counts the lines and reads the section lines.
 struct ini_reading
 {
     std::string_view m_rest;
     std::size_t m_line = 0;
     ini_document m_document;
+    std::set<std::string, std::less<>> m_names; ///< of the sections so far
     std::vector<config_fault> & m_faults;
 };
 
+void open_section(ini_reading & reading, std::string_view name)
+{
+    if (!reading.m_names.emplace(name).second)
+    {
+        reading.m_faults.push_back({config_errc::duplicate_section, std::string(name), "",
+                                    reading.m_line, "each section once"});
+    }
+    reading.m_document.m_sections.push_back(
+        ini_section{std::string(name), reading.m_line, {}});
+}
+
+/// Opens a section when \p line is a section line.
+void read_section_line(ini_reading & reading, std::string_view line)
+{
+    std::size_t const start = line.find_first_not_of(" \t");
+    if (start == std::string_view::npos || line[start] != '[')
+    {
+        return;
+    }
+    std::size_t const end = line.find(']', start);
+    if (end != std::string_view::npos)
+    {
+        open_section(reading, line.substr(start + 1, end - start - 1));
+    }
+}
+
 char * read_line(char * buffer, int size, void * stream)
 {
     auto & reading = *static_cast<ini_reading *>(stream);
@@ -39,36 +69,23 @@
         reading.m_faults.push_back({config_errc::syntax_error, "", "", reading.m_line,
                                     "lines of at most 199 bytes"});
     }
+    read_section_line(reading, reading.m_rest.substr(0, copied));
     reading.m_rest.remove_prefix(length);
     return buffer;
 }
 
-ini_section & open_section(ini_reading & reading, std::string_view name)
-{
-    std::vector<ini_section> & sections = reading.m_document.m_sections;
-    auto const found = std::find_if(sections.begin(), sections.end(),
-                                    [name](ini_section const & section)
-                                    { return section.m_name == name; });
-    if (found == sections.end())
-    {
-        return sections.emplace_back(ini_section{std::string(name), reading.m_line, {}});
-    }
-    if (&*found != &sections.back())
-    {
-        reading.m_faults.push_back({config_errc::duplicate_section, std::string(name), "",
-                                    reading.m_line, "each section once"});
-    }
-    return *found;
-}
-
-int handle_entry(void * user, char const * section_name, char const * key,
+int handle_entry(void * user, char const * /*section_name*/, char const * key,
                  char const * value)
 {
     auto & reading = *static_cast<ini_reading *>(user);
-    ini_section & section = open_section(reading, section_name);
+    if (reading.m_document.m_sections.empty())
+    {
+        open_section(reading, "");
+    }
+    ini_section & section = reading.m_document.m_sections.back();
     if (find_entry(section, key) != nullptr)
     {
-        reading.m_faults.push_back({config_errc::duplicate_key, section_name, key,
+        reading.m_faults.push_back({config_errc::duplicate_key, section.m_name, key,
                                     reading.m_line, "each key once in a section"});
         return 1;
     }
@@ -80,7 +97,7 @@
 
 ini_document parse_ini(std::string_view text, std::vector<config_fault> & faults)
 {
-    internal::ini_reading reading{text, 0, {}, faults};
+    internal::ini_reading reading{text, 0, {}, {}, faults};
     int const first_bad_line =
         ini_parse_stream(internal::read_line, &reading, internal::handle_entry, &reading);
     if (first_bad_line > 0)
--- a/src/config/key_rules.cpp
+++ b/src/config/key_rules.cpp
@@ -1,6 +1,8 @@
 #include "config/key_rules.hpp"
 #include "config/value_parsers.hpp"
 
+#include <cassiahub/config/team_key.hpp>
+
 namespace cassiahub::config::internal
 {
 
@@ -16,19 +18,31 @@
     return is_name(value);
 }
 
+/// Checks the key only: an offer matters to edits, which read it from the text.
+template <typename Record>
+bool apply_offer(std::string_view value, Record & /*record*/)
+{
+    return is_name(value);
+}
+
+constexpr std::string_view team_name = "name of a team";
+constexpr std::string_view owner_summary = "team that may edit the section";
+constexpr std::string_view offer_summary =
+    "team that may take the section over by an edit that names itself as owner";
+
 } // namespace
 
 std::span<key_rule<team> const> team_rules() noexcept
 {
     static constexpr key_rule<team> rules[] = {
-        {"key_hash", "sha256:<64 hexadecimal digits>", true,
+        {"key_hash", "sha256:<16 to 64 hexadecimal digits of salt>:<64 digits>", true,
          [](std::string_view value, team & record)
          {
              record.m_key_hash = value;
-             return value.size() == 71 && value.starts_with("sha256:") &&
-                    value.find_first_not_of("0123456789abcdef", 7) ==
-                        std::string_view::npos;
-         }},
+             return is_key_hash(value);
+         },
+         "", "salted hash of the team's key; written by cassiahubctl config key-hash"},
+        {"owner", team_name, false, apply_owner<team>, administrators, owner_summary},
     };
     return rules;
 }
@@ -36,18 +50,20 @@
 std::span<key_rule<failure_domain> const> domain_rules() noexcept
 {
     static constexpr key_rule<failure_domain> rules[] = {
-        {"owner", "name of a team", true, apply_owner<failure_domain>},
+        {"owner", team_name, true, apply_owner<failure_domain>, "", owner_summary},
+        {"offered_to", team_name, false, apply_offer<failure_domain>, "nobody",
+         offer_summary},
         {"region", "name of 1 to 64 letters, digits, - and _", true,
          [](std::string_view value, failure_domain & record)
          {
              record.m_region = value;
              return is_name(value);
-         }},
+         },
+         "", "region that contains the failure domain"},
         {"shards", "1 to 256", false,
          [](std::string_view value, failure_domain & record)
-         {
-             return parse_number(value, 1, 256, record.m_shards);
-         }},
+         { return parse_number(value, 1, 256, record.m_shards); },
+         "8", "key shards of the domain; fixed for the life of the domain"},
     };
     return rules;
 }
@@ -55,32 +71,28 @@
 std::span<key_rule<work_kind> const> kind_rules() noexcept
 {
     static constexpr key_rule<work_kind> rules[] = {
-        {"owner", "name of a team", true, apply_owner<work_kind>},
+        {"owner", team_name, true, apply_owner<work_kind>, "", owner_summary},
+        {"offered_to", team_name, false, apply_offer<work_kind>, "nobody", offer_summary},
         {"urgency", "0 (most urgent) to 9", true,
          [](std::string_view value, work_kind & record)
-         {
-             return parse_number(value, 0, 9, record.m_urgency);
-         }},
+         { return parse_number(value, 0, 9, record.m_urgency); },
+         "", "order of the kind while it is inside its share of the fleet"},
         {"share", "1 to 1000", true,
          [](std::string_view value, work_kind & record)
-         {
-             return parse_number(value, 1, 1000, record.m_share);
-         }},
+         { return parse_number(value, 1, 1000, record.m_share); },
+         "", "weight of the kind's part of the fleet"},
         {"repeatable", "yes or no", true,
          [](std::string_view value, work_kind & record)
-         {
-             return parse_boolean(value, record.m_repeatable);
-         }},
+         { return parse_boolean(value, record.m_repeatable); },
+         "", "whether a task may be attempted again after an unknown outcome"},
         {"queue_limit", "1 to 1000000 tasks", false,
          [](std::string_view value, work_kind & record)
-         {
-             return parse_number(value, 1, 1'000'000, record.m_queue_limit);
-         }},
+         { return parse_number(value, 1, 1'000'000, record.m_queue_limit); },
+         "20000", "queued tasks of the kind on each instance; more are refused"},
         {"expected_run_time", "1ms to 60s", false,
          [](std::string_view value, work_kind & record)
-         {
-             return parse_duration(value, 1ms, 60s, record.m_expected_run_time);
-         }},
+         { return parse_duration(value, 1ms, 60s, record.m_expected_run_time); },
+         "300ms", "run time assumed until enough tasks were observed"},
     };
     return rules;
 }
@@ -88,17 +100,16 @@
 std::span<key_rule<tenant> const> tenant_rules() noexcept
 {
     static constexpr key_rule<tenant> rules[] = {
-        {"owner", "name of a team", true, apply_owner<tenant>},
+        {"owner", team_name, true, apply_owner<tenant>, "", owner_summary},
+        {"offered_to", team_name, false, apply_offer<tenant>, "nobody", offer_summary},
         {"weight", "1 to 1000", false,
          [](std::string_view value, tenant & record)
-         {
-             return parse_number(value, 1, 1000, record.m_weight);
-         }},
+         { return parse_number(value, 1, 1000, record.m_weight); },
+         "1", "weight of the tenant inside each kind"},
         {"max_tasks", "1 to 1000000 tasks", false,
          [](std::string_view value, tenant & record)
-         {
-             return parse_number(value, 1, 1'000'000, record.m_max_tasks);
-         }},
+         { return parse_number(value, 1, 1'000'000, record.m_max_tasks); },
+         "10000", "queued and running tasks of the tenant on each instance"},
     };
     return rules;
 }
@@ -106,50 +117,53 @@
 std::span<key_rule<upstream> const> upstream_rules() noexcept
 {
     static constexpr key_rule<upstream> rules[] = {
-        {"owner", "name of a team", true, apply_owner<upstream>},
+        {"owner", team_name, true, apply_owner<upstream>, "", owner_summary},
+        {"offered_to", team_name, false, apply_offer<upstream>, "nobody", offer_summary},
         {"address", "IPv4 address:port", true,
          [](std::string_view value, upstream & record)
          {
              record.m_address = value;
              return is_socket_address(value);
-         }},
+         },
+         "", "where the upstream accepts tasks; unique in the document"},
         {"domain", "name of a failure domain", true,
          [](std::string_view value, upstream & record)
          {
              record.m_domain = value;
              return is_name(value);
-         }},
+         },
+         "", "failure domain of the upstream"},
         {"rack", "name of 1 to 64 letters, digits, - and _", false,
          [](std::string_view value, upstream & record)
          {
              record.m_rack = value;
              return is_name(value);
-         }},
+         },
+         "none", "rack of the worker behind the upstream"},
         {"slots", "1 to 1024", false,
          [](std::string_view value, upstream & record)
-         {
-             return parse_number(value, 1, 1024, record.m_slots);
-         }},
+         { return parse_number(value, 1, 1024, record.m_slots); },
+         "8", "tasks that the upstream runs at once; at most its connections"},
         {"connections", "1 to 4096", false,
          [](std::string_view value, upstream & record)
-         {
-             return parse_number(value, 1, 4096, record.m_connections);
-         }},
+         { return parse_number(value, 1, 4096, record.m_connections); },
+         "64", "connections that the upstream accepts"},
         {"millicores", "1 to 1000000", false,
          [](std::string_view value, upstream & record)
-         {
-             return parse_number(value, 1, 1'000'000, record.m_capacity.m_millicores);
-         }},
+         { return parse_number(value, 1, 1'000'000, record.m_capacity.m_millicores); },
+         "16000", "processors of the worker, in thousandths of a core"},
         {"memory_mib", "1 to 16777216", false,
          [](std::string_view value, upstream & record)
-         {
-             return parse_number(value, 1, 16'777'216, record.m_capacity.m_memory_mib);
-         }},
+         { return parse_number(value, 1, 16'777'216, record.m_capacity.m_memory_mib); },
+         "32768", "memory of the worker in MiB"},
         {"accelerators", "0 to 64", false,
          [](std::string_view value, upstream & record)
-         {
-             return parse_number(value, 0, 64, record.m_capacity.m_accelerators);
-         }},
+         { return parse_number(value, 0, 64, record.m_capacity.m_accelerators); },
+         "0", "accelerators of the worker"},
+        {"draining", "yes or no", false,
+         [](std::string_view value, upstream & record)
+         { return parse_boolean(value, record.m_draining); },
+         "no", "yes: the upstream receives no new work; set by cassiahubctl drain"},
     };
     return rules;
 }
--- a/src/config/key_rules.hpp
+++ b/src/config/key_rules.hpp
@@ -18,6 +18,10 @@
     bool m_required = false;
     /// Stores \p value in \p record. \returns false when the value is not allowed.
     bool (*m_apply)(std::string_view value, Record & record) = nullptr;
+    /// What holds when the key is absent, for the documentation.
+    std::string_view m_default = {};
+    /// Meaning in one line, for the documentation.
+    std::string_view m_summary = {};
 };
 
 std::span<key_rule<team> const> team_rules() noexcept;
--- a/src/entry/platform_duty.cpp
+++ b/src/entry/platform_duty.cpp
@@ -26,7 +26,7 @@
                         platform::configuration_feed & feed, std::stop_token const & stop)
 {
     codec::table_rows rows;
-    if (platform::read_rows(client, platform::section_row_prefix, feed.m_sequence,
+    if (platform::read_rows(client, platform::configuration_row_prefix, feed.m_sequence,
                             rows) ||
         !platform::merge_sections(feed, rows))
     {
--- /dev/null
+++ b/src/platform/configuration_edit.cpp
@@ -0,0 +1,237 @@
+#include <cassiahub/platform/configuration_edit.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace cassiahub::platform
+{
+
+namespace internal
+{
+
+/// Outside configuration_row_prefix, so that daemons do not read the history.
+constexpr std::string_view history_row_prefix = "config-history/";
+
+/// Edits that conflict only on the version row are tried again this often. Each conflict
+/// means that another edit was accepted, so only a burst of edits exhausts the tries.
+constexpr int max_tries = 16;
+/// Longest wait before a further try; a few synced writes of the platform.
+constexpr std::int64_t max_wait_ms = 20;
+/// Tries of apply_key(), which reads the section's version anew each time.
+constexpr int max_key_tries = 8;
+
+std::uint64_t to_number(std::string_view text) noexcept
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string section_row(std::string_view name)
+{
+    return std::string(section_row_prefix) + std::string(name);
+}
+
+/// \returns the writes of the version row and of the history that go with one edit.
+std::vector<decision::row_write>
+bookkeeping_rows(configuration_feed const & feed, std::string_view action,
+                 std::string_view team, std::string_view section,
+                 std::chrono::system_clock::time_point now)
+{
+    std::uint64_t const edit = to_number(feed.m_version_row.m_value) + 1;
+    auto const seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+    // The version row's condition protects the history row as well.
+    return {
+        {std::string(version_row), feed.m_version_row.m_version, fmt::to_string(edit)},
+        {fmt::format("{}{:02}", history_row_prefix, edit % history_length), std::nullopt,
+         fmt::format("{} {} {} {} {}", edit, seconds, action, team, section)}};
+}
+
+decision::write_store make_write(configuration_session & session,
+                                 config::section_edit const & edit,
+                                 std::chrono::system_clock::time_point now)
+{
+    decision::write_store write;
+    write.m_write_id =
+        fmt::format("config-{:016x}{:016x}", session.m_random(), session.m_random());
+    write.m_rows = bookkeeping_rows(session.m_feed, edit.m_text ? "put" : "delete",
+                                    edit.m_team, edit.m_section, now);
+    write.m_rows.push_back(
+        {section_row(edit.m_section), edit.m_expected_version, edit.m_text});
+    return write;
+}
+
+std::uint64_t written_version(std::span<decision::table_row const> rows)
+{
+    auto const found = std::find_if(rows.begin(), rows.end(),
+                                    [](decision::table_row const & row)
+                                    { return row.m_name == version_row; });
+    return found == rows.end() ? 0 : found->m_version;
+}
+
+void wait_before_next_try(random_source & random)
+{
+    std::uniform_int_distribution<std::int64_t> draw(0, max_wait_ms);
+    std::this_thread::sleep_for(std::chrono::milliseconds(draw(random)));
+}
+
+/// Parses "<edit> <seconds> <action> <team> <section>".
+bool parse_history_row(decision::table_row const & row, history_entry & entry)
+{
+    std::istringstream stream(row.m_value);
+    stream >> entry.m_edit >> entry.m_time_s >> entry.m_action >> entry.m_team >>
+        entry.m_section;
+    entry.m_version = row.m_version;
+    return !stream.fail();
+}
+
+} // namespace internal
+
+std::error_code refresh(configuration_session & session)
+{
+    codec::table_rows rows;
+    if (read_rows(session.m_client, configuration_row_prefix, session.m_feed.m_sequence,
+                  rows))
+    {
+        return config::config_errc::store_unavailable;
+    }
+    merge_sections(session.m_feed, rows);
+    return {};
+}
+
+std::vector<config::section_state> list_sections(configuration_feed const & feed)
+{
+    std::vector<config::section_state> sections;
+    sections.reserve(feed.m_sections.size());
+    for (auto const & [name, row] : feed.m_sections)
+    {
+        sections.push_back({std::string_view(name).substr(section_row_prefix.size()),
+                            row.m_version, row.m_value});
+    }
+    return sections;
+}
+
+edit_result apply_edit(configuration_session & session, config::section_edit const & edit,
+                       std::chrono::system_clock::time_point now)
+{
+    edit_result result;
+    for (int attempt = 0; attempt < internal::max_tries; ++attempt)
+    {
+        if (std::error_code const error = refresh(session))
+        {
+            result.m_check.m_error = error;
+            return result;
+        }
+        result.m_check = config::check_edit(list_sections(session.m_feed), edit);
+        if (result.m_check.m_error)
+        {
+            return result;
+        }
+        std::vector<decision::table_row> rows;
+        switch (
+            write_rows(session.m_client, internal::make_write(session, edit, now), rows))
+        {
+        case decision::store_outcome::done:
+            result.m_version = internal::written_version(rows);
+            return result;
+        case decision::store_outcome::unavailable:
+            result.m_check.m_error = config::config_errc::edit_outcome_unknown;
+            return result;
+        case decision::store_outcome::conflict:
+            // The next check reports a conflict on the section itself.
+            internal::wait_before_next_try(session.m_random);
+            break;
+        }
+    }
+    result.m_check.m_error = config::config_errc::contended;
+    return result;
+}
+
+edit_result apply_key(configuration_session & session, config::section_edit edit,
+                      std::string_view key, std::string_view value,
+                      std::chrono::system_clock::time_point now)
+{
+    edit_result result;
+    for (int attempt = 0; attempt < internal::max_key_tries; ++attempt)
+    {
+        if (std::error_code const error = refresh(session))
+        {
+            result.m_check.m_error = error;
+            return result;
+        }
+        auto const sections = list_sections(session.m_feed);
+        config::section_state const * const stored =
+            config::find_state(sections, edit.m_section);
+        if (stored == nullptr)
+        {
+            result.m_check.m_error = config::config_errc::section_not_found;
+            return result;
+        }
+        edit.m_expected_version = stored->m_version;
+        edit.m_text = config::set_key(stored->m_text, key, value);
+        result = apply_edit(session, edit, now);
+        if (result.m_check.m_error != config::config_errc::version_conflict)
+        {
+            return result;
+        }
+    }
+    return result;
+}
+
+std::error_code write_first_document(configuration_session & session,
+                                     std::span<config::section_state const> sections,
+                                     std::chrono::system_clock::time_point now)
+{
+    decision::write_store write;
+    // Unique for each call: the platform answers a repeated identifier with the result
+    // of its first write.
+    write.m_write_id =
+        fmt::format("config-{:016x}{:016x}", session.m_random(), session.m_random());
+    write.m_rows =
+        internal::bookkeeping_rows({}, "init", config::administrators, "*", now);
+    for (config::section_state const & section : sections)
+    {
+        write.m_rows.push_back(
+            {internal::section_row(section.m_name), 0, std::string(section.m_text)});
+    }
+    std::vector<decision::table_row> rows;
+    switch (write_rows(session.m_client, write, rows))
+    {
+    case decision::store_outcome::done:
+        return {};
+    case decision::store_outcome::conflict:
+        return config::config_errc::version_conflict;
+    case decision::store_outcome::unavailable:
+        break;
+    }
+    return config::config_errc::edit_outcome_unknown;
+}
+
+std::error_code read_history(client & used, std::vector<history_entry> & history)
+{
+    codec::table_rows rows;
+    if (read_rows(used, internal::history_row_prefix, 0, rows))
+    {
+        return config::config_errc::store_unavailable;
+    }
+    for (decision::table_row const & row : rows.m_rows)
+    {
+        history_entry entry;
+        if (internal::parse_history_row(row, entry))
+        {
+            history.push_back(std::move(entry));
+        }
+    }
+    std::sort(history.begin(), history.end(),
+              [](history_entry const & left, history_entry const & right)
+              { return left.m_edit > right.m_edit; });
+    return {};
+}
+
+} // namespace cassiahub::platform
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -14,7 +14,7 @@
 
 constexpr char const * sound_document =
     "[team.returns]\n"
-    "key_hash = sha256:"
+    "key_hash = sha256:5f1c0e7a92d34b68a1c7e0f3d5b29846:"
     "8c6976e5b5410415bde908bd4dee15dfb167a9c873fc4bb8a81f6f2ab448a918\n"
     "[domain.nairobi]\nowner = returns\nregion = kenya\n"
     "[kind.levy]\nowner = returns\nurgency = 2\nshare = 40\nrepeatable = yes\n"
