Serve configuration edits to operators and complete cassiahubctl

Cause: there was no way to read or change a running fleet's configuration.

Change: the listener serves /v1/config, /v1/status, /v1/drain and /v1/undrain with problem details for every refusal.

--- a/include/cassiahub/config/error.hpp
+++ b/include/cassiahub/config/error.hpp
@@ -36,7 +36,9 @@
     store_unavailable = 23,     ///< the table could not be read; nothing written
     edit_outcome_unknown = 24,  ///< the answer of the write was lost and not found again
     malformed_request = 25,     ///< a header or the body cannot be read
-    overloaded = 26             ///< too many operator requests at once; nothing written
+    overloaded = 26,            ///< too many operator requests at once; nothing written
+    method_not_allowed = 27,    ///< the path does not take the method
+    unknown_path = 28           ///< there is no such path
 };
 
 std::error_category const & config_category() noexcept;
--- a/src/config/error.cpp
+++ b/src/config/error.cpp
@@ -72,6 +72,10 @@
             return "malformed_request";
         case config_errc::overloaded:
             return "overloaded";
+        case config_errc::method_not_allowed:
+            return "method_not_allowed";
+        case config_errc::unknown_path:
+            return "unknown_path";
         }
         return "unknown_error";
     }
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -1,12 +1,18 @@
+#include "ctl/operator_client.hpp"
+
 #include <cassiahub/config.hpp>
 #include <cassiahub/ctl/config_commands.hpp>
+#include <cassiahub/ctl/exit_code.hpp>
 #include <cassiahub/platform.hpp>
-#include <cassiahub/runtime/program.hpp>
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
+#include <chrono>
 #include <iostream>
-#include <optional>
+#include <random>
+#include <utility>
 #include <vector>
 
 namespace cassiahub::ctl
@@ -15,21 +21,45 @@
 namespace internal
 {
 
-/// Reads and checks a fleet document. \returns false after printing its faults.
-bool load_document(std::string const & path, std::string & text)
+using nlohmann::json;
+
+/// Begins the first line of a section that `config show` printed; the version follows.
+constexpr std::string_view version_comment = "; version ";
+/// Shorter keys could be found by trying; the salted hash is readable by every operator.
+constexpr std::size_t min_key_length = 16;
+
+bool read_text(std::string const & path, std::string & text)
 {
     if (std::error_code const error = config::read_file(path, text))
     {
         std::cerr << path << ": " << error.message() << '\n';
         return false;
     }
-    std::vector<config::config_fault> faults;
-    bool const sound = config::parse_fleet_document(text, faults).has_value();
+    return true;
+}
+
+void print_faults(std::string const & path, std::span<config::config_fault const> faults,
+                  output_format output)
+{
+    if (output == output_format::json)
+    {
+        json list = json::array();
+        for (config::config_fault const & fault : faults)
+        {
+            list.push_back({{"section", fault.m_section},
+                            {"line", fault.m_line},
+                            {"key", fault.m_key},
+                            {"code", fault.m_error.message()},
+                            {"allowed", fault.m_allowed}});
+        }
+        std::cout << dump({{"valid", faults.empty()}, {"faults", std::move(list)}})
+                  << '\n';
+        return;
+    }
     for (config::config_fault const & fault : faults)
     {
         std::cerr << path << ": " << to_string(fault) << '\n';
     }
-    return sound;
 }
 
 std::string format_section(config::ini_section const & section)
@@ -42,44 +72,437 @@
     return text;
 }
 
+random_source make_random_source()
+{
+    std::random_device device;
+    std::seed_seq seed{device(), device(), device(), device()};
+    return random_source(seed);
+}
+
+/// Takes the comment with the version off the beginning of \p text.
+std::optional<std::uint64_t> take_version(std::string & text)
+{
+    if (!text.starts_with(version_comment))
+    {
+        return std::nullopt;
+    }
+    std::size_t const newline = std::min(text.find('\n'), text.size() - 1);
+    std::string_view const digits = std::string_view(text).substr(
+        version_comment.size(), newline - version_comment.size());
+    std::uint64_t version = 0;
+    auto const result =
+        std::from_chars(digits.data(), digits.data() + digits.size(), version);
+    if (result.ec != std::errc())
+    {
+        return std::nullopt;
+    }
+    text.erase(0, newline + 1);
+    return version;
+}
+
+http::request make_request(char const * method, std::string path)
+{
+    return {method, std::move(path), {}, {}, {}};
+}
+
+std::string section_url(std::string_view section)
+{
+    return "/v1/config/sections/" + std::string(section);
+}
+
+/// \returns the member \p key of \p object as text.
+std::string member(json const & object, char const * key)
+{
+    auto const found = object.find(key);
+    if (found == object.end())
+    {
+        return {};
+    }
+    return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+/// Sends an edit and prints the version that it made. After a lost answer the section is
+/// read again: when it has the text that was sent, the edit was accepted.
+int send_edit(operator_target const & target, std::string const & section,
+              http::request const & sent)
+{
+    http::response received;
+    std::error_code const error = exchange_any(target, sent, received);
+    if (error == http::http_errc::response_lost && sent.m_method == "PUT")
+    {
+        json current;
+        if (request_json(target, make_request("GET", section_url(section)), current) ==
+                runtime::exit_success &&
+            member(current, "text") == sent.m_body)
+        {
+            std::cout << fmt::format("[{}] version {} (the answer was lost)\n", section,
+                                     member(current, "version"));
+            return runtime::exit_success;
+        }
+    }
+    if (error)
+    {
+        return report_failure(error);
+    }
+    if (received.m_status >= 300)
+    {
+        return report_refusal(received, target.m_output);
+    }
+    json const body = json::parse(received.m_body, nullptr, false);
+    if (target.m_output == output_format::json)
+    {
+        std::cout << dump(body) << '\n';
+    }
+    else
+    {
+        std::cout << fmt::format("[{}] version {}\n", section, member(body, "version"));
+    }
+    return runtime::exit_success;
+}
+
+void print_document(json const & document, bool whole_text)
+{
+    if (whole_text)
+    {
+        for (json const & section : document["sections"])
+        {
+            std::cout << member(section, "text") << '\n';
+        }
+        return;
+    }
+    std::cout << fmt::format("{:<40} {:<20} {:>10}\n", "SECTION", "OWNER", "VERSION");
+    for (json const & section : document["sections"])
+    {
+        std::cout << fmt::format("{:<40} {:<20} {:>10}\n", member(section, "name"),
+                                 member(section, "owner"), member(section, "version"));
+    }
+    std::cout << "version " << member(document, "version")
+              << (member(document, "stale") == "true" ? ", stale: the store is down\n"
+                                                      : "\n");
+}
+
+/// One difference between a file and the fleet.
+struct key_change
+{
+    std::string m_section;
+    std::string m_key; ///< empty: the whole section
+    std::string m_old; ///< empty: absent
+    std::string m_new; ///< empty: absent
+};
+
+void compare_sections(config::ini_section const & old_section,
+                      config::ini_section const & new_section,
+                      std::vector<key_change> & changes)
+{
+    for (config::ini_entry const & entry : new_section.m_entries)
+    {
+        config::ini_entry const * const old = find_entry(old_section, entry.m_key);
+        if (old == nullptr || old->m_value != entry.m_value)
+        {
+            changes.push_back({new_section.m_name, entry.m_key,
+                               old == nullptr ? "" : old->m_value, entry.m_value});
+        }
+    }
+    for (config::ini_entry const & entry : old_section.m_entries)
+    {
+        if (find_entry(new_section, entry.m_key) == nullptr)
+        {
+            changes.push_back({new_section.m_name, entry.m_key, entry.m_value, ""});
+        }
+    }
+}
+
+std::vector<key_change> compare_documents(json const & fleet,
+                                          config::ini_document const & file)
+{
+    std::vector<key_change> changes;
+    std::vector<config::config_fault> faults;
+    for (config::ini_section const & section : file.m_sections)
+    {
+        auto const found =
+            std::find_if(fleet["sections"].begin(), fleet["sections"].end(),
+                         [&section](json const & candidate)
+                         { return member(candidate, "name") == section.m_name; });
+        if (found == fleet["sections"].end())
+        {
+            changes.push_back({section.m_name, "", "absent", "added"});
+            continue;
+        }
+        config::ini_document const old =
+            config::parse_ini(member(*found, "text"), faults);
+        if (!old.m_sections.empty())
+        {
+            compare_sections(old.m_sections.front(), section, changes);
+        }
+    }
+    return changes;
+}
+
+void print_changes(std::span<key_change const> changes, output_format output)
+{
+    if (output == output_format::json)
+    {
+        json list = json::array();
+        for (key_change const & change : changes)
+        {
+            list.push_back({{"section", change.m_section},
+                            {"key", change.m_key},
+                            {"old", change.m_old},
+                            {"new", change.m_new}});
+        }
+        std::cout << dump({{"changes", std::move(list)}}) << '\n';
+        return;
+    }
+    for (key_change const & change : changes)
+    {
+        std::cout << fmt::format("[{}] {}: {} -> {}\n", change.m_section,
+                                 change.m_key.empty() ? "section" : change.m_key,
+                                 change.m_old.empty() ? "absent" : change.m_old,
+                                 change.m_new.empty() ? "absent" : change.m_new);
+    }
+    if (changes.empty())
+    {
+        std::cout << "no differences\n";
+    }
+}
+
 } // namespace internal
 
-int check_config(std::string const & path)
+int check_config(std::string const & path, output_format output)
 {
     std::string text;
-    return internal::load_document(path, text) ? runtime::exit_success
-                                               : runtime::exit_usage;
+    if (!internal::read_text(path, text))
+    {
+        return runtime::exit_usage;
+    }
+    std::vector<config::config_fault> faults;
+    bool const valid = config::parse_fleet_document(text, faults).has_value();
+    internal::print_faults(path, faults, output);
+    return valid ? runtime::exit_success : runtime::exit_usage;
 }
 
 int init_config(std::string const & platform_address, std::string const & path)
 {
     std::string text;
-    if (!internal::load_document(path, text))
+    if (!internal::read_text(path, text))
+    {
+        return runtime::exit_usage;
+    }
+    std::vector<config::config_fault> faults;
+    bool const valid = config::parse_fleet_document(text, faults).has_value();
+    internal::print_faults(path, faults, output_format::table);
+    if (!valid)
+    {
+        return runtime::exit_usage;
+    }
+    config::ini_document const document = config::parse_ini(text, faults);
+    std::vector<std::string> texts;
+    std::vector<config::section_state> sections;
+    texts.reserve(document.m_sections.size());
+    for (config::ini_section const & section : document.m_sections)
+    {
+        texts.push_back(internal::format_section(section));
+        sections.push_back({section.m_name, 0, texts.back()});
+    }
+    platform::configuration_session session{
+        {platform_address, "cassiahubctl", std::chrono::seconds(5), {}},
+        {},
+        internal::make_random_source()};
+    std::error_code const error = platform::write_first_document(
+        session, sections, std::chrono::system_clock::now());
+    if (!error)
+    {
+        std::cout << sections.size() << " sections written\n";
+        return runtime::exit_success;
+    }
+    std::cerr << error.message() << '\n';
+    return error == config::config_errc::version_conflict ? exit_conflict
+                                                          : runtime::exit_failed;
+}
+
+int print_keys(output_format output)
+{
+    internal::json list = internal::json::array();
+    for (config::key_documentation const & key : config::list_keys())
+    {
+        list.push_back({{"section", key.m_section},
+                        {"key", key.m_key},
+                        {"allowed", key.m_allowed},
+                        {"required", key.m_required},
+                        {"default", key.m_default},
+                        {"summary", key.m_summary}});
+        if (output == output_format::table)
+        {
+            std::cout << fmt::format(
+                "[{}] {}\n    {}\n    allowed: {}; {}\n", key.m_section, key.m_key,
+                key.m_summary.empty() ? "see docs/configuration.md" : key.m_summary,
+                key.m_allowed,
+                key.m_required ? "required" : fmt::format("default: {}", key.m_default));
+        }
+    }
+    if (output == output_format::json)
+    {
+        std::cout << internal::dump({{"keys", std::move(list)}}) << '\n';
+    }
+    return runtime::exit_success;
+}
+
+int print_key_hash(std::string const & key_file)
+{
+    std::string key;
+    if (!read_team_key(key_file, key))
+    {
+        return runtime::exit_usage;
+    }
+    if (key.size() < internal::min_key_length)
+    {
+        std::cerr << "the key has fewer than " << internal::min_key_length
+                  << " characters\n";
+        return runtime::exit_usage;
+    }
+    std::random_device device;
+    std::string salt;
+    for (int word = 0; word < 4; ++word)
+    {
+        salt += fmt::format("{:08x}", device());
+    }
+    std::cout << "key_hash = " << config::hash_team_key(key, salt) << '\n';
+    return runtime::exit_success;
+}
+
+int show_config(operator_target const & target, std::string const & section,
+                bool whole_text)
+{
+    internal::json body;
+    int const code = internal::request_json(
+        target,
+        internal::make_request("GET", section.empty() ? "/v1/config"
+                                                      : internal::section_url(section)),
+        body);
+    if (code != runtime::exit_success)
+    {
+        return code;
+    }
+    if (target.m_output == output_format::json)
+    {
+        std::cout << internal::dump(body) << '\n';
+    }
+    else if (section.empty())
+    {
+        internal::print_document(body, whole_text);
+    }
+    else
+    {
+        std::cout << internal::version_comment << internal::member(body, "version")
+                  << '\n'
+                  << internal::member(body, "text");
+    }
+    return runtime::exit_success;
+}
+
+int diff_config(operator_target const & target, std::string const & path)
+{
+    std::string text;
+    if (!internal::read_text(path, text))
     {
         return runtime::exit_usage;
     }
     std::vector<config::config_fault> faults;
-    decision::write_store write;
-    write.m_write_id = "config-init";
-    for (config::ini_section const & section : config::parse_ini(text, faults).m_sections)
+    config::ini_document const file = config::parse_ini(text, faults);
+    if (!faults.empty())
+    {
+        internal::print_faults(path, faults, output_format::table);
+        return runtime::exit_usage;
+    }
+    internal::json fleet;
+    int const code = internal::request_json(
+        target, internal::make_request("GET", "/v1/config"), fleet);
+    if (code != runtime::exit_success)
+    {
+        return code;
+    }
+    internal::print_changes(internal::compare_documents(fleet, file), target.m_output);
+    return runtime::exit_success;
+}
+
+int put_config(operator_target const & target, std::string const & path,
+               std::optional<std::uint64_t> expected_version)
+{
+    std::string text;
+    if (!internal::read_text(path, text))
+    {
+        return runtime::exit_usage;
+    }
+    std::optional<std::uint64_t> const shown_version = internal::take_version(text);
+    if (!expected_version)
     {
-        write.m_rows.push_back(
-            {std::string(platform::section_row_prefix) + section.m_name, 0,
-             internal::format_section(section)});
+        expected_version = shown_version;
     }
-    platform::client client{
-        platform_address, "cassiahubctl", std::chrono::seconds(5), {}};
-    std::vector<decision::table_row> versions;
-    decision::store_outcome const outcome = platform::write_rows(client, write, versions);
-    if (outcome == decision::store_outcome::done)
+    if (!expected_version)
+    {
+        std::cerr << "no version: give --if-version or --new, or keep the first line "
+                     "that config show printed\n";
+        return runtime::exit_usage;
+    }
+    std::vector<config::config_fault> faults;
+    config::ini_document const document = config::parse_ini(text, faults);
+    internal::print_faults(path, faults, output_format::table);
+    if (!faults.empty() || document.m_sections.size() != 1)
     {
-        std::cout << write.m_rows.size() << " sections written\n";
+        std::cerr << path << ": must hold exactly one section\n";
+        return runtime::exit_usage;
+    }
+    std::string const & section = document.m_sections.front().m_name;
+    http::request sent = internal::make_request("PUT", internal::section_url(section));
+    sent.m_body = text;
+    sent.m_headers.push_back(
+        *expected_version == 0
+            ? http::header{"If-None-Match", "*"}
+            : http::header{"If-Match", fmt::format("\"{}\"", *expected_version)});
+    if (!internal::add_credentials(target, sent))
+    {
+        return runtime::exit_usage;
+    }
+    return internal::send_edit(target, section, sent);
+}
+
+int delete_config(operator_target const & target, std::string const & section,
+                  std::uint64_t expected_version)
+{
+    http::request sent = internal::make_request("DELETE", internal::section_url(section));
+    sent.m_headers.push_back({"If-Match", fmt::format("\"{}\"", expected_version)});
+    if (!internal::add_credentials(target, sent))
+    {
+        return runtime::exit_usage;
+    }
+    return internal::send_edit(target, section, sent);
+}
+
+int print_history(operator_target const & target)
+{
+    internal::json body;
+    int const code = internal::request_json(
+        target, internal::make_request("GET", "/v1/config/history"), body);
+    if (code != runtime::exit_success)
+    {
+        return code;
+    }
+    if (target.m_output == output_format::json)
+    {
+        std::cout << internal::dump(body) << '\n';
         return runtime::exit_success;
     }
-    std::cerr << (outcome == decision::store_outcome::conflict
-                      ? "conflict: the fleet has a document already\n"
-                      : "the platform is unavailable\n");
-    return runtime::exit_failed;
+    std::cout << fmt::format("{:>8} {:>10} {:<20} {:<7} {:<20} {}\n", "EDIT", "VERSION",
+                             "TIME", "ACTION", "TEAM", "SECTION");
+    for (internal::json const & edit : body["edits"])
+    {
+        std::cout << fmt::format(
+            "{:>8} {:>10} {:<20} {:<7} {:<20} {}\n", internal::member(edit, "edit"),
+            internal::member(edit, "version"), internal::member(edit, "time"),
+            internal::member(edit, "action"), internal::member(edit, "team"),
+            internal::member(edit, "section"));
+    }
+    return runtime::exit_success;
 }
 
 } // namespace cassiahub::ctl
--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -1,41 +1,71 @@
+#include "ctl/operator_client.hpp"
+
 #include <cassiahub/codec.hpp>
 #include <cassiahub/config.hpp>
+#include <cassiahub/ctl/exit_code.hpp>
 #include <cassiahub/ctl/job_commands.hpp>
-#include <cassiahub/http.hpp>
-#include <cassiahub/runtime/program.hpp>
 
 #include <iostream>
+#include <utility>
 
 namespace cassiahub::ctl
 {
 
-int submit_job(job_target const & target, std::string const & path)
+namespace internal
 {
-    http::request sent{"POST", "/v1/jobs", {}, {}, {}};
-    if (std::error_code const error = config::read_file(path, sent.m_body))
-    {
-        std::cerr << path << ": " << error.message() << '\n';
-        return runtime::exit_usage;
-    }
-    sent.m_headers = {{std::string(codec::tenant_header), target.m_tenant},
-                      {std::string(codec::key_header), target.m_key}};
+
+/// Longer than the longest job, which the server ends at its deadline.
+constexpr duration job_timeout = std::chrono::minutes(11);
+
+int exchange_job(job_target const & target, http::request sent)
+{
+    sent.m_headers.push_back({std::string(codec::tenant_header), target.m_tenant});
     if (!target.m_home_domain.empty())
     {
         sent.m_headers.push_back(
             {std::string(codec::home_domain_header), target.m_home_domain});
     }
-    // Longer than the longest job, which the server ends at its deadline.
-    constexpr duration timeout = std::chrono::minutes(11);
     http::response received;
-    std::error_code const error =
-        http::exchange_once(target.m_address, sent, timeout, received);
-    if (error)
+    if (std::error_code const error =
+            http::exchange_once(target.m_address, sent, job_timeout, received))
     {
         std::cerr << target.m_address << ": " << error.message() << '\n';
-        return runtime::exit_failed;
+        // Before the request was sent nothing can have run.
+        return error == http::http_errc::response_lost ? runtime::exit_failed
+                                                       : exit_not_run;
+    }
+    if (received.m_status >= 300)
+    {
+        return report_refusal(received, target.m_output);
+    }
+    std::cout << received.m_body << '\n';
+    return runtime::exit_success;
+}
+
+} // namespace internal
+
+int submit_job(job_target const & target, std::string const & path)
+{
+    http::request sent{"POST", "/v1/jobs", {}, {}, {}};
+    if (std::error_code const error = config::read_file(path, sent.m_body))
+    {
+        std::cerr << path << ": " << error.message() << '\n';
+        return runtime::exit_usage;
     }
-    (received.m_status == 200 ? std::cout : std::cerr) << received.m_body << '\n';
-    return received.m_status == 200 ? runtime::exit_success : runtime::exit_failed;
+    sent.m_headers.push_back({std::string(codec::key_header), target.m_key});
+    return internal::exchange_job(target, std::move(sent));
+}
+
+int query_job(job_target const & target)
+{
+    return internal::exchange_job(target,
+                                  {"GET", "/v1/jobs/" + target.m_key, {}, {}, {}});
+}
+
+int cancel_job(job_target const & target)
+{
+    return internal::exchange_job(target,
+                                  {"DELETE", "/v1/jobs/" + target.m_key, {}, {}, {}});
 }
 
 } // namespace cassiahub::ctl
--- /dev/null
+++ b/src/ctl/operator_client.cpp
@@ -0,0 +1,202 @@
+#include "ctl/operator_client.hpp"
+
+#include <cassiahub/config/process_settings.hpp>
+#include <cassiahub/ctl/exit_code.hpp>
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace cassiahub::ctl
+{
+
+namespace internal
+{
+
+using nlohmann::json;
+
+/// Longer than an edit that meets a slow store and repeats its check.
+constexpr duration request_timeout = std::chrono::seconds(30);
+
+/// \returns the member \p key of \p object as text, or an empty string.
+std::string text_of(json const & object, char const * key)
+{
+    auto const found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+/// \returns the member \p key of \p object as a number, or 0.
+std::uint64_t number_of(json const & object, char const * key)
+{
+    auto const found = object.find(key);
+    return found != object.end() && found->is_number_unsigned()
+               ? found->get<std::uint64_t>()
+               : 0;
+}
+
+int exit_code_of(int status, json const & problem)
+{
+    bool const nothing_happened =
+        text_of(problem, "applied") == "no" || text_of(problem, "ran") == "no";
+    switch (status)
+    {
+    case 400:
+    case 404:
+    case 405:
+    case 413:
+    case 422:
+    case 428:
+        return runtime::exit_usage;
+    case 409:
+        // Repeating a deletion helps only after the other sections were changed.
+        return text_of(problem, "code") == "still_referenced" ? runtime::exit_usage
+                                                              : exit_conflict;
+    case 412:
+        return exit_conflict;
+    case 429:
+    case 503:
+        return nothing_happened ? exit_not_run : runtime::exit_failed;
+    default:
+        return runtime::exit_failed;
+    }
+}
+
+void print_problem(json const & problem, int status)
+{
+    std::string const detail = text_of(problem, "detail");
+    std::cerr << fmt::format("refused: {} (status {}){}{}\n", text_of(problem, "code"),
+                             status, detail.empty() ? "" : ": ", detail);
+    if (problem.contains("faults") && problem["faults"].is_array())
+    {
+        for (json const & fault : problem["faults"])
+        {
+            std::cerr << fmt::format("  line {}, [{}] {}: {}, allowed: {}\n",
+                                     number_of(fault, "line"), text_of(fault, "section"),
+                                     text_of(fault, "key"), text_of(fault, "code"),
+                                     text_of(fault, "allowed"));
+        }
+    }
+    if (problem.contains("current") && problem["current"].is_object())
+    {
+        json const & current = problem["current"];
+        std::cerr << fmt::format("; version {} is in force\n{}",
+                                 number_of(current, "version"), text_of(current, "text"));
+    }
+}
+
+std::error_code exchange_any(operator_target const & target, http::request const & sent,
+                             http::response & received)
+{
+    std::error_code error = http::http_errc::bad_address;
+    for (std::string const & address : target.m_entries)
+    {
+        error = http::exchange_once(address, sent, request_timeout, received);
+        if (!error || error == http::http_errc::response_lost)
+        {
+            break;
+        }
+        std::cerr << address << ": " << error.message() << '\n';
+    }
+    return error;
+}
+
+int request_json(operator_target const & target, http::request const & sent, json & body)
+{
+    http::response received;
+    if (std::error_code const error = exchange_any(target, sent, received))
+    {
+        return report_failure(error);
+    }
+    if (received.m_status >= 300)
+    {
+        return report_refusal(received, target.m_output);
+    }
+    body = json::parse(received.m_body, nullptr, false);
+    if (!body.is_object())
+    {
+        std::cerr << "malformed answer\n";
+        return runtime::exit_failed;
+    }
+    return runtime::exit_success;
+}
+
+bool add_credentials(operator_target const & target, http::request & sent)
+{
+    if (target.m_team.empty())
+    {
+        std::cerr << "--team is required\n";
+        return false;
+    }
+    std::string key;
+    if (!read_team_key(target.m_key_file, key))
+    {
+        return false;
+    }
+    sent.m_headers.push_back({"Cassiahub-Team", target.m_team});
+    sent.m_headers.push_back({"Authorization", "Bearer " + key});
+    return true;
+}
+
+int report_refusal(http::response const & refusal, output_format output)
+{
+    json const problem = json::parse(refusal.m_body, nullptr, false);
+    if (!problem.is_object())
+    {
+        std::cerr << "refused: status " << refusal.m_status << '\n';
+        return exit_code_of(refusal.m_status, json::object());
+    }
+    if (output == output_format::json)
+    {
+        std::cerr << dump(problem) << '\n';
+    }
+    else
+    {
+        print_problem(problem, refusal.m_status);
+    }
+    return exit_code_of(refusal.m_status, problem);
+}
+
+int report_failure(std::error_code error)
+{
+    std::cerr << "no answer: " << error.message() << '\n';
+    return runtime::exit_failed;
+}
+
+std::string dump(json const & value)
+{
+    return value.dump(2, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace internal
+
+bool read_team_key(std::string const & key_file, std::string & key)
+{
+    if (!key_file.empty())
+    {
+        if (std::error_code const error = config::read_file(key_file, key))
+        {
+            std::cerr << key_file << ": " << error.message() << '\n';
+            return false;
+        }
+    }
+    else if (char const * const value = std::getenv("CASSIAHUB_TEAM_KEY"))
+    {
+        key = value;
+    }
+    key.erase(key.find_last_not_of("\r\n") + 1);
+    if (key.empty())
+    {
+        std::cerr << "no team key: set CASSIAHUB_TEAM_KEY or --key-file\n";
+        return false;
+    }
+    // A line break would end the header field that carries the key.
+    if (key.find_first_of("\r\n") != std::string::npos)
+    {
+        std::cerr << "the team key must be one line\n";
+        return false;
+    }
+    return true;
+}
+
+} // namespace cassiahub::ctl
--- a/src/entry/listener_duty.cpp
+++ b/src/entry/listener_duty.cpp
@@ -1,4 +1,5 @@
 #include "entry/duties.hpp"
+#include "entry/operator_endpoints.hpp"
 
 #include <cassiahub/codec.hpp>
 #include <cassiahub/core/error.hpp>
@@ -247,10 +248,16 @@
     options.m_threads = context.m_settings.m_caller_threads;
     options.m_max_body_bytes = std::size_t(context.m_settings.m_max_body_kib) * 1024;
     std::error_code error;
+    operator_state operators(context);
     http::server const server = http::start_server(
         options,
-        [&context, &stop](http::request const & received)
-        { return internal::serve(context, received, stop.stop_requested()); },
+        [&context, &operators, &stop](http::request const & received)
+        {
+            bool const stopping = stop.stop_requested();
+            return is_operator_path(received.m_path)
+                       ? serve_operator(operators, received, stopping)
+                       : internal::serve(context, received, stopping);
+        },
         error);
     if (error)
     {
--- /dev/null
+++ b/src/entry/operator_endpoints.cpp
@@ -0,0 +1,380 @@
+#include "entry/operator_endpoints.hpp"
+#include "entry/operator_json.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace cassiahub::entry
+{
+
+namespace internal
+{
+
+namespace
+{
+
+using config::config_errc;
+
+constexpr std::string_view config_path = "/v1/config";
+constexpr std::string_view section_path = "/v1/config/sections/";
+constexpr std::string_view history_path = "/v1/config/history";
+constexpr std::string_view status_path = "/v1/status";
+constexpr std::string_view drain_path = "/v1/drain";
+constexpr std::string_view undrain_path = "/v1/undrain";
+constexpr std::string_view team_header = "Cassiahub-Team";
+
+/// Operator requests that one instance handles at once. With 19,000 edits a day over all
+/// instances one would do; the others let reads pass while a write waits for the store.
+constexpr std::size_t session_count = 4;
+/// Longest wait for a session; about the time of one exchange with a slow store.
+constexpr duration session_wait = std::chrono::seconds(2);
+
+/// A session that one request uses.
+class session_lease
+{
+public:
+    explicit session_lease(operator_state & state)
+        : m_state(state), m_session(state.m_sessions.pop(session_wait))
+    {
+    }
+
+    session_lease(session_lease const &) = delete;
+    session_lease & operator=(session_lease const &) = delete;
+
+    ~session_lease()
+    {
+        if (m_session)
+        {
+            m_state.m_sessions.try_push(std::move(*m_session));
+        }
+    }
+
+    /// \returns the session, or nullptr when all were in use.
+    platform::configuration_session * get() noexcept
+    {
+        return m_session ? &*m_session : nullptr;
+    }
+
+private:
+    operator_state & m_state;
+    std::optional<platform::configuration_session> m_session;
+};
+
+int http_status(std::error_code error) noexcept
+{
+    switch (static_cast<config_errc>(error.value()))
+    {
+    case config_errc::not_authenticated:
+        return 401;
+    case config_errc::not_owner:
+        return 403;
+    case config_errc::section_not_found:
+    case config_errc::unknown_path:
+        return 404;
+    case config_errc::method_not_allowed:
+        return 405;
+    case config_errc::still_referenced:
+        return 409;
+    case config_errc::version_conflict:
+        return 412;
+    case config_errc::text_too_large:
+        return 413;
+    case config_errc::invalid_document:
+        return 422;
+    case config_errc::precondition_required:
+        return 428;
+    case config_errc::contended:
+    case config_errc::store_unavailable:
+    case config_errc::overloaded:
+        return 503;
+    case config_errc::edit_outcome_unknown:
+        return 504;
+    default:
+        return 400;
+    }
+}
+
+http::response refuse(config::edit_check const & check)
+{
+    int const status = http_status(check.m_error);
+    http::response answer{
+        status, "application/problem+json", {}, format_refusal(status, check)};
+    if (status == 401)
+    {
+        answer.m_headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
+    if (status == 503)
+    {
+        answer.m_headers.push_back({"Retry-After", "1"});
+    }
+    return answer;
+}
+
+http::response refuse(std::error_code error)
+{
+    config::edit_check check;
+    check.m_error = error;
+    return refuse(check);
+}
+
+http::response refuse_method(std::string_view allowed)
+{
+    http::response answer = refuse(config_errc::method_not_allowed);
+    answer.m_headers.push_back({"Allow", std::string(allowed)});
+    return answer;
+}
+
+http::header make_etag(std::uint64_t version)
+{
+    return {"ETag", fmt::format("\"{}\"", version)};
+}
+
+http::response accept(std::string_view section, std::uint64_t version, bool created)
+{
+    return {created ? 201 : 200,
+            "application/json",
+            {make_etag(version)},
+            format_accepted(section, version)};
+}
+
+/// Reads the newest document. Without the store the one that the session read last is
+/// served and \p stale is set. \returns an error when there is none.
+std::error_code read_document(platform::configuration_session & session, bool & stale)
+{
+    std::error_code const error = platform::refresh(session);
+    stale = static_cast<bool>(error);
+    return session.m_feed.m_sections.empty() ? error : std::error_code();
+}
+
+http::response serve_document(platform::configuration_session & session)
+{
+    bool stale = false;
+    if (std::error_code const error = read_document(session, stale))
+    {
+        return refuse(error);
+    }
+    std::uint64_t const version = platform::document_version(session.m_feed);
+    return {200,
+            "application/json",
+            {make_etag(version)},
+            format_document(version, stale, platform::list_sections(session.m_feed))};
+}
+
+http::response serve_section(platform::configuration_session & session,
+                             std::string_view name)
+{
+    bool stale = false;
+    if (std::error_code const error = read_document(session, stale))
+    {
+        return refuse(error);
+    }
+    auto const sections = platform::list_sections(session.m_feed);
+    config::section_state const * const found = config::find_state(sections, name);
+    if (found == nullptr)
+    {
+        return refuse(config_errc::section_not_found);
+    }
+    return {200,
+            "application/json",
+            {make_etag(found->m_version)},
+            format_section(*found, stale)};
+}
+
+http::response serve_history(platform::configuration_session & session)
+{
+    std::vector<platform::history_entry> history;
+    if (std::error_code const error = platform::read_history(session.m_client, history))
+    {
+        return refuse(error);
+    }
+    return {200, "application/json", {}, format_history(history)};
+}
+
+void read_credentials(http::request const & received, config::section_edit & edit)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    edit.m_team = http::find_header(received.m_headers, team_header);
+    std::string_view const value = http::find_header(received.m_headers, "Authorization");
+    if (value.starts_with(scheme))
+    {
+        edit.m_team_key = value.substr(scheme.size());
+    }
+}
+
+/// Reads If-Match: "VERSION" or If-None-Match: *. \returns false when they are malformed.
+bool read_precondition(http::request const & received,
+                       std::optional<std::uint64_t> & expected)
+{
+    std::string_view const match = http::find_header(received.m_headers, "If-Match");
+    std::string_view const none = http::find_header(received.m_headers, "If-None-Match");
+    if (!none.empty())
+    {
+        expected = 0;
+        return match.empty() && none == "*";
+    }
+    if (match.empty())
+    {
+        return true;
+    }
+    if (match.size() < 3 || match.front() != '"' || match.back() != '"')
+    {
+        return false;
+    }
+    char const * const end = match.data() + match.size() - 1;
+    std::uint64_t version = 0;
+    auto const result = std::from_chars(match.data() + 1, end, version);
+    expected = version;
+    return result.ec == std::errc() && result.ptr == end && version != 0;
+}
+
+http::response answer_edit(config::section_edit const & edit,
+                           platform::edit_result const & result)
+{
+    if (result.m_check.m_error)
+    {
+        return refuse(result.m_check);
+    }
+    return accept(edit.m_section, result.m_version,
+                  edit.m_text && result.m_check.m_version == 0);
+}
+
+/// Serves PUT and DELETE of a section.
+http::response edit_section(platform::configuration_session & session,
+                            std::string_view name, http::request const & received)
+{
+    config::section_edit edit;
+    edit.m_section = name;
+    read_credentials(received, edit);
+    if (!read_precondition(received, edit.m_expected_version))
+    {
+        return refuse(config_errc::malformed_request);
+    }
+    if (received.m_method == "PUT")
+    {
+        edit.m_text = received.m_body;
+    }
+    return answer_edit(
+        edit, platform::apply_edit(session, edit, std::chrono::system_clock::now()));
+}
+
+http::response drain_upstream(platform::configuration_session & session,
+                              std::string_view draining, http::request const & received)
+{
+    config::section_edit edit;
+    std::string upstream;
+    if (!parse_upstream(received.m_body, upstream))
+    {
+        return refuse(config_errc::malformed_request);
+    }
+    edit.m_section = "upstream." + upstream;
+    read_credentials(received, edit);
+    platform::edit_result const result = platform::apply_key(
+        session, edit, "draining", draining, std::chrono::system_clock::now());
+    if (result.m_check.m_error)
+    {
+        return refuse(result.m_check);
+    }
+    return accept(edit.m_section, result.m_version, false);
+}
+
+http::response serve_status(operator_state const & state, bool stopping)
+{
+    config::entry_settings const & settings = state.m_context.m_settings;
+    return {200,
+            "application/json",
+            {},
+            format_status({settings.m_instance, settings.m_domain,
+                           state.m_context.m_configuration_version.load(), stopping})};
+}
+
+/// \returns the methods that \p path takes, as in the Allow header; empty: no such path.
+std::string_view allowed_methods(std::string_view path) noexcept
+{
+    if (path == config_path || path == history_path || path == status_path)
+    {
+        return "GET";
+    }
+    if (path == drain_path || path == undrain_path)
+    {
+        return "POST";
+    }
+    return path.starts_with(section_path) && path.size() > section_path.size()
+               ? "GET, PUT, DELETE"
+               : "";
+}
+
+/// Serves what needs the platform.
+http::response serve_with_session(platform::configuration_session & session,
+                                  http::request const & received)
+{
+    std::string_view const path = received.m_path;
+    if (path == config_path)
+    {
+        return serve_document(session);
+    }
+    if (path == history_path)
+    {
+        return serve_history(session);
+    }
+    if (path == drain_path || path == undrain_path)
+    {
+        return drain_upstream(session, path == drain_path ? "yes" : "no", received);
+    }
+    std::string_view const name = path.substr(section_path.size());
+    return received.m_method == "GET" ? serve_section(session, name)
+                                      : edit_section(session, name, received);
+}
+
+} // namespace
+
+} // namespace internal
+
+operator_state::operator_state(daemon_context const & context)
+    : m_context(context), m_sessions(internal::session_count)
+{
+    std::random_device device;
+    for (std::size_t index = 0; index < internal::session_count; ++index)
+    {
+        std::seed_seq seed{device(), device(), device(), device()};
+        platform::configuration_session session;
+        session.m_client.m_address = context.m_settings.m_platform_address;
+        session.m_client.m_caller = context.m_settings.m_instance;
+        session.m_random = random_source(seed);
+        m_sessions.try_push(std::move(session));
+    }
+}
+
+bool is_operator_path(std::string_view path) noexcept
+{
+    return path.starts_with(internal::config_path) || path == internal::status_path ||
+           path == internal::drain_path || path == internal::undrain_path;
+}
+
+http::response serve_operator(operator_state & state, http::request const & received,
+                              bool stopping)
+{
+    std::string_view const allowed = internal::allowed_methods(received.m_path);
+    if (allowed.empty())
+    {
+        return internal::refuse(config::config_errc::unknown_path);
+    }
+    if (allowed.find(received.m_method) == std::string_view::npos)
+    {
+        return internal::refuse_method(allowed);
+    }
+    if (received.m_path == internal::status_path)
+    {
+        return internal::serve_status(state, stopping);
+    }
+    internal::session_lease lease(state);
+    platform::configuration_session * const session = lease.get();
+    return session == nullptr ? internal::refuse(config::config_errc::overloaded)
+                              : internal::serve_with_session(*session, received);
+}
+
+} // namespace cassiahub::entry
--- /dev/null
+++ b/src/entry/operator_endpoints.hpp
@@ -0,0 +1,36 @@
+#ifndef CASSIAHUB_ENTRY_OPERATOR_ENDPOINTS_HPP
+#define CASSIAHUB_ENTRY_OPERATOR_ENDPOINTS_HPP
+
+#include "entry/context.hpp"
+
+#include <cassiahub/http/message.hpp>
+#include <cassiahub/platform/configuration_edit.hpp>
+
+#include <string_view>
+
+namespace cassiahub::entry
+{
+
+/// Sessions with the platform that operator requests take turns in using. Empty ring:
+/// the request waits a short time and is then refused, so that operators never occupy
+/// more callers' threads than there are sessions and waiters for long.
+struct operator_state
+{
+    explicit operator_state(daemon_context const & context);
+
+    daemon_context const & m_context;
+    runtime::bounded_ring<platform::configuration_session> m_sessions;
+};
+
+/// \returns true for the paths that serve_operator() serves.
+bool is_operator_path(std::string_view path) noexcept;
+
+/// Serves /v1/config, /v1/status, /v1/drain and /v1/undrain. Thread-safe.
+/// \param stopping whether the daemon is shutting down.
+/// \pre is_operator_path(\p received.m_path)
+http::response serve_operator(operator_state & state, http::request const & received,
+                              bool stopping);
+
+} // namespace cassiahub::entry
+
+#endif
