Add faults that are switched at run time to the stand-ins

Cause: tests need outages, lost answers, stragglers and leaving upstreams while the programs run, and the stand-ins had none of them and grew without bound.

Change: PUT /faults on the platform and upstream stand-ins, checked member by member; single-row conditional requests, GET /stats, PATCH of one instance, addresses for each viewer, paged /starts, usage reports with a lag, repeated starts. Write identifiers are forgotten after 10 minutes, starts and attempts after a fixed count.

--- a/include/cassiahub/standin/platform_server.hpp
+++ b/include/cassiahub/standin/platform_server.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/core/time.hpp>
 
+#include <cstdint>
 #include <stop_token>
 #include <string>
 #include <system_error>
@@ -15,6 +16,7 @@
 {
     std::string m_address = "127.0.0.1:8500";
     duration m_write_delay = std::chrono::milliseconds(4); ///< of a synced write
+    std::uint32_t m_threads = 128; ///< connections served at a time
 };
 
 /// Serves table, objects and instance list until \p stop is requested.
--- a/include/cassiahub/standin/upstream_server.hpp
+++ b/include/cassiahub/standin/upstream_server.hpp
@@ -1,16 +1,23 @@
 #ifndef CASSIAHUB_STANDIN_UPSTREAM_SERVER_HPP
 #define CASSIAHUB_STANDIN_UPSTREAM_SERVER_HPP
 
+#include <cassiahub/core/resources.hpp>
 #include <cassiahub/core/time.hpp>
 
 #include <cstdint>
 #include <stop_token>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 namespace cassiahub::standin
 {
 
+// What a task takes of its worker; a request without these takes m_task_demand.
+constexpr std::string_view millicores_header = "Cassiahub-Millicores";
+constexpr std::string_view memory_header = "Cassiahub-Memory-Mib";
+constexpr std::string_view accelerators_header = "Cassiahub-Accelerators";
+
 /// Settings of the upstream stand-in. One process serves several upstreams, on
 /// consecutive ports.
 struct upstream_options
@@ -19,8 +26,12 @@
     std::uint32_t m_first_port = 9000;
     std::uint32_t m_count = 1;
     std::uint32_t m_slots = 8;
+    std::uint32_t m_connections = 64; ///< served at a time by each upstream
     /// Run time of a task whose payload does not begin with "run_ms=N".
     duration m_run_time = std::chrono::milliseconds(100);
+    resources m_capacity{16'000, 32'768, 0}; ///< of each upstream's worker
+    resources m_task_demand{1'000, 512, 0};  ///< of a task that names none
+    duration m_usage_lag = std::chrono::seconds(1);
 };
 
 /// Serves the upstreams until \p stop is requested.
--- a/programs/cassiahub-platform-standin.cpp
+++ b/programs/cassiahub-platform-standin.cpp
@@ -15,12 +15,23 @@
     std::uint32_t write_delay_ms = 4;
     CLI::App app(
         "cassiahub-platform-standin: table, objects and instance list for tests.\n"
-        "Keeps everything in memory. Exit codes: 0 stopped, 3 failed.");
+        "Keeps everything in memory. Faults are switched with PUT /faults, see\n"
+        "docs/standins.md. Exit codes: 0 stopped, 2 bad settings, 3 failed.");
     app.add_option("--listen", options.m_address, "ip:port to listen on");
+    app.add_option("--threads", options.m_threads, "connections served at a time")
+        ->check(CLI::Range(1, 1'024));
     app.add_option("--write-delay-ms", write_delay_ms, "time of a synced write")
         ->check(CLI::Range(0, 10'000));
     app.set_version_flag("--version", CASSIAHUB_VERSION);
-    CLI11_PARSE(app, argc, argv);
+    try
+    {
+        app.parse(argc, argv);
+    }
+    catch (CLI::ParseError const & fault)
+    {
+        return app.exit(fault) == 0 ? cassiahub::runtime::exit_success
+                                    : cassiahub::runtime::exit_usage;
+    }
     options.m_write_delay = std::chrono::milliseconds(write_delay_ms);
     mg_init_library(MG_FEATURES_DEFAULT);
     return cassiahub::runtime::run_until_signal(
--- a/programs/cassiahub-upstream-standin.cpp
+++ b/programs/cassiahub-upstream-standin.cpp
@@ -13,8 +13,10 @@
 {
     cassiahub::standin::upstream_options options;
     std::uint32_t run_time_ms = 100;
+    std::uint32_t usage_lag_ms = 1000;
     CLI::App app("cassiahub-upstream-standin: upstreams with slots and guarded workers.\n"
-                 "Exit codes: 0 stopped, 3 failed.");
+                 "Faults are switched with PUT /faults, see docs/standins.md.\n"
+                 "Exit codes: 0 stopped, 2 bad settings, 3 failed.");
     app.add_option("--host", options.m_host, "IPv4 address to listen on");
     app.add_option("--first-port", options.m_first_port, "port of the first upstream")
         ->check(CLI::Range(1, 65'535));
@@ -22,11 +24,31 @@
         ->check(CLI::Range(1, 200));
     app.add_option("--slots", options.m_slots, "slots of each upstream")
         ->check(CLI::Range(1, 64));
+    app.add_option("--connections", options.m_connections,
+                   "connections that each upstream serves at a time")
+        ->check(CLI::Range(1, 1'024));
+    app.add_option("--worker-millicores", options.m_capacity.m_millicores)
+        ->check(CLI::Range(1, 1'000'000));
+    app.add_option("--worker-memory-mib", options.m_capacity.m_memory_mib)
+        ->check(CLI::Range(1, 16'777'216));
+    app.add_option("--worker-accelerators", options.m_capacity.m_accelerators)
+        ->check(CLI::Range(0, 64));
+    app.add_option("--usage-lag-ms", usage_lag_ms, "age of the report at GET /usage")
+        ->check(CLI::Range(0, 600'000));
     app.add_option("--run-time-ms", run_time_ms,
                    "run time of a task whose payload has no run_ms=N")
         ->check(CLI::Range(0, 600'000));
     app.set_version_flag("--version", CASSIAHUB_VERSION);
-    CLI11_PARSE(app, argc, argv);
+    try
+    {
+        app.parse(argc, argv);
+    }
+    catch (CLI::ParseError const & fault)
+    {
+        return app.exit(fault) == 0 ? cassiahub::runtime::exit_success
+                                    : cassiahub::runtime::exit_usage;
+    }
+    options.m_usage_lag = std::chrono::milliseconds(usage_lag_ms);
     options.m_run_time = std::chrono::milliseconds(run_time_ms);
     mg_init_library(MG_FEATURES_DEFAULT);
     return cassiahub::runtime::run_until_signal(
--- /dev/null
+++ b/src/standin/platform_instances.cpp
@@ -0,0 +1,173 @@
+#include "standin/platform_state.hpp"
+#include "standin/settings_json.hpp"
+
+#include <cassiahub/runtime/boot_clock.hpp>
+
+#include <vector>
+
+namespace cassiahub::standin::internal
+{
+
+namespace
+{
+
+/// Lists older than this are forgotten; it is the largest list lag.
+constexpr duration max_list_age = std::chrono::minutes(10);
+
+void replace_list(platform_state & state, instance_map instances)
+{
+    time_point const now = runtime::read_boot_clock();
+    state.m_instances.push_back({now, std::move(instances)});
+    // The second oldest list decides when the oldest is no longer needed.
+    while (state.m_instances.size() > 1 &&
+           state.m_instances[1].m_since + max_list_age < now)
+    {
+        state.m_instances.pop_front();
+    }
+}
+
+/// \returns the list as it was \p lag ago.
+instance_map const & visible_list(platform_state const & state, duration lag)
+{
+    time_point const limit = runtime::read_boot_clock() - lag;
+    auto const newer = std::find_if(state.m_instances.rbegin(), state.m_instances.rend(),
+                                    [limit](instance_snapshot const & candidate)
+                                    { return candidate.m_since <= limit; });
+    return newer == state.m_instances.rend() ? state.m_instances.front().m_instances
+                                             : newer->m_instances;
+}
+
+std::string format_for_viewer(platform_state const & state, std::string const & viewer)
+{
+    std::vector<decision::listed_instance> listed;
+    for (auto const & [name, instance] : visible_list(state, state.m_faults.m_list_lag))
+    {
+        listed.push_back(instance);
+        auto const link = state.m_links.find({viewer, name});
+        if (link != state.m_links.end())
+        {
+            listed.back().m_address = link->second;
+        }
+    }
+    return codec::format_instances(listed);
+}
+
+bool read_text(nlohmann::json const & value, std::string & target)
+{
+    if (!value.is_string())
+    {
+        return false;
+    }
+    target = value.get<std::string>();
+    return true;
+}
+
+constexpr member_rule<decision::listed_instance> patch_rules[] = {
+    {"leaving", "true or false",
+     [](nlohmann::json const & value, decision::listed_instance & record)
+     {
+         return read_flag(value, record.m_leaving);
+     }},
+    {"address", "text",
+     [](nlohmann::json const & value, decision::listed_instance & record)
+     {
+         return read_text(value, record.m_address);
+     }},
+};
+
+} // namespace
+
+reply serve_instances(platform_state & state, http::request const & received)
+{
+    if (received.m_method == "PUT")
+    {
+        std::vector<decision::listed_instance> listed;
+        if (!codec::parse_instances(received.m_body, listed))
+        {
+            return make_text(400, "malformed instance list\n");
+        }
+        instance_map instances;
+        for (decision::listed_instance & instance : listed)
+        {
+            std::string name = instance.m_name;
+            instances.insert_or_assign(std::move(name), std::move(instance));
+        }
+        std::lock_guard<std::mutex> const lock(state.m_mutex);
+        replace_list(state, std::move(instances));
+        return make_text(204, {});
+    }
+    if (reply refusal = admit(state, received, access::read))
+    {
+        return refusal;
+    }
+    std::lock_guard<std::mutex> const lock(state.m_mutex);
+    return make_json(format_for_viewer(
+        state, std::string(http::find_header(received.m_headers, "User-Agent"))));
+}
+
+/// Serves PATCH and DELETE of /instances/{name}.
+reply serve_one_instance(platform_state & state, http::request const & received)
+{
+    std::string_view const name =
+        std::string_view(received.m_path).substr(std::string_view("/instances/").size());
+    std::lock_guard<std::mutex> const lock(state.m_mutex);
+    instance_map instances = state.m_instances.back().m_instances;
+    auto const found = instances.find(name);
+    if (found == instances.end())
+    {
+        return make_text(404, "no such instance\n");
+    }
+    if (received.m_method == "DELETE")
+    {
+        instances.erase(found);
+    }
+    else if (received.m_method == "PATCH")
+    {
+        std::string message = read_settings<decision::listed_instance>(
+            received.m_body, patch_rules, found->second);
+        if (!message.empty())
+        {
+            return make_text(400, std::move(message));
+        }
+    }
+    else
+    {
+        return make_text(405, "allowed: PATCH, DELETE\n");
+    }
+    replace_list(state, std::move(instances));
+    return make_text(204, {});
+}
+
+reply serve_links(platform_state & state, http::request const & received)
+{
+    using nlohmann::json;
+    std::lock_guard<std::mutex> const lock(state.m_mutex);
+    if (received.m_method == "PUT")
+    {
+        decltype(state.m_links) links;
+        try
+        {
+            json const document = json::parse(received.m_body);
+            for (json const & link : document.at("links"))
+            {
+                links.insert_or_assign({link.at("viewer").get<std::string>(),
+                                        link.at("instance").get<std::string>()},
+                                       link.at("address").get<std::string>());
+            }
+        }
+        catch (json::exception const & fault)
+        {
+            return make_text(400, fmt::format("malformed links: {}\n", fault.what()));
+        }
+        state.m_links = std::move(links);
+    }
+    json list = json::array();
+    for (auto const & [names, address] : state.m_links)
+    {
+        list.push_back(
+            {{"viewer", names.first}, {"instance", names.second}, {"address", address}});
+    }
+    return make_json(json({{"links", std::move(list)}}).dump());
+}
+
+} // namespace cassiahub::standin::internal
--- /dev/null
+++ b/src/standin/settings_json.hpp
@@ -0,0 +1,100 @@
+#ifndef CASSIAHUB_STANDIN_SETTINGS_JSON_HPP
+#define CASSIAHUB_STANDIN_SETTINGS_JSON_HPP
+
+#include <cassiahub/core/time.hpp>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cassiahub::standin::internal
+{
+
+/// How one member of a settings object is read.
+template <typename Record>
+struct member_rule
+{
+    std::string_view m_name;
+    std::string_view m_allowed;
+    bool (*m_apply)(nlohmann::json const & value, Record & record);
+};
+
+inline bool read_flag(nlohmann::json const & value, bool & target)
+{
+    if (!value.is_boolean())
+    {
+        return false;
+    }
+    target = value.get<bool>();
+    return true;
+}
+
+template <typename Number>
+bool read_number(nlohmann::json const & value, double low, double high, Number & target)
+{
+    bool const sound =
+        std::is_integral_v<Number> ? value.is_number_integer() : value.is_number();
+    if (!sound || value.get<double>() < low || value.get<double>() > high)
+    {
+        return false;
+    }
+    target = value.get<Number>();
+    return true;
+}
+
+inline bool read_milliseconds(nlohmann::json const & value, duration & target)
+{
+    constexpr double max_ms = 600'000;
+    std::int64_t count = 0;
+    if (!read_number(value, 0, max_ms, count))
+    {
+        return false;
+    }
+    target = std::chrono::milliseconds(count);
+    return true;
+}
+
+/// Reads the JSON object \p body into \p record; members that are absent keep their
+/// value. \p record is unchanged on failure.
+/// \returns an empty text, or what is wrong and what is allowed.
+template <typename Record>
+std::string read_settings(std::string_view body,
+                          std::span<member_rule<Record> const> rules, Record & record)
+{
+    nlohmann::json const parsed = nlohmann::json::parse(body, nullptr, false);
+    if (!parsed.is_object())
+    {
+        return "the body is not a JSON object\n";
+    }
+    Record changed = record;
+    for (auto const & [name, value] : parsed.items())
+    {
+        auto const rule = std::find_if(rules.begin(), rules.end(),
+                                       [&name = name](member_rule<Record> const & known)
+                                       { return known.m_name == name; });
+        if (rule == rules.end())
+        {
+            std::string known;
+            for (member_rule<Record> const & candidate : rules)
+            {
+                known += fmt::format(" {}", candidate.m_name);
+            }
+            return fmt::format("{}: unknown member, known:{}\n", name, known);
+        }
+        if (!rule->m_apply(value, changed))
+        {
+            return fmt::format("{}: bad value, allowed: {}\n", name, rule->m_allowed);
+        }
+    }
+    record = std::move(changed);
+    return {};
+}
+
+} // namespace cassiahub::standin::internal
+
+#endif
--- a/src/standin/table.cpp
+++ b/src/standin/table.cpp
@@ -6,15 +6,8 @@
 namespace internal
 {
 
-decision::table_row current_row(table const & source, std::string const & name)
+namespace
 {
-    auto const found = source.m_rows.find(name);
-    if (found == source.m_rows.end() || found->second.m_deleted)
-    {
-        return {name, 0, ""};
-    }
-    return {name, found->second.m_version, found->second.m_value};
-}
 
 bool conditions_hold(table const & source, codec::table_batch const & batch)
 {
@@ -29,19 +22,59 @@
     return true;
 }
 
+void forget_old_writes(table & target, time_point now)
+{
+    while (!target.m_write_order.empty() &&
+           target.m_write_order.front().first + write_id_lifetime < now)
+    {
+        target.m_writes.erase(target.m_write_order.front().second);
+        target.m_write_order.pop_front();
+    }
+}
+
+void remember_write(table & target, std::string_view write_id, known_write write,
+                    time_point now)
+{
+    target.m_writes.emplace(write_id, std::move(write));
+    target.m_write_order.emplace_back(now, write_id);
+}
+
+} // namespace
+
 } // namespace internal
 
-batch_outcome commit(table & target, codec::table_batch const & batch,
-                     codec::table_rows & rows)
+decision::table_row current_row(table const & source, std::string const & name)
 {
-    if (target.m_refused_writes.contains(batch.m_write_id))
+    auto const found = source.m_rows.find(name);
+    if (found == source.m_rows.end() || found->second.m_deleted)
     {
-        return batch_outcome::refused;
+        return {name, 0, ""};
     }
+    return {name, found->second.m_version, found->second.m_value};
+}
+
+std::uint64_t write_row(table & target, std::string const & name,
+                        std::optional<std::string> value)
+{
+    ++target.m_sequence;
+    bool const deleted = !value;
+    target.m_rows[name] = {target.m_sequence, deleted,
+                           std::move(value).value_or(std::string())};
+    return target.m_sequence;
+}
+
+batch_outcome commit(table & target, codec::table_batch const & batch, time_point now,
+                     codec::table_rows & rows)
+{
+    internal::forget_old_writes(target, now);
     auto const earlier = target.m_writes.find(batch.m_write_id);
     if (earlier != target.m_writes.end())
     {
-        rows = earlier->second;
+        if (!earlier->second.m_rows)
+        {
+            return batch_outcome::refused;
+        }
+        rows = *earlier->second.m_rows;
         return batch_outcome::committed;
     }
     bool const holds = internal::conditions_hold(target, batch);
@@ -57,13 +90,13 @@
     rows.m_sequence = target.m_sequence;
     for (decision::row_write const & write : batch.m_rows)
     {
-        rows.m_rows.push_back(internal::current_row(target, write.m_name));
+        rows.m_rows.push_back(current_row(target, write.m_name));
     }
     if (!holds)
     {
         return batch_outcome::conflict;
     }
-    target.m_writes.emplace(batch.m_write_id, rows);
+    internal::remember_write(target, batch.m_write_id, {rows}, now);
     return batch_outcome::committed;
 }
 
@@ -91,15 +124,21 @@
     return rows;
 }
 
-bool resolve(table & target, std::string_view write_id, codec::table_rows & rows)
+bool resolve(table & target, std::string_view write_id, time_point now,
+             codec::table_rows & rows)
 {
+    internal::forget_old_writes(target, now);
     auto const found = target.m_writes.find(write_id);
     if (found == target.m_writes.end())
     {
-        target.m_refused_writes.emplace(write_id);
+        internal::remember_write(target, write_id, {}, now);
+        return false;
+    }
+    if (!found->second.m_rows)
+    {
         return false;
     }
-    rows = found->second;
+    rows = *found->second.m_rows;
     return true;
 }
 
--- a/src/standin/upstream_server.cpp
+++ b/src/standin/upstream_server.cpp
@@ -1,16 +1,11 @@
-#include <cassiahub/codec.hpp>
-#include <cassiahub/http.hpp>
-#include <cassiahub/runtime.hpp>
-#include <cassiahub/standin/upstream_server.hpp>
+#include "standin/upstream_state.hpp"
+
+#include <cassiahub/runtime/boot_clock.hpp>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
-#include <condition_variable>
-#include <deque>
-#include <map>
-#include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -20,177 +15,150 @@
 namespace internal
 {
 
-/// One start that an upstream saw.
-struct observed_start
+namespace
 {
-    std::string m_job;
-    std::string m_task;
-    std::string m_attempt;
-    std::int64_t m_time_ms = 0;
-};
 
-/// One upstream with the guarded worker behind it.
-struct upstream_state
+/// Upstreams that a control request means, as indexes.
+struct upstream_range
 {
-    upstream_state(upstream_options const & options, std::string name)
-        : m_options(options), m_name(std::move(name))
-    {
-    }
-
-    upstream_options const & m_options;
-    std::string m_name;
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::uint32_t m_running = 0;
-    std::map<std::string, bool, std::less<>> m_attempts;        ///< true: cancelled
-    std::map<std::string, std::uint64_t, std::less<>> m_epochs; ///< highest, by shard
-    std::vector<observed_start> m_starts;
+    std::uint32_t m_first = 0;
+    std::uint32_t m_last = 0;
 };
 
-std::uint64_t parse_number(std::string_view text) noexcept
-{
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
-std::string_view field(http::request const & received, std::string_view name) noexcept
-{
-    return http::find_header(received.m_headers, name);
-}
-
-duration run_time_of(upstream_state const & state, std::string_view payload)
+/// Reads ?upstream=INDEX or ?upstream=all; without it the addressed upstream is meant.
+std::optional<upstream_range> select_upstreams(std::deque<upstream_state> const & states,
+                                               upstream_state const & addressed,
+                                               http::request const & received)
 {
-    constexpr std::string_view prefix = "run_ms=";
-    if (!payload.starts_with(prefix))
+    std::string const text = http::query_value(received.m_query, "upstream");
+    auto const count = static_cast<std::uint32_t>(states.size());
+    if (text.empty())
     {
-        return state.m_options.m_run_time;
+        return upstream_range{addressed.m_index, addressed.m_index};
     }
-    return std::chrono::milliseconds(parse_number(payload.substr(prefix.size())));
+    if (text == "all")
+    {
+        return upstream_range{0, count - 1};
+    }
+    std::uint64_t const index = to_number(text);
+    if (index >= count || std::to_string(index) != text)
+    {
+        return std::nullopt;
+    }
+    return upstream_range{static_cast<std::uint32_t>(index),
+                          static_cast<std::uint32_t>(index)};
 }
 
-http::response make_response(int status, std::string_view attempt, std::string_view ran,
-                             std::string body)
+void apply_faults(upstream_state & state, upstream_faults const & faults)
 {
-    return {status,
-            "text/plain",
-            {{std::string(codec::attempt_header), std::string(attempt)},
-             {std::string(codec::ran_header), std::string(ran)}},
-            std::move(body)};
+    std::lock_guard<std::mutex> const lock(state.m_mutex);
+    if (faults.m_leave && !state.m_faults.m_leave)
+    {
+        state.m_leaving_since = runtime::read_boot_clock();
+    }
+    state.m_faults = faults;
+    state.m_changed.notify_all();
 }
 
-/// Checks slot, attempt and fencing token, and takes the slot.
-/// \returns false when the task must not start.
-bool try_start(upstream_state & state, http::request const & received)
+reply serve_faults(std::deque<upstream_state> & states, upstream_range range,
+                   http::request const & received)
 {
-    std::string const attempt(field(received, codec::attempt_header));
-    std::string const shard(field(received, codec::fencing_shard_header));
-    std::uint64_t const epoch =
-        parse_number(field(received, codec::fencing_epoch_header));
-    std::lock_guard<std::mutex> const lock(state.m_mutex);
-    std::uint64_t & highest = state.m_epochs[shard];
-    if (state.m_running >= state.m_options.m_slots || epoch < highest ||
-        state.m_attempts.contains(attempt))
+    if (received.m_method == "PUT")
     {
-        return false;
+        upstream_faults faults;
+        std::string message = parse_upstream_faults(received.m_body, faults);
+        if (!message.empty())
+        {
+            return make_text(400, std::move(message));
+        }
+        for (std::uint32_t index = range.m_first; index <= range.m_last; ++index)
+        {
+            apply_faults(states[index], faults);
+        }
     }
-    highest = epoch;
-    ++state.m_running;
-    state.m_attempts.emplace(attempt, false);
-    state.m_starts.push_back(
-        {fmt::format("{}/{}/{}", field(received, codec::tenant_header),
-                     field(received, codec::home_domain_header),
-                     field(received, codec::key_header)),
-         std::string(field(received, codec::task_header)), attempt,
-         to_milliseconds(runtime::read_boot_clock().time_since_epoch())});
-    return true;
+    upstream_state & first = states[range.m_first];
+    std::lock_guard<std::mutex> const lock(first.m_mutex);
+    return make_json(format_upstream_faults(first.m_faults));
 }
 
-http::response run_task(upstream_state & state, http::request const & received)
+reply serve_control(std::deque<upstream_state> & states, upstream_state & addressed,
+                    http::request const & received)
 {
-    std::string const attempt(field(received, codec::attempt_header));
-    if (!try_start(state, received))
+    std::optional<upstream_range> const range =
+        select_upstreams(states, addressed, received);
+    if (!range)
     {
-        return make_response(503, attempt, "no", "refused\n");
+        return make_text(400, fmt::format("upstream: bad value, allowed: all, 0 to {}\n",
+                                          states.size() - 1));
     }
-    std::unique_lock<std::mutex> lock(state.m_mutex);
-    bool const cancelled =
-        state.m_changed.wait_for(lock, run_time_of(state, received.m_body),
-                                 [&] { return state.m_attempts[attempt]; });
-    --state.m_running;
-    if (cancelled)
+    if (received.m_path == "/faults")
     {
-        return make_response(409, attempt, "yes", "cancelled\n");
+        return serve_faults(states, *range, received);
     }
-    return make_response(200, attempt, "yes",
-                         fmt::format("{}/{}:{}", field(received, codec::key_header),
-                                     field(received, codec::task_header),
-                                     received.m_body));
-}
-
-http::response cancel_task(upstream_state & state, std::string_view attempt)
-{
-    std::lock_guard<std::mutex> const lock(state.m_mutex);
-    // An attempt that is cancelled before it arrives must not start later.
-    state.m_attempts[std::string(attempt)] = true;
-    state.m_changed.notify_all();
-    return {204, "text/plain", {}, ""};
-}
-
-http::response list_starts(upstream_state & state)
-{
-    nlohmann::json starts = nlohmann::json::array();
-    std::lock_guard<std::mutex> const lock(state.m_mutex);
-    for (observed_start const & start : state.m_starts)
+    if (received.m_path == "/starts")
     {
-        starts.push_back({{"job", start.m_job},
-                          {"task", start.m_task},
-                          {"attempt", start.m_attempt},
-                          {"time_ms", start.m_time_ms}});
+        return list_starts(states[range->m_first], received);
     }
-    return {200, "application/json", {}, starts.dump()};
+    if (received.m_path == "/stats")
+    {
+        return report_stats(states, range->m_first, range->m_last);
+    }
+    if (received.m_path == "/usage")
+    {
+        return report_usage(states[range->m_first]);
+    }
+    return make_text(404, "not found\n");
 }
 
-http::response serve_upstream(upstream_state & state, http::request const & received)
+reply serve_upstream(std::deque<upstream_state> & states, upstream_state & addressed,
+                     http::request const & received)
 {
     constexpr std::string_view tasks_path = "/v1/tasks";
-    if (received.m_path == tasks_path && received.m_method == "POST")
+    std::string_view const path = received.m_path;
+    if (path == tasks_path && received.m_method == "POST")
     {
-        return run_task(state, received);
+        return serve_task(addressed, received);
     }
-    if (received.m_path.starts_with("/v1/tasks/") && received.m_method == "DELETE")
+    if (path.starts_with("/v1/tasks/") && received.m_method == "DELETE")
     {
-        return cancel_task(
-            state, std::string_view(received.m_path).substr(tasks_path.size() + 1));
+        return serve_cancellation(addressed, path.substr(tasks_path.size() + 1));
     }
-    if (received.m_path == "/starts")
+    return serve_control(states, addressed, received);
+}
+
+/// Releases every request that waits, so that the servers can stop.
+void release_waiting(std::deque<upstream_state> & states)
+{
+    for (upstream_state & state : states)
     {
-        return list_starts(state);
+        std::lock_guard<std::mutex> const lock(state.m_mutex);
+        state.m_stopping = true;
+        state.m_changed.notify_all();
     }
-    return {404, "text/plain", {}, "not found\n"};
 }
 
+} // namespace
+
 } // namespace internal
 
 std::error_code run_upstreams(upstream_options const & options,
                               std::stop_token const & stop)
 {
+    internal::start_log starts;
     std::deque<internal::upstream_state> states;
-    std::vector<http::server> servers;
     for (std::uint32_t index = 0; index < options.m_count; ++index)
     {
-        http::server_options server_options;
-        server_options.m_address =
-            fmt::format("{}:{}", options.m_host, options.m_first_port + index);
-        // Room for cancellations and status requests while every slot is taken.
-        server_options.m_threads = options.m_slots * 2 + 4;
-        internal::upstream_state & state =
-            states.emplace_back(options, server_options.m_address);
+        states.emplace_back(options, index, starts);
+    }
+    std::vector<internal::listener> servers;
+    for (internal::upstream_state & state : states)
+    {
         std::error_code error;
-        servers.push_back(http::start_server(
-            server_options,
-            [&state](http::request const & received)
-            { return internal::serve_upstream(state, received); },
+        servers.push_back(internal::start_listener(
+            fmt::format("{}:{}", options.m_host, options.m_first_port + state.m_index),
+            options.m_connections,
+            [&states, &state](http::request const & received)
+            { return internal::serve_upstream(states, state, received); },
             error));
         if (error)
         {
@@ -201,6 +169,7 @@
     std::condition_variable_any stopped;
     std::unique_lock<std::mutex> lock(mutex);
     stopped.wait(lock, stop, [] { return false; });
+    internal::release_waiting(states);
     return {};
 }
 
--- /dev/null
+++ b/src/standin/upstream_state.hpp
@@ -0,0 +1,108 @@
+#ifndef CASSIAHUB_STANDIN_UPSTREAM_STATE_HPP
+#define CASSIAHUB_STANDIN_UPSTREAM_STATE_HPP
+
+#include "standin/listener.hpp"
+
+#include <cassiahub/standin/upstream_faults.hpp>
+#include <cassiahub/standin/upstream_server.hpp>
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace cassiahub::standin::internal
+{
+
+/// Starts, and separately attempts, that are remembered; older ones are forgotten, so
+/// that a long run needs bounded memory.
+constexpr std::size_t max_starts = 200'000;
+constexpr std::size_t max_attempts = 50'000;
+
+/// One start that an upstream saw.
+struct observed_start
+{
+    std::uint64_t m_sequence = 0; ///< counts from 1 over the whole process
+    std::uint32_t m_upstream = 0;
+    std::string m_job;
+    std::string m_task;
+    std::string m_attempt;
+    std::string m_kind;
+    std::int64_t m_time_ms = 0;
+};
+
+/// Starts of all upstreams of the process.
+struct start_log
+{
+    std::mutex m_mutex;
+    std::uint64_t m_sequence = 0;
+    std::deque<observed_start> m_starts;
+    /// Attempts seen for each "job task" in m_starts.
+    std::map<std::string, std::uint32_t, std::less<>> m_tasks;
+    std::map<std::string, std::uint64_t, std::less<>> m_repeated_by_kind;
+    std::uint64_t m_repeated = 0;
+};
+
+/// What a worker has in use from a moment on.
+struct usage_sample
+{
+    time_point m_since;
+    resources m_used;
+};
+
+/// One upstream with the guarded worker behind it. The HTTP threads share it under
+/// m_mutex; m_changed is notified on a cancellation, a change of faults and a stop.
+struct upstream_state
+{
+    upstream_state(upstream_options const & options, std::uint32_t index,
+                   start_log & starts)
+        : m_options(options), m_index(index), m_starts(starts)
+    {
+    }
+
+    upstream_options const & m_options;
+    std::uint32_t m_index;
+    start_log & m_starts;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_stopping = false;
+    upstream_faults m_faults;
+    time_point m_leaving_since;
+    std::uint32_t m_running = 0;
+    std::uint32_t m_highest_running = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_finished = 0;
+    std::uint64_t m_cancelled = 0;
+    std::uint64_t m_dropped_answers = 0;
+    std::map<std::string, std::uint64_t, std::less<>> m_refused; ///< by reason
+    std::map<std::string, bool, std::less<>> m_attempts;         ///< true: cancelled
+    std::deque<std::string> m_attempt_order;                     ///< oldest first
+    std::map<std::string, std::uint64_t, std::less<>> m_epochs;  ///< highest, by shard
+    resources m_used{0, 0, 0};
+    std::deque<usage_sample> m_usage; ///< oldest first
+};
+
+/// Adds a start and counts it as repeated when the task was started before under
+/// another attempt. \pre \p log.m_mutex is not held
+void record_start(start_log & log, observed_start start);
+
+/// Serves POST /v1/tasks: runs the task and answers it.
+reply serve_task(upstream_state & state, http::request const & received);
+
+/// Serves DELETE /v1/tasks/{attempt}.
+reply serve_cancellation(upstream_state & state, std::string_view attempt);
+
+/// Appends the current use. \pre state.m_mutex is held
+void sample_usage(upstream_state & state);
+
+http::response list_starts(upstream_state & state, http::request const & received);
+http::response report_stats(std::deque<upstream_state> & states, std::uint32_t first,
+                            std::uint32_t last);
+http::response report_usage(upstream_state & state);
+
+} // namespace cassiahub::standin::internal
+
+#endif
--- /dev/null
+++ b/src/standin/upstream_tasks.cpp
@@ -0,0 +1,220 @@
+#include "standin/upstream_state.hpp"
+
+#include <cassiahub/codec/task_headers.hpp>
+#include <cassiahub/runtime/boot_clock.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::standin::internal
+{
+
+namespace
+{
+
+std::string_view field(http::request const & received, std::string_view name) noexcept
+{
+    return http::find_header(received.m_headers, name);
+}
+
+/// One task request in the form that the worker checks.
+struct task_request
+{
+    std::string m_attempt;
+    std::string m_shard;
+    std::uint64_t m_epoch = 0;
+    resources m_demand;
+    duration m_run_time{0};
+};
+
+std::uint32_t demand_of(http::request const & received, std::string_view name,
+                        std::uint32_t standard)
+{
+    std::string_view const text = field(received, name);
+    return text.empty() ? standard : static_cast<std::uint32_t>(to_number(text));
+}
+
+task_request read_task(upstream_options const & options, http::request const & received)
+{
+    constexpr std::string_view prefix = "run_ms=";
+    std::string_view const payload = received.m_body;
+    resources const & standard = options.m_task_demand;
+    return {std::string(field(received, codec::attempt_header)),
+            std::string(field(received, codec::fencing_shard_header)),
+            to_number(field(received, codec::fencing_epoch_header)),
+            {demand_of(received, millicores_header, standard.m_millicores),
+             demand_of(received, memory_header, standard.m_memory_mib),
+             demand_of(received, accelerators_header, standard.m_accelerators)},
+            payload.starts_with(prefix)
+                ? std::chrono::milliseconds(to_number(payload.substr(prefix.size())))
+                : options.m_run_time};
+}
+
+http::response make_answer(upstream_state const & state, int status,
+                           std::string_view attempt, std::string_view ran,
+                           std::string body)
+{
+    http::response answer = make_text(status, std::move(body));
+    answer.m_headers = {{std::string(codec::attempt_header), std::string(attempt)},
+                        {std::string(codec::ran_header), std::string(ran)}};
+    if (state.m_faults.m_leave)
+    {
+        answer.m_headers.push_back({std::string(codec::leaving_header), "true"});
+    }
+    return answer;
+}
+
+resources free_capacity(upstream_state const & state)
+{
+    resources free = state.m_options.m_capacity;
+    reserve(free, state.m_used);
+    return free;
+}
+
+/// \returns the reason for which the task must not start, or an empty view.
+std::string_view refusal_reason(upstream_state const & state, task_request const & task)
+{
+    auto const attempt = state.m_attempts.find(task.m_attempt);
+    auto const epoch = state.m_epochs.find(task.m_shard);
+    if (state.m_stopping || state.m_faults.m_refuse)
+    {
+        return "refusing";
+    }
+    if (state.m_faults.m_leave && runtime::read_boot_clock() - state.m_leaving_since >=
+                                      state.m_faults.m_leave_grace)
+    {
+        return "leaving";
+    }
+    if (attempt != state.m_attempts.end())
+    {
+        return attempt->second ? "cancelled" : "repeated_attempt";
+    }
+    if (epoch != state.m_epochs.end() && task.m_epoch < epoch->second)
+    {
+        return "epoch";
+    }
+    if (state.m_running >= state.m_options.m_slots)
+    {
+        return "slots";
+    }
+    return fits(task.m_demand, free_capacity(state)) ? std::string_view() : "capacity";
+}
+
+void remember_attempt(upstream_state & state, std::string const & attempt, bool cancelled)
+{
+    auto const [place, added] = state.m_attempts.emplace(attempt, cancelled);
+    place->second = cancelled;
+    if (added)
+    {
+        state.m_attempt_order.push_back(attempt);
+    }
+    if (state.m_attempt_order.size() > max_attempts)
+    {
+        state.m_attempts.erase(state.m_attempt_order.front());
+        state.m_attempt_order.pop_front();
+    }
+}
+
+/// Takes slot and resources. \pre refusal_reason() is empty, state.m_mutex is held
+void start_task(upstream_state & state, task_request const & task,
+                http::request const & received)
+{
+    std::uint64_t & highest = state.m_epochs[task.m_shard];
+    highest = std::max(highest, task.m_epoch);
+    remember_attempt(state, task.m_attempt, false);
+    ++state.m_started;
+    ++state.m_running;
+    state.m_highest_running = std::max(state.m_highest_running, state.m_running);
+    release(state.m_used, task.m_demand);
+    sample_usage(state);
+    record_start(state.m_starts,
+                 {0, state.m_index,
+                  fmt::format("{}/{}/{}", field(received, codec::tenant_header),
+                              field(received, codec::home_domain_header),
+                              field(received, codec::key_header)),
+                  std::string(field(received, codec::task_header)), task.m_attempt,
+                  std::string(field(received, codec::kind_header)),
+                  to_milliseconds(runtime::read_boot_clock().time_since_epoch())});
+}
+
+bool is_cancelled(upstream_state const & state, std::string const & attempt)
+{
+    auto const found = state.m_attempts.find(attempt);
+    return found != state.m_attempts.end() && found->second;
+}
+
+void wait_while_paused(upstream_state & state, std::unique_lock<std::mutex> & lock)
+{
+    state.m_changed.wait(lock,
+                         [&] { return state.m_stopping || !state.m_faults.m_pause; });
+}
+
+/// Runs a started task to its end. \returns false when it was cancelled.
+bool run_task(upstream_state & state, task_request const & task,
+              std::unique_lock<std::mutex> & lock)
+{
+    auto const run_time = state.m_faults.m_fail
+                              ? duration::zero()
+                              : std::chrono::duration_cast<duration>(
+                                    std::chrono::duration<double, std::nano>(
+                                        static_cast<double>(task.m_run_time.count()) *
+                                        state.m_faults.m_straggle_factor));
+    bool const ended_early = state.m_changed.wait_for(
+        lock, run_time,
+        [&] { return state.m_stopping || is_cancelled(state, task.m_attempt); });
+    --state.m_running;
+    reserve(state.m_used, task.m_demand);
+    sample_usage(state);
+    ++(ended_early ? state.m_cancelled : state.m_finished);
+    return !ended_early;
+}
+
+} // namespace
+
+reply serve_task(upstream_state & state, http::request const & received)
+{
+    task_request const task = read_task(state.m_options, received);
+    std::unique_lock<std::mutex> lock(state.m_mutex);
+    wait_while_paused(state, lock);
+    std::string_view const reason = refusal_reason(state, task);
+    if (!reason.empty())
+    {
+        ++state.m_refused[std::string(reason)];
+        return make_answer(state, 503, task.m_attempt, "no",
+                           fmt::format("refused: {}\n", reason));
+    }
+    start_task(state, task, received);
+    bool const fails = state.m_faults.m_fail;
+    bool const completed = run_task(state, task, lock);
+    wait_while_paused(state, lock);
+    if (state.m_faults.m_drop_answers)
+    {
+        ++state.m_dropped_answers;
+        return std::nullopt;
+    }
+    if (!completed)
+    {
+        return make_answer(state, 409, task.m_attempt, "yes", "cancelled\n");
+    }
+    if (fails)
+    {
+        return make_answer(state, 500, task.m_attempt, "yes", "task failed\n");
+    }
+    return make_answer(state, 200, task.m_attempt, "yes",
+                       fmt::format("{}/{}:{}", field(received, codec::key_header),
+                                   field(received, codec::task_header), received.m_body));
+}
+
+reply serve_cancellation(upstream_state & state, std::string_view attempt)
+{
+    std::unique_lock<std::mutex> lock(state.m_mutex);
+    wait_while_paused(state, lock);
+    // An attempt that is cancelled before it arrives must not start later.
+    remember_attempt(state, std::string(attempt), true);
+    state.m_changed.notify_all();
+    return make_text(204, {});
+}
+
+} // namespace cassiahub::standin::internal
