--- /dev/null
+++ b/src/standin/link_control.cpp
@@ -0,0 +1,195 @@
+#include "standin/link_duties.hpp"
+#include "standin/listener.hpp"
+#include "standin/settings_json.hpp"
+
+#include <cassiahub/runtime/supervisor.hpp>
+
+#include <sys/eventfd.h>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace cassiahub::standin
+{
+
+namespace internal
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t command_ring_size = 64;
+constexpr duration reply_timeout = std::chrono::seconds(2);
+
+constexpr member_rule<link_mode> rules[] = {
+    {"state", "healed, closed or held",
+     [](json const & value, link_mode & record)
+     {
+         for (link_state const state :
+              {link_state::healed, link_state::closed, link_state::held})
+         {
+             if (value == to_string(state))
+             {
+                 record.m_state = state;
+                 return true;
+             }
+         }
+         return false;
+     }},
+    {"delay_ms", "whole milliseconds, 0 to 600000",
+     [](json const & value, link_mode & record)
+     {
+         return read_milliseconds(value, record.m_delay);
+     }},
+};
+
+http::response format_reports(std::vector<link_report> const & reports)
+{
+    json list = json::array();
+    for (link_report const & report : reports)
+    {
+        list.push_back({{"from", report.m_spec.m_from},
+                        {"to", report.m_spec.m_to},
+                        {"listen", report.m_spec.m_listen},
+                        {"target", report.m_spec.m_target},
+                        {"state", to_string(report.m_mode.m_state)},
+                        {"delay_ms", to_milliseconds(report.m_mode.m_delay)},
+                        {"accepted", report.m_accepted},
+                        {"open", report.m_open},
+                        {"forwarded_bytes", report.m_forwarded_bytes}});
+    }
+    return make_json(json({{"links", std::move(list)}}).dump());
+}
+
+reply serve_link_control(link_context & context, http::request const & received)
+{
+    if (received.m_path != "/links")
+    {
+        return make_text(404, "not found\n");
+    }
+    link_command command;
+    command.m_changes = received.m_method == "PUT";
+    std::string const from = http::query_value(received.m_query, "from");
+    std::string const to = http::query_value(received.m_query, "to");
+    command.m_from = from.empty() ? "*" : from;
+    command.m_to = to.empty() ? "*" : to;
+    if (command.m_changes)
+    {
+        std::string message = parse_link_mode(received.m_body, command.m_mode);
+        if (!message.empty())
+        {
+            return make_text(400, std::move(message));
+        }
+    }
+    auto const answer = std::make_shared<report_ring>(1);
+    command.m_reply = answer;
+    if (!context.m_commands.try_push(std::move(command)))
+    {
+        return make_text(503, "too many commands\n");
+    }
+    std::optional<std::vector<link_report>> const reports = answer->pop(reply_timeout);
+    if (!reports)
+    {
+        return make_text(504, "the relay did not answer\n");
+    }
+    return reports->empty() ? make_text(404, "no such link\n") : format_reports(*reports);
+}
+
+} // namespace
+
+link_context::link_context(link_options const & options)
+    : m_options(options), m_wake(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)),
+      m_commands(command_ring_size, m_wake.get())
+{
+}
+
+std::error_code run_link_control(link_context & context, std::stop_token const & stop)
+{
+    constexpr std::uint32_t threads = 4;
+    std::error_code error;
+    listener const server = start_listener(
+        context.m_options.m_control_address, threads,
+        [&context](http::request const & received)
+        { return serve_link_control(context, received); },
+        error);
+    if (error)
+    {
+        return error;
+    }
+    std::mutex mutex;
+    std::condition_variable_any stopped;
+    std::unique_lock<std::mutex> lock(mutex);
+    stopped.wait(lock, stop, [] { return false; });
+    return {};
+}
+
+} // namespace internal
+
+bool parse_link_spec(std::string_view text, link_spec & spec)
+{
+    std::string * const parts[] = {&spec.m_from, &spec.m_to, &spec.m_listen,
+                                   &spec.m_target};
+    std::size_t count = 0;
+    for (std::string * const part : parts)
+    {
+        std::size_t const comma = text.find(',');
+        *part = text.substr(0, comma);
+        text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
+        count += part->empty() ? 0 : 1;
+    }
+    return count == std::size(parts) && text.empty();
+}
+
+std::string parse_link_mode(std::string_view body, link_mode & mode)
+{
+    link_mode read;
+    std::string message = internal::read_settings<link_mode>(body, internal::rules, read);
+    if (message.empty())
+    {
+        mode = read;
+    }
+    return message;
+}
+
+std::string_view to_string(link_state state) noexcept
+{
+    switch (state)
+    {
+    case link_state::healed:
+        return "healed";
+    case link_state::closed:
+        return "closed";
+    case link_state::held:
+        break;
+    }
+    return "held";
+}
+
+bool matches(std::string_view pattern, std::string_view name) noexcept
+{
+    return pattern.ends_with('*')
+               ? name.starts_with(pattern.substr(0, pattern.size() - 1))
+               : name == pattern;
+}
+
+std::error_code run_links(link_options const & options, std::stop_token const & stop)
+{
+    internal::link_context context(options);
+    runtime::supervisor_spec tree;
+    tree.m_name = "links";
+    tree.m_max_restarts = 0;
+    tree.m_children = {{"relay",
+                        [&context](std::stop_token const & token)
+                        {
+                            return internal::run_relay(context, token);
+                        }},
+                       {"control", [&context](std::stop_token const & token)
+                        {
+                            return internal::run_link_control(context, token);
+                        }}};
+    return runtime::supervise(tree, stop);
+}
+
+} // namespace cassiahub::standin
