--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -140,7 +140,7 @@
     bool const restore = live && known != state.m_dispatch.m_peers.end();
     if (restore)
     {
-        capacity = known->second;
+        capacity = known->second.m_capacity;
     }
     // Results on the broken connection may be lost, so what was forwarded is unknown.
     remove_peer(context, peer);
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -69,6 +69,27 @@
     return listening_socket().address();
 }
 
+/// Waits until a connection to \p address is accepted.
+void wait_until_listening(std::string const & address)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    target.sin_port = htons(
+        static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+    time_point const limit = runtime::read_boot_clock() + patience;
+    bool connected = false;
+    while (!connected && runtime::read_boot_clock() < limit)
+    {
+        int const probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        connected =
+            connect(probe, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0;
+        close(probe);
+        std::this_thread::sleep_for(connected ? 0ms : 5ms);
+    }
+    CPPUNIT_ASSERT(connected);
+}
+
 /// One instance: an exchange on its own thread with its rings.
 class node
 {
@@ -95,6 +116,8 @@
         close(m_wake_fd);
     }
 
+    /// Returns once the exchange listens: a message to an address where nobody listens
+    /// yet is lost, as on a broken connection.
     void start()
     {
         m_thread = std::jthread(
@@ -103,6 +126,7 @@
                 m_result = peer::run_exchange(
                     m_options, {m_outgoing, m_events, m_wake_fd}, m_counters, stop);
             });
+        wait_until_listening(m_options.m_listen_address);
     }
 
     void stop()
