--- a/src/dispatch/ejection.cpp
+++ b/src/dispatch/ejection.cpp
@@ -13,8 +13,9 @@
 constexpr std::uint32_t probes_to_readmit = 3;
 /// Weight of one result in the moving mean of the slowness.
 constexpr double slowness_weight = 0.1;
-/// Longest run time of one result, in means, so that one long task does not eject.
-constexpr double slowness_limit = 20;
+/// Longest run time of one result, in means. Some tasks take 15 times the mean; without
+/// the limit two of them close together eject a sound upstream.
+constexpr double slowness_limit = 5;
 /// Success rate of the other upstreams, above that of the judged one, in percent, from
 /// which the cause is taken to be the upstream and not the work.
 constexpr std::uint64_t peer_margin_percent = 25;
