Keep jobs by serial and drop two timers of each attempt

Cause: each attempt inserted and erased two nodes in the timer set and carried a copy of its job's key, so the cost of a decision grew faster than the logarithm. Change: attempts name their job by serial; an attempt of a live job relies on the job's deadline; due hedges wait in a heap whose stale entries are dropped when due.

--- a/include/cassiahub/dispatch/fair_queue.hpp
+++ b/include/cassiahub/dispatch/fair_queue.hpp
@@ -25,11 +25,11 @@
     auto operator<=>(item_order const &) const = default;
 };
 
-/// A job with tasks that wait, or one task that a peer has forwarded.
+/// A job with tasks that wait, which is the serial of the item's order, or one task that
+/// a peer has forwarded.
 struct queue_item
 {
-    job_key m_job;
-    attempt_id m_forwarded; ///< used when the item's order is not local
+    attempt_id m_forwarded; ///< set when the item's order is not local
 };
 
 /// Items of one tenant inside one kind.
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -70,7 +70,7 @@
 /// An attempt that was ordered and has not been reported.
 struct running_attempt
 {
-    job_key m_job;
+    std::uint64_t m_job = 0; ///< serial; 0 when a peer has forwarded the task
     std::uint32_t m_task = 0;
     std::uint32_t m_kind = 0;
     std::uint32_t m_upstream = no_upstream; ///< none when it was forwarded
@@ -79,7 +79,7 @@
     resources m_demand;
     time_point m_started;
     time_point m_timeout;
-    time_point m_hedge_at; ///< zero when no hedge is due
+    time_point m_hedge_at; ///< time of the valid entry in m_hedges
     double m_charge = 0;   ///< slot-seconds charged to the kind
     bool m_probe = false;
     bool m_cancelled = false; ///< nobody waits for its result; it keeps its slot
@@ -156,10 +156,11 @@
     /// Failure domain of this instance; empty: every peer counts as local.
     std::string m_domain;
 
-    std::unordered_map<job_key, job_state> m_jobs;
-    std::unordered_map<std::uint64_t, job_key> m_job_keys; ///< by job_state::m_serial
+    std::unordered_map<std::uint64_t, job_state> m_jobs; ///< by job_state::m_serial
+    std::unordered_map<job_key, std::uint64_t> m_job_index;
     std::unordered_map<attempt_id, running_attempt> m_attempts;
     timer_set m_timers;
+    hedge_queue m_hedges;
 
     std::vector<kind_state> m_kinds;
     std::unordered_map<std::string, std::uint32_t> m_kind_index;
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -36,7 +36,7 @@
 void expire_job(advance_context & context, std::uint64_t serial)
 {
     dispatch_state & state = context.m_state;
-    job_state & job = state.m_jobs.at(state.m_job_keys.at(serial));
+    job_state & job = state.m_jobs.at(serial);
     finish_job(state, job, failed_answer(job, job_errc::deadline_exceeded),
                context.m_out);
 }
@@ -59,9 +59,6 @@
         settle_attempt(state, {subject, attempt_outcome::unknown, "", false},
                        context.m_now, context.m_random, context.m_out);
         break;
-    case timer_kind::hedge_due:
-        start_hedge(state, subject, context.m_now, context.m_random, context.m_out);
-        break;
     case timer_kind::forwarded_expiry:
         refuse_forwarded(state, subject, context.m_out);
         break;
@@ -104,10 +101,10 @@
             job.m_tasks[task].m_last_upstream, false};
 }
 
-head_result try_job(advance_context & context, job_key const & key)
+head_result try_job(advance_context & context, std::uint64_t serial)
 {
     dispatch_state & state = context.m_state;
-    job_state & job = state.m_jobs.at(key);
+    job_state & job = state.m_jobs.at(serial);
     if (shed_if_hopeless(state, job, context.m_now, context.m_out))
     {
         return head_result::removed;
@@ -155,8 +152,7 @@
         *context.m_state.m_queue.m_kinds[kind].m_tenants.at(tenant).m_items.begin();
     if (order.m_local)
     {
-        job_key const key = item.m_job;
-        return try_job(context, key);
+        return try_job(context, order.m_serial);
     }
     attempt_id const id = item.m_forwarded;
     return try_forwarded(context, id);
@@ -218,6 +214,7 @@
     }
     internal::advance_context context{state, now, random, out};
     internal::fire_timers(context);
+    internal::start_due_hedges(state, now, random, out);
     if (internal::is_baseline(state))
     {
         internal::start_bound(state, now, out);
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -41,7 +41,6 @@
                           std::uint32_t kind, time_point now)
 {
     running_attempt attempt;
-    attempt.m_job = start.m_job;
     attempt.m_task = start.m_task;
     attempt.m_kind = kind;
     attempt.m_demand = start.m_demand;
@@ -76,7 +75,11 @@
 void register_attempt(dispatch_state & state, attempt_id const & id,
                       running_attempt attempt)
 {
-    state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    // An attempt of a local job needs no timer of its own before the job has ended.
+    if (attempt.m_job == 0)
+    {
+        state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    }
     state.m_attempts.emplace(id, std::move(attempt));
 }
 
@@ -108,6 +111,7 @@
     attempt_id const id{state.m_incarnation, state.m_next_serial++};
     attempt_start start = describe_attempt(job, task, id);
     running_attempt attempt = record_of(state, start, job.m_kind, now);
+    attempt.m_job = job.m_serial;
     count_attempt(state, job, task, role);
     job.m_running.emplace(task, id);
     if (target.m_peer.m_value.empty())
@@ -144,7 +148,7 @@
         return;
     }
     attempt.m_cancelled = true;
-    state.m_timers.erase({attempt.m_hedge_at, timer_kind::hedge_due, id});
+    state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
     if (!attempt.m_to.m_value.empty())
     {
         out.m_forward_cancels.push_back({attempt.m_to, id});
@@ -215,8 +219,10 @@
     auto const found = state.m_attempts.find(id);
     running_attempt attempt = std::move(found->second);
     state.m_attempts.erase(found);
-    state.m_timers.erase({attempt.m_timeout, timer_kind::attempt_timeout, id});
-    state.m_timers.erase({attempt.m_hedge_at, timer_kind::hedge_due, id});
+    if (attempt.m_job == 0 || attempt.m_cancelled)
+    {
+        state.m_timers.erase({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    }
     return attempt;
 }
 
--- a/src/dispatch/baseline.cpp
+++ b/src/dispatch/baseline.cpp
@@ -20,8 +20,8 @@
 
 job_state * find_bound(dispatch_state & state, std::uint64_t serial)
 {
-    auto const key = state.m_job_keys.find(serial);
-    return key == state.m_job_keys.end() ? nullptr : &state.m_jobs.at(key->second);
+    auto const found = state.m_jobs.find(serial);
+    return found == state.m_jobs.end() ? nullptr : &found->second;
 }
 
 void start_bound_on(dispatch_state & state, std::uint32_t id, time_point now,
--- a/src/dispatch/cancellation.cpp
+++ b/src/dispatch/cancellation.cpp
@@ -8,12 +8,10 @@
 
 void cancel_job(dispatch_state & state, job_key const & key, time_point, effects & out)
 {
-    auto const found = state.m_jobs.find(key);
-    if (found != state.m_jobs.end())
+    if (job_state * const job = internal::find_job(state, key))
     {
-        job_state & job = found->second;
-        internal::finish_job(state, job,
-                             internal::failed_answer(job, job_errc::cancelled), out);
+        internal::finish_job(state, *job,
+                             internal::failed_answer(*job, job_errc::cancelled), out);
     }
 }
 
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -139,7 +139,7 @@
     entry.m_start = std::move(task);
     std::uint32_t const weight = state.m_tenants[entry.m_tenant].m_definition.m_weight;
     insert_item(state.m_queue, entry.m_kind, entry.m_tenant, weight,
-                {false, entry.m_serial}, {{}, id});
+                {false, entry.m_serial}, {id});
     internal::count_waiting(state, entry.m_kind, 1);
     state.m_timers.insert(
         {entry.m_start.m_send_before, timer_kind::forwarded_expiry, id});
--- a/src/dispatch/hedging.cpp
+++ b/src/dispatch/hedging.cpp
@@ -23,7 +23,7 @@
                      attempt_id const & id, time_point at)
 {
     attempt.m_hedge_at = at;
-    state.m_timers.insert({at, timer_kind::hedge_due, id});
+    state.m_hedges.push({at, id});
 }
 
 duration straggler_delay(dispatch_state const & state, std::uint32_t kind)
@@ -32,31 +32,12 @@
            state.m_configuration->m_dispatch.m_hedge_delay_percent / 100;
 }
 
-} // namespace
-
-void schedule_hedge(dispatch_state & state, job_state const & job,
-                    running_attempt & attempt, attempt_id const & id, time_point now)
-{
-    task_state const & task = job.m_tasks[attempt.m_task];
-    bool const attempts_left =
-        task.m_attempts < state.m_configuration->m_dispatch.m_max_attempts;
-    if (!may_hedge(state, job, now) || task.m_hedged || !attempts_left)
-    {
-        return;
-    }
-    time_point const at = now + straggler_delay(state, job.m_kind);
-    if (at < job.m_deadline)
-    {
-        set_hedge_timer(state, attempt, id, at);
-    }
-}
-
+/// Starts a second attempt beside the straggler \p id, or looks again later.
 void start_hedge(dispatch_state & state, attempt_id const & id, time_point now,
                  random_source & random, effects & out)
 {
     running_attempt & attempt = state.m_attempts.at(id);
     job_state & job = state.m_jobs.at(attempt.m_job);
-    attempt.m_hedge_at = {};
     if (job.m_tasks[attempt.m_task].m_hedged || job.m_send_before <= now)
     {
         return;
@@ -78,4 +59,44 @@
     }
 }
 
+bool is_still_due(dispatch_state const & state, hedge_due const & due)
+{
+    auto const found = state.m_attempts.find(due.m_attempt);
+    return found != state.m_attempts.end() && found->second.m_hedge_at == due.m_at &&
+           !found->second.m_cancelled;
+}
+
+} // namespace
+
+void schedule_hedge(dispatch_state & state, job_state const & job,
+                    running_attempt & attempt, attempt_id const & id, time_point now)
+{
+    task_state const & task = job.m_tasks[attempt.m_task];
+    bool const attempts_left =
+        task.m_attempts < state.m_configuration->m_dispatch.m_max_attempts;
+    if (!may_hedge(state, job, now) || task.m_hedged || !attempts_left)
+    {
+        return;
+    }
+    time_point const at = now + straggler_delay(state, job.m_kind);
+    if (at < job.m_deadline)
+    {
+        set_hedge_timer(state, attempt, id, at);
+    }
+}
+
+void start_due_hedges(dispatch_state & state, time_point now, random_source & random,
+                      effects & out)
+{
+    while (!state.m_hedges.empty() && state.m_hedges.top().m_at <= now)
+    {
+        hedge_due const due = state.m_hedges.top();
+        state.m_hedges.pop();
+        if (is_still_due(state, due))
+        {
+            start_hedge(state, due.m_attempt, now, random, out);
+        }
+    }
+}
+
 } // namespace cassiahub::dispatch::internal
--- a/src/dispatch/hedging.hpp
+++ b/src/dispatch/hedging.hpp
@@ -14,9 +14,10 @@
 void schedule_hedge(dispatch_state & state, job_state const & job,
                     running_attempt & attempt, attempt_id const & id, time_point now);
 
-/// Starts a second attempt beside the straggler \p id when there is room and budget.
-void start_hedge(dispatch_state & state, attempt_id const & id, time_point now,
-                 random_source & random, effects & out);
+/// Starts a second attempt beside each straggler that is due, when there is room and
+/// budget.
+void start_due_hedges(dispatch_state & state, time_point now, random_source & random,
+                      effects & out);
 
 } // namespace cassiahub::dispatch::internal
 
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -70,8 +70,8 @@
             (attempt.m_upstream == no_upstream) != attempt.m_to.m_value.empty();
         add_fault(faults, !placed, "attempt_has_one_place");
         add_fault(faults,
-                  !state.m_timers.contains(
-                      {attempt.m_timeout, timer_kind::attempt_timeout, id}),
+                  !wanted && !state.m_timers.contains(
+                                 {attempt.m_timeout, timer_kind::attempt_timeout, id}),
                   "attempt_has_timeout");
     }
 }
@@ -99,13 +99,17 @@
 {
     std::size_t waiting = state.m_forwarded.size();
     std::size_t open = 0;
-    for (auto const & [key, job] : state.m_jobs)
+    for (auto const & [serial, job] : state.m_jobs)
     {
         waiting += waiting_tasks(job);
         open += job.m_tasks.size() - job.m_done_count;
-        auto const listed = state.m_job_keys.find(job.m_serial);
-        add_fault(faults, listed == state.m_job_keys.end() || listed->second != key,
+        auto const listed = state.m_job_index.find(job.m_spec.m_key);
+        add_fault(faults, listed == state.m_job_index.end() || listed->second != serial,
                   "job_has_serial");
+        add_fault(faults,
+                  !state.m_timers.contains(
+                      {job.m_deadline, timer_kind::job_deadline, {0, serial}}),
+                  "job_has_deadline");
         check_tasks(state, job, faults);
     }
     for (tenant_state const & tenant : state.m_tenants)
--- a/src/dispatch/jobs.cpp
+++ b/src/dispatch/jobs.cpp
@@ -14,6 +14,12 @@
 namespace internal
 {
 
+job_state * find_job(dispatch_state & state, job_key const & key)
+{
+    auto const found = state.m_job_index.find(key);
+    return found == state.m_job_index.end() ? nullptr : &state.m_jobs.at(found->second);
+}
+
 std::uint32_t kind_index(dispatch_state & state, std::string const & name)
 {
     auto const next = static_cast<std::uint32_t>(state.m_kinds.size());
@@ -47,7 +53,7 @@
 {
     std::uint32_t const weight = state.m_tenants[job.m_tenant].m_definition.m_weight;
     insert_item(state.m_queue, job.m_kind, job.m_tenant, weight, {true, job.m_serial},
-                {job.m_spec.m_key, {}});
+                {});
 }
 
 std::uint32_t take_waiting_task(dispatch_state & state, job_state & job)
@@ -116,8 +122,8 @@
         record_refusal(state, answer.m_error);
     }
     out.m_finished.push_back({key, std::move(answer)});
-    state.m_job_keys.erase(job.m_serial);
-    state.m_jobs.erase(key);
+    state.m_job_index.erase(key);
+    state.m_jobs.erase(job.m_serial);
 }
 
 job_answer failed_answer(job_state const & job, job_errc error)
@@ -165,13 +171,12 @@
 
 void enqueue_job(dispatch_state & state, admitted_job admitted, time_point)
 {
-    BOOST_ASSERT(!state.m_jobs.contains(admitted.m_spec.m_key));
+    BOOST_ASSERT(!state.m_job_index.contains(admitted.m_spec.m_key));
     BOOST_ASSERT(!admitted.m_spec.m_tasks.empty());
-    job_key const key = admitted.m_spec.m_key;
-    auto const placed =
-        state.m_jobs.emplace(key, internal::make_job(state, std::move(admitted))).first;
-    job_state & job = placed->second;
-    state.m_job_keys.emplace(job.m_serial, key);
+    job_state made = internal::make_job(state, std::move(admitted));
+    std::uint64_t const serial = made.m_serial;
+    job_state & job = state.m_jobs.emplace(serial, std::move(made)).first->second;
+    state.m_job_index.emplace(job.m_spec.m_key, serial);
     state.m_timers.insert({job.m_deadline, timer_kind::job_deadline, {0, job.m_serial}});
     state.m_tenants[job.m_tenant].m_open_tasks += job.m_tasks.size();
     if (internal::is_baseline(state))
@@ -187,10 +192,9 @@
 void extend_send_before(dispatch_state & state, job_key const & key,
                         time_point send_before)
 {
-    auto const found = state.m_jobs.find(key);
-    if (found != state.m_jobs.end())
+    if (job_state * const job = internal::find_job(state, key))
     {
-        found->second.m_send_before = send_before;
+        job->m_send_before = send_before;
     }
 }
 
--- a/src/dispatch/jobs.hpp
+++ b/src/dispatch/jobs.hpp
@@ -8,6 +8,9 @@
 namespace cassiahub::dispatch::internal
 {
 
+/// \returns the job called \p key, or nullptr.
+job_state * find_job(dispatch_state & state, job_key const & key);
+
 /// \returns the index of the kind or tenant called \p name, which is added with default
 /// settings when it is new: a peer may forward work of a newer configuration.
 std::uint32_t kind_index(dispatch_state & state, std::string const & name);
--- a/src/dispatch/retry.cpp
+++ b/src/dispatch/retry.cpp
@@ -113,7 +113,7 @@
 void end_retry_delay(dispatch_state & state, std::uint64_t job_serial, std::uint32_t task,
                      random_source & random)
 {
-    job_state & job = state.m_jobs.at(state.m_job_keys.at(job_serial));
+    job_state & job = state.m_jobs.at(job_serial);
     job.m_delayed.erase(task);
     make_task_ready(state, job, task, random);
 }
