List the running attempts of a task in the task

Cause: perf showed 10% of a decision in the job's ordered set of running attempts. Change: a task has at most two running attempts and holds them itself.

--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -12,6 +12,7 @@
 #include <cassiahub/dispatch/run_time.hpp>
 #include <cassiahub/dispatch/timer.hpp>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -34,13 +35,20 @@
 {
     std::uint32_t m_attempts = 0;
     std::uint32_t m_not_run = 0; ///< attempts that provably never started
-    std::uint32_t m_running = 0;
     std::uint32_t m_last_upstream = no_upstream;
+    /// Running attempts, the hedge among them; a serial of 0 means none.
+    std::array<attempt_id, 2> m_running;
     bool m_done = false;
     bool m_hedged = false;
     std::string m_result;
 };
 
+/// \returns true while an attempt of \p task runs.
+inline bool is_running(task_state const & task) noexcept
+{
+    return task.m_running[0].m_serial != 0 || task.m_running[1].m_serial != 0;
+}
+
 /// A job between admission and its final answer.
 struct job_state
 {
@@ -56,8 +64,8 @@
     std::uint32_t m_next_task = 0;       ///< first task that was never started
     std::deque<std::uint32_t> m_retries; ///< tasks that are ready for another attempt
     std::map<std::uint32_t, time_point> m_delayed; ///< tasks that wait before another
-    std::set<std::pair<std::uint32_t, attempt_id>> m_running; ///< by task
-    bool m_ran = false;          ///< some attempt is known to have run
+    std::uint32_t m_running_count = 0;             ///< running attempts of every task
+    bool m_ran = false;                            ///< some attempt is known to have run
     bool m_may_have_run = false; ///< the outcome of some attempt is unknown
 };
 
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -9,6 +9,8 @@
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
+#include <boost/assert.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -101,7 +103,21 @@
                                        : state.m_counters.m_retries);
     }
     ++entry.m_attempts;
-    ++entry.m_running;
+}
+
+void list_attempt(job_state & job, std::uint32_t task, attempt_id const & id)
+{
+    auto & running = job.m_tasks[task].m_running;
+    BOOST_ASSERT(running[0].m_serial == 0 || running[1].m_serial == 0);
+    running[running[0].m_serial == 0 ? 0 : 1] = id;
+    ++job.m_running_count;
+}
+
+void unlist_attempt(job_state & job, std::uint32_t task, attempt_id const & id)
+{
+    auto & running = job.m_tasks[task].m_running;
+    running[running[0] == id ? 0 : 1] = {};
+    --job.m_running_count;
 }
 
 void start_attempt(dispatch_state & state, job_state & job, std::uint32_t task,
@@ -113,7 +129,7 @@
     running_attempt attempt = record_of(state, start, job.m_kind, now);
     attempt.m_job = job.m_serial;
     count_attempt(state, job, task, role);
-    job.m_running.emplace(task, id);
+    list_attempt(job, task, id);
     if (target.m_peer.m_value.empty())
     {
         job.m_tasks[task].m_last_upstream = target.m_upstream;
@@ -160,6 +176,20 @@
     }
 }
 
+void cancel_attempts_of(dispatch_state & state, job_state & job, std::uint32_t task,
+                        effects & out)
+{
+    for (attempt_id & id : job.m_tasks[task].m_running)
+    {
+        if (id.m_serial != 0)
+        {
+            cancel_attempt(state, id, out);
+            id = {};
+            --job.m_running_count;
+        }
+    }
+}
+
 /// Learns the run time and the health of the upstream from a finished attempt.
 void learn_from(dispatch_state & state, running_attempt const & attempt,
                 attempt_outcome outcome, time_point now)
@@ -226,19 +256,6 @@
     return attempt;
 }
 
-/// Stops the other attempts of a task that is done.
-void cancel_others(dispatch_state & state, job_state & job, std::uint32_t task,
-                   effects & out)
-{
-    auto next = job.m_running.lower_bound({task, attempt_id{}});
-    while (next != job.m_running.end() && next->first == task)
-    {
-        cancel_attempt(state, next->second, out);
-        next = job.m_running.erase(next);
-    }
-    job.m_tasks[task].m_running = 0;
-}
-
 void complete_task(dispatch_state & state, job_state & job, std::uint32_t task,
                    std::string payload, effects & out)
 {
@@ -247,7 +264,7 @@
     entry.m_done = true;
     entry.m_result = std::move(payload);
     job.m_ran = true;
-    cancel_others(state, job, task, out);
+    cancel_attempts_of(state, job, task, out);
     --state.m_tenants[job.m_tenant].m_open_tasks;
     if (++job.m_done_count == job.m_tasks.size())
     {
@@ -260,8 +277,7 @@
                   effects & out)
 {
     job_state & job = state.m_jobs.at(attempt.m_job);
-    job.m_running.erase({attempt.m_task, result.m_attempt});
-    --job.m_tasks[attempt.m_task].m_running;
+    unlist_attempt(job, attempt.m_task, result.m_attempt);
     if (result.m_outcome == attempt_outcome::succeeded)
     {
         complete_task(state, job, attempt.m_task, std::move(result.m_payload), out);
--- a/src/dispatch/attempts.hpp
+++ b/src/dispatch/attempts.hpp
@@ -33,6 +33,10 @@
 /// Orders a running attempt to stop. It keeps its slot until it is reported.
 void cancel_attempt(dispatch_state & state, attempt_id const & id, effects & out);
 
+/// Cancels every attempt of a task, which then has none.
+void cancel_attempts_of(dispatch_state & state, job_state & job, std::uint32_t task,
+                        effects & out);
+
 /// Applies a result to an attempt that is known.
 void settle_attempt(dispatch_state & state, attempt_result result, time_point now,
                     random_source & random, effects & out);
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -57,7 +57,8 @@
 {
     auto const job = state.m_jobs.find(attempt.m_job);
     return job != state.m_jobs.end() &&
-           job->second.m_running.contains({attempt.m_task, id});
+           (job->second.m_tasks[attempt.m_task].m_running[0] == id ||
+            job->second.m_tasks[attempt.m_task].m_running[1] == id);
 }
 
 void check_attempts(dispatch_state const & state, fault_names & faults)
@@ -85,14 +86,15 @@
     for (task_state const & task : job.m_tasks)
     {
         done += task.m_done ? 1 : 0;
-        running += task.m_running;
+        running += task.m_running[0].m_serial != 0 ? 1 : 0;
+        running += task.m_running[1].m_serial != 0 ? 1 : 0;
         add_fault(faults, !repeatable && task.m_attempts - task.m_not_run > 1,
                   "non_repeatable_task_once");
-        add_fault(faults, task.m_done && task.m_running > 0, "done_task_rests");
+        add_fault(faults, task.m_done && is_running(task), "done_task_rests");
     }
     add_fault(faults, done != job.m_done_count, "done_tasks_counted");
     add_fault(faults, done == job.m_tasks.size(), "complete_job_answered");
-    add_fault(faults, running != job.m_running.size(), "running_tasks_counted");
+    add_fault(faults, running != job.m_running_count, "running_tasks_counted");
 }
 
 void check_jobs(dispatch_state const & state, fault_names & faults)
--- a/src/dispatch/jobs.cpp
+++ b/src/dispatch/jobs.cpp
@@ -111,9 +111,10 @@
 {
     job_key const key = job.m_spec.m_key;
     free_waiting_tasks(state, job);
-    for (auto const & [task, attempt] : job.m_running)
+    for (std::uint32_t task = 0; task < job.m_tasks.size() && job.m_running_count > 0;
+         ++task)
     {
-        cancel_attempt(state, attempt, out);
+        cancel_attempts_of(state, job, task, out);
     }
     state.m_timers.erase({job.m_deadline, timer_kind::job_deadline, {0, job.m_serial}});
     state.m_tenants[job.m_tenant].m_open_tasks -= job.m_tasks.size() - job.m_done_count;
@@ -133,7 +134,7 @@
     {
         ran = run_state::yes;
     }
-    else if (job.m_may_have_run || !job.m_running.empty())
+    else if (job.m_may_have_run || job.m_running_count > 0)
     {
         ran = run_state::unknown;
     }
--- a/src/dispatch/retry.cpp
+++ b/src/dispatch/retry.cpp
@@ -91,7 +91,7 @@
 {
     task_state & task = job.m_tasks[task_index];
     record_outcome(state, job, task, outcome);
-    if (task.m_running > 0)
+    if (is_running(task))
     {
         return; // a hedge of the same task may still succeed
     }
