--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -167,18 +167,21 @@
 
 } // namespace cassiahub::dispatch
 
-int main()
+int main(int argc, char ** argv)
 {
     using cassiahub::dispatch::bench_size;
+    std::vector<bench_size> sizes = {{50, 1},    {50, 670},  {500, 1},
+                                     {500, 670}, {7'400, 1}, {7'400, 670}};
+    if (argc == 3)
+    {
+        // One size alone, for counting instructions with perf stat.
+        sizes = {{std::stoul(argv[1]), std::stoul(argv[2])}};
+    }
     fmt::print("{:>10} {:>8} {:>18}\n", "upstreams", "tenants", "us per decision");
-    for (std::size_t const upstreams : {50, 500, 7'400})
+    for (bench_size const & size : sizes)
     {
-        for (std::size_t const tenants : {1, 670})
-        {
-            bench_size const size{upstreams, tenants};
-            fmt::print("{:>10} {:>8} {:>18.2f}\n", upstreams, tenants,
-                       cassiahub::dispatch::least_microseconds(size));
-        }
+        fmt::print("{:>10} {:>8} {:>18.2f}\n", size.m_upstreams, size.m_tenants,
+                   cassiahub::dispatch::least_microseconds(size));
     }
     return 0;
 }
--- /dev/null
+++ b/tests/dispatch_policy_test.cpp
@@ -0,0 +1,376 @@
+/// \file Fair queue, placement, ejection, hedging and forwarding of one dispatcher.
+
+#include "dispatch_fixture.hpp"
+
+#include <set>
+
+namespace cassiahub::dispatch
+{
+
+// Guards against a kind or a tenant that takes the service of the others.
+class fair_queue_test : public dispatch_fixture
+{
+    CPPUNIT_TEST_SUITE(fair_queue_test);
+    CPPUNIT_TEST(flood_of_least_urgent_kind_leaves_next_slot_to_urgent_kind);
+    CPPUNIT_TEST(flood_of_most_urgent_kind_leaves_share_to_other_kind);
+    CPPUNIT_TEST(tenants_of_one_kind_share_by_weight);
+    CPPUNIT_TEST(jobs_of_one_tenant_finish_in_order_of_arrival);
+    CPPUNIT_TEST(large_demand_that_does_not_fit_lets_others_pass);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::vector<attempt_start> m_running;
+
+    /// Finishes the oldest of the running attempts 100 ms later.
+    attempt_start next_start()
+    {
+        std::vector<attempt_start> const started = take_starts();
+        m_running.insert(m_running.end(), started.begin(), started.end());
+        attempt_id const oldest = m_running.front().m_attempt;
+        m_running.erase(m_running.begin());
+        m_now += 100ms;
+        finish(oldest, attempt_outcome::succeeded);
+        m_out.m_finished.clear();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_starts.size());
+        return m_out.m_starts.front();
+    }
+
+    std::vector<attempt_start> next_starts(std::size_t count)
+    {
+        std::vector<attempt_start> starts;
+        while (starts.size() < count)
+        {
+            starts.push_back(next_start());
+        }
+        return starts;
+    }
+
+public:
+    void flood_of_least_urgent_kind_leaves_next_slot_to_urgent_kind()
+    {
+        submit("bulk", 60);
+        next_starts(20);
+        submit("check", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("check"), next_start().m_kind);
+    }
+
+    void flood_of_most_urgent_kind_leaves_share_to_other_kind()
+    {
+        m_configuration.m_dispatch.m_share_window = 0ms;
+        m_state = {};
+        apply();
+        submit("lodge", 90);
+        submit("bulk", 90);
+        auto const starts = next_starts(60);
+        // Both kinds have the same share, so each gets half, give or take one round.
+        CPPUNIT_ASSERT(count_kind(starts, "bulk") >= 27);
+        CPPUNIT_ASSERT(count_kind(starts, "lodge") >= 27);
+    }
+
+    void tenants_of_one_kind_share_by_weight()
+    {
+        m_configuration.m_tenants[1].m_weight = 3;
+        apply();
+        submit("check", 90, "acme");
+        submit("check", 90, "zeta");
+        auto const starts = next_starts(60);
+        auto const heavy = std::count_if(starts.begin(), starts.end(),
+                                         [](attempt_start const & start)
+                                         { return start.m_job.m_tenant == "zeta"; });
+        CPPUNIT_ASSERT(heavy >= 42 && heavy <= 48);
+    }
+
+    void jobs_of_one_tenant_finish_in_order_of_arrival()
+    {
+        submit("check", 6);
+        take_starts().swap(m_running);
+        job_key const first = submit("check", 3);
+        job_key const second = submit("check", 3);
+        auto const starts = next_starts(6);
+        CPPUNIT_ASSERT(starts[2].m_job == first);
+        CPPUNIT_ASSERT(starts[3].m_job == second);
+    }
+
+    void large_demand_that_does_not_fit_lets_others_pass()
+    {
+        submit("check", 3);
+        job_spec large = make_spec("lodge", 3);
+        for (task_spec & task : large.m_tasks)
+        {
+            task.m_demand.m_millicores = 16'000;
+        }
+        submit(large);
+        submit("bulk", 1, "zeta");
+        auto const starts = take_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_kind(starts, "bulk"));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(fair_queue_test);
+
+// Guards against upstreams that fail and attract work, and against an ejected fleet.
+class ejection_test : public dispatch_fixture
+{
+    CPPUNIT_TEST_SUITE(ejection_test);
+    CPPUNIT_TEST(failing_upstream_is_ejected_and_probed_after_cooling);
+    CPPUNIT_TEST(probes_that_succeed_readmit_the_upstream);
+    CPPUNIT_TEST(failure_of_every_upstream_ejects_none);
+    CPPUNIT_TEST(breaker_opens_after_consecutive_failures);
+    CPPUNIT_TEST(fast_failure_withholds_the_slot);
+    CPPUNIT_TEST(leaving_upstream_gets_no_new_attempt);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Runs single tasks of 300 ms until \p count have finished.
+    /// \returns the starts that went to up-0.
+    std::size_t run_tasks(std::size_t count, std::set<std::string> const & failing)
+    {
+        std::size_t on_first = 0;
+        for (std::size_t done = 0; done < count; ++done)
+        {
+            submit("check", 1);
+            for (auto starts = take_starts(); !starts.empty(); starts = take_starts())
+            {
+                bool const fails = failing.contains(starts[0].m_upstream);
+                on_first += starts[0].m_upstream == "up-0" ? 1 : 0;
+                m_now += 300ms;
+                finish(starts[0].m_attempt,
+                       fails ? attempt_outcome::failed : attempt_outcome::succeeded);
+            }
+            step(40ms);
+            m_out = {};
+        }
+        return on_first;
+    }
+
+public:
+    void failing_upstream_is_ejected_and_probed_after_cooling()
+    {
+        run_tasks(30, {"up-0"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_state.m_counters.m_ejections);
+        CPPUNIT_ASSERT_EQUAL(4U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT(run_tasks(60, {"up-0"}) <= 2); // about 20 s: one or two probes
+    }
+
+    void probes_that_succeed_readmit_the_upstream()
+    {
+        run_tasks(30, {"up-0"});
+        step(10s);
+        run_tasks(10, {});
+        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+    }
+
+    void failure_of_every_upstream_ejects_none()
+    {
+        run_tasks(60, {"up-0", "up-1", "up-2"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), m_state.m_counters.m_ejections);
+    }
+
+    void breaker_opens_after_consecutive_failures()
+    {
+        m_configuration.m_dispatch.m_ejection =
+            config::ejection_policy::consecutive_failures;
+        apply();
+        run_tasks(40, {"up-0"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_state.m_counters.m_ejections);
+        CPPUNIT_ASSERT_EQUAL(4U, current_load(m_state).m_free_slots);
+        step(30s);
+        run_tasks(2, {});
+        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+    }
+
+    void fast_failure_withholds_the_slot()
+    {
+        submit("lodge", 1);
+        m_now += 1ms;
+        finish(take_one_start().m_attempt, attempt_outcome::failed);
+        CPPUNIT_ASSERT_EQUAL(5U, current_load(m_state).m_free_slots);
+        step(300ms);
+        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+    }
+
+    void leaving_upstream_gets_no_new_attempt()
+    {
+        set_upstream_leaving(m_state, "up-0", true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), run_tasks(20, {}));
+        set_upstream_leaving(m_state, "up-0", false);
+        CPPUNIT_ASSERT(run_tasks(20, {}) > 0);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ejection_test);
+
+// Guards against hedges that run a non-repeatable task twice or whose loser counts.
+class hedging_test : public dispatch_fixture
+{
+    CPPUNIT_TEST_SUITE(hedging_test);
+    CPPUNIT_TEST(straggler_is_hedged_and_loser_is_cancelled);
+    CPPUNIT_TEST(hedged_task_with_one_failure_waits_for_the_other);
+    CPPUNIT_TEST(non_repeatable_straggler_is_not_hedged);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Makes 300 ms the usual run time of \p kind and starts a task that outlasts it.
+    attempt_start start_straggler(std::string const & kind)
+    {
+        m_configuration.m_dispatch.m_hedge_budget_percent = 100;
+        apply();
+        for (int count = 0; count < 30; ++count)
+        {
+            submit(kind, 1);
+            m_now += 300ms;
+            finish(take_one_start().m_attempt, attempt_outcome::succeeded);
+        }
+        m_out = {};
+        submit(kind, 1);
+        attempt_start start = take_one_start();
+        step(1s);
+        return start;
+    }
+
+public:
+    void straggler_is_hedged_and_loser_is_cancelled()
+    {
+        attempt_start const slow = start_straggler("check");
+        attempt_start const hedge = take_one_start();
+        CPPUNIT_ASSERT(hedge.m_upstream != slow.m_upstream);
+        finish(hedge.m_attempt, attempt_outcome::succeeded, "first");
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), take_answer().m_results.at(0));
+        CPPUNIT_ASSERT(m_out.m_cancels.at(0).m_attempt == slow.m_attempt);
+        finish(slow.m_attempt, attempt_outcome::succeeded, "second");
+        CPPUNIT_ASSERT(m_out.m_finished.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_state.m_counters.m_late_results);
+    }
+
+    void hedged_task_with_one_failure_waits_for_the_other()
+    {
+        attempt_start const slow = start_straggler("check");
+        finish(take_one_start().m_attempt, attempt_outcome::failed);
+        CPPUNIT_ASSERT(m_out.m_starts.empty());
+        finish(slow.m_attempt, attempt_outcome::succeeded);
+        CPPUNIT_ASSERT(!take_answer().m_error);
+    }
+
+    void non_repeatable_straggler_is_not_hedged()
+    {
+        start_straggler("lodge");
+        CPPUNIT_ASSERT(m_out.m_starts.empty());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(hedging_test);
+
+// Guards against forwarded tasks that are lost, started twice or sent without a slot.
+class forwarding_test : public dispatch_fixture
+{
+    CPPUNIT_TEST_SUITE(forwarding_test);
+    CPPUNIT_TEST(task_without_local_room_goes_to_peer_of_same_domain_first);
+    CPPUNIT_TEST(forwards_stop_at_the_reported_free_slots);
+    CPPUNIT_TEST(removed_peer_makes_forwarded_attempts_unknown);
+    CPPUNIT_TEST(accepted_task_runs_and_its_result_leaves);
+    CPPUNIT_TEST(accepted_task_repeated_is_ignored);
+    CPPUNIT_TEST(accepted_task_past_send_time_is_not_run);
+    CPPUNIT_TEST(accepted_task_cancelled_while_waiting_is_not_run);
+    CPPUNIT_TEST_SUITE_END();
+
+    void add_peer(char const * name, char const * domain, std::uint32_t free_slots)
+    {
+        set_peer(m_state, {{name}, domain, {free_slots, 0}});
+    }
+
+    attempt_start make_forwarded(std::uint64_t serial) const
+    {
+        attempt_start start;
+        start.m_attempt = {77, serial};
+        start.m_job = {"acme", "south", "theirs"};
+        start.m_kind = "lodge";
+        start.m_demand = {1000, 512, 0};
+        start.m_deadline = m_now + 10s;
+        start.m_send_before = m_now + 1s;
+        return start;
+    }
+
+    attempt_result take_forward_result()
+    {
+        auto results = std::exchange(m_out.m_forward_results, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), results.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), results[0].m_to.m_value);
+        return results[0].m_result;
+    }
+
+public:
+    void setUp() override
+    {
+        dispatch_fixture::setUp();
+        m_state.m_domain = "north";
+        add_peer("other", "south", 0);
+    }
+
+    void task_without_local_room_goes_to_peer_of_same_domain_first()
+    {
+        add_peer("far", "south", 50);
+        add_peer("near", "north", 1);
+        submit("check", 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), m_out.m_starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_out.m_forwards.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), m_out.m_forwards[0].m_to.m_value);
+        CPPUNIT_ASSERT_EQUAL(std::string("far"), m_out.m_forwards[1].m_to.m_value);
+    }
+
+    void forwards_stop_at_the_reported_free_slots()
+    {
+        add_peer("near", "north", 3);
+        submit("check", 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_out.m_forwards.size());
+        CPPUNIT_ASSERT_EQUAL(11U, current_load(m_state).m_queued_tasks);
+    }
+
+    void removed_peer_makes_forwarded_attempts_unknown()
+    {
+        add_peer("near", "north", 1);
+        submit("lodge", 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
+        remove_peer(m_state, {"near"}, m_now, m_random, m_out);
+        check();
+        CPPUNIT_ASSERT(take_answer().m_error == job_errc::outcome_unknown);
+    }
+
+    void accepted_task_runs_and_its_result_leaves()
+    {
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        step();
+        CPPUNIT_ASSERT_EQUAL(std::string("address-of-"),
+                             take_one_start().m_upstream_address.substr(0, 11));
+        finish({77, 1}, attempt_outcome::succeeded, "theirs");
+        CPPUNIT_ASSERT_EQUAL(std::string("theirs"), take_forward_result().m_payload);
+    }
+
+    void accepted_task_repeated_is_ignored()
+    {
+        for (int repeat = 0; repeat < 3; ++repeat)
+        {
+            accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+            accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+            step();
+            if (repeat == 1)
+            {
+                finish({77, 1}, attempt_outcome::succeeded);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_starts.size());
+    }
+
+    void accepted_task_past_send_time_is_not_run()
+    {
+        submit("check", 20);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        step(1s);
+        CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
+    }
+
+    void accepted_task_cancelled_while_waiting_is_not_run()
+    {
+        submit("check", 20);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        cancel_forwarded(m_state, {77, 1}, m_now, m_out);
+        check();
+        CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(forwarding_test);
+
+} // namespace cassiahub::dispatch
