--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -12,6 +12,7 @@
 #include <cassiahub/dispatch/run_time.hpp>
 #include <cassiahub/dispatch/timer.hpp>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -34,13 +35,20 @@
 {
     std::uint32_t m_attempts = 0;
     std::uint32_t m_not_run = 0; ///< attempts that provably never started
-    std::uint32_t m_running = 0;
     std::uint32_t m_last_upstream = no_upstream;
+    /// Running attempts, the hedge among them; a serial of 0 means none.
+    std::array<attempt_id, 2> m_running;
     bool m_done = false;
     bool m_hedged = false;
     std::string m_result;
 };
 
+/// \returns true while an attempt of \p task runs.
+inline bool is_running(task_state const & task) noexcept
+{
+    return task.m_running[0].m_serial != 0 || task.m_running[1].m_serial != 0;
+}
+
 /// A job between admission and its final answer.
 struct job_state
 {
@@ -56,8 +64,8 @@
     std::uint32_t m_next_task = 0;       ///< first task that was never started
     std::deque<std::uint32_t> m_retries; ///< tasks that are ready for another attempt
     std::map<std::uint32_t, time_point> m_delayed; ///< tasks that wait before another
-    std::set<std::pair<std::uint32_t, attempt_id>> m_running; ///< by task
-    bool m_ran = false;          ///< some attempt is known to have run
+    std::uint32_t m_running_count = 0;             ///< running attempts of every task
+    bool m_ran = false;                            ///< some attempt is known to have run
     bool m_may_have_run = false; ///< the outcome of some attempt is unknown
 };
 
@@ -70,7 +78,7 @@
 /// An attempt that was ordered and has not been reported.
 struct running_attempt
 {
-    job_key m_job;
+    std::uint64_t m_job = 0; ///< serial; 0 when a peer has forwarded the task
     std::uint32_t m_task = 0;
     std::uint32_t m_kind = 0;
     std::uint32_t m_upstream = no_upstream; ///< none when it was forwarded
@@ -79,7 +87,7 @@
     resources m_demand;
     time_point m_started;
     time_point m_timeout;
-    time_point m_hedge_at; ///< zero when no hedge is due
+    time_point m_hedge_at; ///< time of the valid entry in m_hedges
     double m_charge = 0;   ///< slot-seconds charged to the kind
     bool m_probe = false;
     bool m_cancelled = false; ///< nobody waits for its result; it keeps its slot
@@ -156,10 +164,11 @@
     /// Failure domain of this instance; empty: every peer counts as local.
     std::string m_domain;
 
-    std::unordered_map<job_key, job_state> m_jobs;
-    std::unordered_map<std::uint64_t, job_key> m_job_keys; ///< by job_state::m_serial
+    std::unordered_map<std::uint64_t, job_state> m_jobs; ///< by job_state::m_serial
+    std::unordered_map<job_key, std::uint64_t> m_job_index;
     std::unordered_map<attempt_id, running_attempt> m_attempts;
     timer_set m_timers;
+    hedge_queue m_hedges;
 
     std::vector<kind_state> m_kinds;
     std::unordered_map<std::string, std::uint32_t> m_kind_index;
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -9,6 +9,8 @@
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
+#include <boost/assert.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -41,7 +43,6 @@
                           std::uint32_t kind, time_point now)
 {
     running_attempt attempt;
-    attempt.m_job = start.m_job;
     attempt.m_task = start.m_task;
     attempt.m_kind = kind;
     attempt.m_demand = start.m_demand;
@@ -76,7 +77,11 @@
 void register_attempt(dispatch_state & state, attempt_id const & id,
                       running_attempt attempt)
 {
-    state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    // An attempt of a local job needs no timer of its own before the job has ended.
+    if (attempt.m_job == 0)
+    {
+        state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
+    }
     state.m_attempts.emplace(id, std::move(attempt));
 }
 
@@ -98,7 +103,21 @@
                                        : state.m_counters.m_retries);
     }
     ++entry.m_attempts;
-    ++entry.m_running;
+}
+
+void list_attempt(job_state & job, std::uint32_t task, attempt_id const & id)
+{
+    auto & running = job.m_tasks[task].m_running;
+    BOOST_ASSERT(running[0].m_serial == 0 || running[1].m_serial == 0);
+    running[running[0].m_serial == 0 ? 0 : 1] = id;
+    ++job.m_running_count;
+}
+
+void unlist_attempt(job_state & job, std::uint32_t task, attempt_id const & id)
+{
+    auto & running = job.m_tasks[task].m_running;
+    running[running[0] == id ? 0 : 1] = {};
+    --job.m_running_count;
 }
 
 void start_attempt(dispatch_state & state, job_state & job, std::uint32_t task,
@@ -108,8 +127,9 @@
     attempt_id const id{state.m_incarnation, state.m_next_serial++};
     attempt_start start = describe_attempt(job, task, id);
     running_attempt attempt = record_of(state, start, job.m_kind, now);
+    attempt.m_job = job.m_serial;
     count_attempt(state, job, task, role);
-    job.m_running.emplace(task, id);
+    list_attempt(job, task, id);
     if (target.m_peer.m_value.empty())
     {
         job.m_tasks[task].m_last_upstream = target.m_upstream;
@@ -144,7 +164,7 @@
         return;
     }
     attempt.m_cancelled = true;
-    state.m_timers.erase({attempt.m_hedge_at, timer_kind::hedge_due, id});
+    state.m_timers.insert({attempt.m_timeout, timer_kind::attempt_timeout, id});
     if (!attempt.m_to.m_value.empty())
     {
         out.m_forward_cancels.push_back({attempt.m_to, id});
@@ -156,6 +176,20 @@
     }
 }
 
+void cancel_attempts_of(dispatch_state & state, job_state & job, std::uint32_t task,
+                        effects & out)
+{
+    for (attempt_id & id : job.m_tasks[task].m_running)
+    {
+        if (id.m_serial != 0)
+        {
+            cancel_attempt(state, id, out);
+            id = {};
+            --job.m_running_count;
+        }
+    }
+}
+
 /// Learns the run time and the health of the upstream from a finished attempt.
 void learn_from(dispatch_state & state, running_attempt const & attempt,
                 attempt_outcome outcome, time_point now)
@@ -215,22 +249,11 @@
     auto const found = state.m_attempts.find(id);
     running_attempt attempt = std::move(found->second);
     state.m_attempts.erase(found);
-    state.m_timers.erase({attempt.m_timeout, timer_kind::attempt_timeout, id});
-    state.m_timers.erase({attempt.m_hedge_at, timer_kind::hedge_due, id});
-    return attempt;
-}
-
-/// Stops the other attempts of a task that is done.
-void cancel_others(dispatch_state & state, job_state & job, std::uint32_t task,
-                   effects & out)
-{
-    auto next = job.m_running.lower_bound({task, attempt_id{}});
-    while (next != job.m_running.end() && next->first == task)
+    if (attempt.m_job == 0 || attempt.m_cancelled)
     {
-        cancel_attempt(state, next->second, out);
-        next = job.m_running.erase(next);
+        state.m_timers.erase({attempt.m_timeout, timer_kind::attempt_timeout, id});
     }
-    job.m_tasks[task].m_running = 0;
+    return attempt;
 }
 
 void complete_task(dispatch_state & state, job_state & job, std::uint32_t task,
@@ -241,7 +264,7 @@
     entry.m_done = true;
     entry.m_result = std::move(payload);
     job.m_ran = true;
-    cancel_others(state, job, task, out);
+    cancel_attempts_of(state, job, task, out);
     --state.m_tenants[job.m_tenant].m_open_tasks;
     if (++job.m_done_count == job.m_tasks.size())
     {
@@ -254,8 +277,7 @@
                   effects & out)
 {
     job_state & job = state.m_jobs.at(attempt.m_job);
-    job.m_running.erase({attempt.m_task, result.m_attempt});
-    --job.m_tasks[attempt.m_task].m_running;
+    unlist_attempt(job, attempt.m_task, result.m_attempt);
     if (result.m_outcome == attempt_outcome::succeeded)
     {
         complete_task(state, job, attempt.m_task, std::move(result.m_payload), out);
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -57,7 +57,8 @@
 {
     auto const job = state.m_jobs.find(attempt.m_job);
     return job != state.m_jobs.end() &&
-           job->second.m_running.contains({attempt.m_task, id});
+           (job->second.m_tasks[attempt.m_task].m_running[0] == id ||
+            job->second.m_tasks[attempt.m_task].m_running[1] == id);
 }
 
 void check_attempts(dispatch_state const & state, fault_names & faults)
@@ -70,8 +71,8 @@
             (attempt.m_upstream == no_upstream) != attempt.m_to.m_value.empty();
         add_fault(faults, !placed, "attempt_has_one_place");
         add_fault(faults,
-                  !state.m_timers.contains(
-                      {attempt.m_timeout, timer_kind::attempt_timeout, id}),
+                  !wanted && !state.m_timers.contains(
+                                 {attempt.m_timeout, timer_kind::attempt_timeout, id}),
                   "attempt_has_timeout");
     }
 }
@@ -85,27 +86,32 @@
     for (task_state const & task : job.m_tasks)
     {
         done += task.m_done ? 1 : 0;
-        running += task.m_running;
+        running += task.m_running[0].m_serial != 0 ? 1 : 0;
+        running += task.m_running[1].m_serial != 0 ? 1 : 0;
         add_fault(faults, !repeatable && task.m_attempts - task.m_not_run > 1,
                   "non_repeatable_task_once");
-        add_fault(faults, task.m_done && task.m_running > 0, "done_task_rests");
+        add_fault(faults, task.m_done && is_running(task), "done_task_rests");
     }
     add_fault(faults, done != job.m_done_count, "done_tasks_counted");
     add_fault(faults, done == job.m_tasks.size(), "complete_job_answered");
-    add_fault(faults, running != job.m_running.size(), "running_tasks_counted");
+    add_fault(faults, running != job.m_running_count, "running_tasks_counted");
 }
 
 void check_jobs(dispatch_state const & state, fault_names & faults)
 {
     std::size_t waiting = state.m_forwarded.size();
     std::size_t open = 0;
-    for (auto const & [key, job] : state.m_jobs)
+    for (auto const & [serial, job] : state.m_jobs)
     {
         waiting += waiting_tasks(job);
         open += job.m_tasks.size() - job.m_done_count;
-        auto const listed = state.m_job_keys.find(job.m_serial);
-        add_fault(faults, listed == state.m_job_keys.end() || listed->second != key,
+        auto const listed = state.m_job_index.find(job.m_spec.m_key);
+        add_fault(faults, listed == state.m_job_index.end() || listed->second != serial,
                   "job_has_serial");
+        add_fault(faults,
+                  !state.m_timers.contains(
+                      {job.m_deadline, timer_kind::job_deadline, {0, serial}}),
+                  "job_has_deadline");
         check_tasks(state, job, faults);
     }
     for (tenant_state const & tenant : state.m_tenants)
