--- a/include/cassiahub/membership/members.hpp
+++ b/include/cassiahub/membership/members.hpp
@@ -54,6 +54,9 @@
 std::vector<instance_id> live_members(membership_state const & state,
                                       std::string_view domain);
 
+/// \returns the epoch under which \p entry reports to own \p shard; 0 when it does not.
+std::uint64_t held_epoch(member const & entry, std::uint32_t shard) noexcept;
+
 /// Converts the local limit \p local to the clock of \p peer, so that it is never later
 /// than the true limit.
 /// \pre a heartbeat of \p peer has arrived.
--- a/include/cassiahub/ownership/owner.hpp
+++ b/include/cassiahub/ownership/owner.hpp
@@ -103,10 +103,12 @@
                           time_point now, effects & out);
 
 /// Keeps keys that another instance has admitted without a record.
-/// \returns true when the notice may be acknowledged; an owner of the shard does not, so
-/// that its predecessor starts nothing more.
+/// \param sender_epoch epoch under which the sender holds the shard, 0: not known.
+/// \returns true when the notice may be acknowledged. It is not when this instance owns
+/// the shard or has seen a later epoch, so that the sender starts nothing more.
 bool receive_notice(ownership_state & state, std::uint32_t shard,
-                    std::span<job_key const> keys, time_point now);
+                    std::uint64_t sender_epoch, std::span<job_key const> keys,
+                    time_point now);
 
 /// Takes in the acknowledgement of a notice_order.
 void receive_acknowledgement(ownership_state & state, instance_id const & from,
@@ -115,15 +117,20 @@
 /// Tells \p peer, which has just become live, every key that has no record.
 void inform_peer(ownership_state & state, instance_id const & peer, effects & out);
 
+/// Must be called before every other change: notices an own suspension. Leases that
+/// lapsed meanwhile are not acted on before they are renewed.
+void observe_time(ownership_state & state, time_point now);
+
 /// Learns from a heartbeat that another instance owns \p shard under \p epoch.
 void observe_holding(ownership_state & state, std::uint32_t shard, std::uint64_t epoch,
                      effects & out);
 
 /// Begins to give up every shard; no new job is admitted.
-void begin_drain(ownership_state & state);
+void begin_drain(ownership_state & state, time_point now);
 
 /// \returns true when no shard is owned any more, or none can be given up because the
-/// store is away and every lease has lapsed.
+/// store is away and every lease has lapsed. For some time it is false while nobody else
+/// knows of unrecorded keys.
 bool is_released(ownership_state const & state, time_point now) noexcept;
 
 /// \returns true when the store has answered recently.
--- a/include/cassiahub/ownership/state.hpp
+++ b/include/cassiahub/ownership/state.hpp
@@ -45,6 +45,9 @@
 constexpr duration handover_delay = std::chrono::seconds(5);
 /// Time after which such a shard takes no new job, so that it becomes free of open jobs.
 constexpr duration handover_limit = std::chrono::seconds(15);
+/// Time for which a planned stop waits for the store or for another instance when it is
+/// the only one that knows of unrecorded keys. The platform's stop timeout is longer.
+constexpr duration unrecorded_key_wait = std::chrono::seconds(10);
 /// Results kept in memory for resubmissions.
 constexpr std::size_t answer_memory_limit = std::size_t(64) << 20;
 /// Gap between two calls after which this instance was suspended; what it saw of the
@@ -103,6 +106,9 @@
     std::uint64_t m_epoch = 0;
     time_point m_valid_until; ///< own limit, margin included
     time_point m_renewed_at;
+    /// The lease lapsed while this instance was suspended, so another one may have owned
+    /// the shard meanwhile. Nothing starts before the lease is renewed.
+    bool m_unconfirmed = false;
     bool m_releasing = false;    ///< takes no new job
     bool m_release_sent = false; ///< a release was sent and no later write committed
     std::uint64_t m_load_request = 0;
@@ -170,6 +176,7 @@
     std::vector<shard_state> m_shards;
     std::vector<instance_id> m_peers; ///< live members of the domain, not leaving
     bool m_draining = false;
+    time_point m_drain_began;
 
     // Store exchange.
     std::uint64_t m_next_request = 1;
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -265,6 +265,13 @@
         {
             lose_shard(context, event.m_shard);
         }
+        else if (event.m_change == ownership::shard_change::serving)
+        {
+            // A holder that was cut off from the store learns at once that it is not
+            // the owner any more.
+            state.m_next_scan = context.m_now;
+            state.m_membership.m_next_domain_heartbeat = context.m_now;
+        }
     }
     for (ownership::cleared_job const & cleared : effects.m_cleared)
     {
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -34,13 +34,11 @@
         {
             continue;
         }
-        for (membership::held_shard const & holding : entry.m_report.m_holdings)
+        std::uint64_t const epoch = membership::held_epoch(entry, shard);
+        if (epoch > best)
         {
-            if (holding.m_shard == shard && holding.m_epoch > best)
-            {
-                best = holding.m_epoch;
-                owner = id;
-            }
+            best = epoch;
+            owner = id;
         }
     }
     return owner;
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -121,7 +121,11 @@
 void handle_message(step_context & context, instance_id const & from,
                     key_notice & message)
 {
-    if (ownership::receive_notice(context.m_state.m_ownership, message.m_shard,
+    membership::member const * const sender =
+        membership::find_live(context.m_state.m_membership, from);
+    std::uint64_t const epoch =
+        sender == nullptr ? 0 : membership::held_epoch(*sender, message.m_shard);
+    if (ownership::receive_notice(context.m_state.m_ownership, message.m_shard, epoch,
                                   message.m_keys, context.m_now))
     {
         send(context, from, key_notice_received{message.m_request});
@@ -184,7 +188,7 @@
 void handle(step_context & context, drain_requested &)
 {
     context.m_state.m_draining = true;
-    ownership::begin_drain(context.m_state.m_ownership);
+    ownership::begin_drain(context.m_state.m_ownership, context.m_now);
     // The other instances learn of it with the next event, not with the next period.
     context.m_state.m_membership.m_next_domain_heartbeat = {};
     context.m_state.m_membership.m_next_remote_heartbeat = {};
@@ -274,6 +278,7 @@
           std::vector<action> & actions)
 {
     state.m_now = now;
+    ownership::observe_time(state.m_ownership, now);
     internal::step_context context{state, now, random, actions};
     std::visit([&context](auto & occurrence) { internal::handle(context, occurrence); },
                occurred);
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -228,6 +228,18 @@
     return live;
 }
 
+std::uint64_t held_epoch(member const & entry, std::uint32_t shard) noexcept
+{
+    for (held_shard const & holding : entry.m_report.m_holdings)
+    {
+        if (holding.m_shard == shard)
+        {
+            return holding.m_epoch;
+        }
+    }
+    return 0;
+}
+
 time_point to_peer_clock(member const & peer, time_point local) noexcept
 {
     return peer.m_report.m_sent_at + (local - peer.m_report_at);
--- a/src/ownership/leases.cpp
+++ b/src/ownership/leases.cpp
@@ -22,6 +22,19 @@
     return sent_at + lease_time * (100 - clock_rate_error_percent) / 100 - expiry_margin;
 }
 
+bool knows_unrecorded_keys(ownership_state const & state) noexcept
+{
+    return !state.m_noticed.empty() ||
+           std::any_of(state.m_shards.begin(), state.m_shards.end(),
+                       [](shard_state const & shard)
+                       {
+                           return std::any_of(
+                               shard.m_records.begin(), shard.m_records.end(),
+                               [](auto const & item)
+                               { return item.second.m_noticed && item.second.m_dirty; });
+                       });
+}
+
 bool is_mine(ownership_state const & state, lease_value const & lease)
 {
     return lease.m_owner == state.m_self && lease.m_incarnation == state.m_incarnation;
@@ -36,6 +49,7 @@
     shard.m_valid_until = {};
     shard.m_renewed_at = {};
     shard.m_releasing = state.m_draining;
+    shard.m_unconfirmed = true;
     shard.m_load_request = 0;
     out.m_shard_events.push_back({shard_change::claimed, index});
 }
@@ -229,6 +243,7 @@
     shard.m_valid_until = lease_limit(write.m_sent_at);
     shard.m_renewed_at = write.m_sent_at;
     shard.m_release_sent = false;
+    shard.m_unconfirmed = now >= shard.m_valid_until;
     commit_records(state, shard, part, now, out);
 }
 
@@ -334,21 +349,6 @@
     }
 }
 
-/// Restarts the observation of lease rows after an own suspension: what other instances
-/// tell about unrecorded keys has to arrive before a claim.
-void detect_suspension(ownership_state & state, time_point now)
-{
-    if (state.m_last_call != time_point() && now - state.m_last_call > suspension_gap)
-    {
-        for (shard_state & shard : state.m_shards)
-        {
-            shard.m_observed = false;
-        }
-        state.m_read_needed = true;
-    }
-    state.m_last_call = now;
-}
-
 } // namespace internal
 
 void configure(ownership_state & state, std::uint32_t shard_count, duration window)
@@ -436,8 +436,9 @@
     }
 }
 
-void begin_drain(ownership_state & state)
+void begin_drain(ownership_state & state, time_point now)
 {
+    state.m_drain_began = now;
     state.m_draining = true;
     for (shard_state & shard : state.m_shards)
     {
@@ -447,6 +448,11 @@
 
 bool is_released(ownership_state const & state, time_point now) noexcept
 {
+    if (state.m_peers.empty() && internal::knows_unrecorded_keys(state) &&
+        now - state.m_drain_began < unrecorded_key_wait)
+    {
+        return false;
+    }
     return std::all_of(state.m_shards.begin(), state.m_shards.end(),
                        [&state, now](shard_state const & shard)
                        {
@@ -455,6 +461,22 @@
                        });
 }
 
+void observe_time(ownership_state & state, time_point now)
+{
+    if (state.m_last_call != time_point() && now - state.m_last_call > suspension_gap)
+    {
+        for (shard_state & shard : state.m_shards)
+        {
+            // What other instances tell about unrecorded keys has to arrive before a
+            // claim, so the row is watched anew.
+            shard.m_observed = false;
+            shard.m_unconfirmed = now >= shard.m_valid_until;
+        }
+        state.m_read_needed = true;
+    }
+    state.m_last_call = now;
+}
+
 bool has_store_contact(ownership_state const & state, time_point now) noexcept
 {
     return !state.m_store_down && state.m_last_contact != time_point() &&
@@ -467,7 +489,6 @@
     {
         return;
     }
-    internal::detect_suspension(state, now);
     internal::expire_requests(state, now, out);
     if (now >= state.m_next_scan)
     {
--- a/src/ownership/notices.cpp
+++ b/src/ownership/notices.cpp
@@ -45,8 +45,8 @@
             continue;
         }
         // A release that may still take effect lets another instance claim at once.
-        bool const announced =
-            entry.m_repeatable && !state.m_peers.empty() && !shard.m_release_sent;
+        bool const announced = entry.m_repeatable && !state.m_peers.empty() &&
+                               !shard.m_release_sent && !shard.m_unconfirmed;
         if (announced)
         {
             entry.m_noticed = true;
@@ -158,19 +158,24 @@
 } // namespace internal
 
 bool receive_notice(ownership_state & state, std::uint32_t shard,
-                    std::span<job_key const> keys, time_point now)
+                    std::uint64_t sender_epoch, std::span<job_key const> keys,
+                    time_point now)
 {
-    if (shard < state.m_shards.size() &&
-        state.m_shards[shard].m_phase != shard_phase::idle)
-    {
-        return false;
-    }
     for (job_key const & key : keys)
     {
         state.m_noticed.insert_or_assign(key, noticed_key{shard, now});
         state.m_noticed_expiry.emplace_back(now, key);
     }
-    return true;
+    if (shard >= state.m_shards.size())
+    {
+        return true;
+    }
+    shard_state const & own = state.m_shards[shard];
+    if (own.m_phase == shard_phase::serving)
+    {
+        internal::adopt_noticed(state, shard, now);
+    }
+    return own.m_phase == shard_phase::idle && own.m_lease.m_epoch <= sender_epoch;
 }
 
 void receive_acknowledgement(ownership_state & state, instance_id const & from,
--- a/src/ownership/records.cpp
+++ b/src/ownership/records.cpp
@@ -163,8 +163,12 @@
 void refuse_pending(ownership_state & state, shard_state & shard, job_key const & key,
                     std::error_code error, effects & out)
 {
-    out.m_refused.push_back({key, error});
-    discard(state, shard, key);
+    auto const found = shard.m_records.find(key);
+    if (found != shard.m_records.end() && found->second.m_phase == record_phase::pending)
+    {
+        out.m_refused.push_back({key, error});
+        discard(state, shard, key);
+    }
 }
 
 void clear_pending(ownership_state const & state, std::uint32_t index,
@@ -186,6 +190,13 @@
         {
             out.m_refused.push_back({key, job_errc::lease_lapsed});
         }
+        else if (entry.m_noticed && entry.m_dirty &&
+                 entry.m_phase != record_phase::obsolete)
+        {
+            // The next owner may not have it yet, and may lose the shard in its turn.
+            state.m_noticed.insert_or_assign(key, noticed_key{index, state.m_last_call});
+            state.m_noticed_expiry.emplace_back(state.m_last_call, key);
+        }
         drop_answer(state, entry);
     }
     shard.m_records.clear();
@@ -415,7 +426,8 @@
     {
         return shard->m_valid_until;
     }
-    if (found->second.m_repeatable && internal::is_store_bypassed(state, now))
+    if (found->second.m_repeatable && !shard->m_unconfirmed &&
+        internal::is_store_bypassed(state, now))
     {
         return now + unrecorded_start_time;
     }
--- /dev/null
+++ b/tests/decision_fleet.hpp
@@ -0,0 +1,782 @@
+#ifndef CASSIAHUB_TESTS_DECISION_FLEET_HPP
+#define CASSIAHUB_TESTS_DECISION_FLEET_HPP
+
+/// \file Entry states in virtual time with fakes at the interfaces: table, network,
+/// upstreams and callers. A run repeats exactly from its seed.
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/decision.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fleet
+{
+
+using namespace cassiahub;
+using namespace std::chrono_literals;
+using callback = std::function<void()>;
+
+/// Faults of the fakes themselves; each shows that the checks notice it.
+struct mutations
+{
+    bool m_table_ignores_conditions = false;
+    bool m_upstream_sends_late = false;
+    bool m_table_forgets_writes = false;
+    bool m_answers_cross = false;
+    bool m_results_swapped = false;
+};
+
+struct node
+{
+    std::string m_name;
+    std::string m_domain;
+    decision::entry_state m_state;
+    bool m_alive = false;
+    bool m_paused = false;
+    bool m_store_cut = false;
+    std::uint64_t m_incarnation = 0;
+    double m_clock_rate = 1.0;
+    duration m_clock_offset{0};
+    std::vector<callback> m_backlog; ///< what a paused process does when it wakes
+};
+
+struct task_run
+{
+    attempt_id m_attempt;
+    fencing_token m_token;
+    duration m_at{0};
+};
+
+struct submission
+{
+    std::size_t m_node = 0;
+    std::uint64_t m_incarnation = 0;
+    duration m_at{0};
+    bool m_gone = false;
+    bool m_answered = false;
+    duration m_answered_at{0};
+    job_answer m_answer;
+    bool m_other_job = false; ///< reuses the key for a different job
+};
+
+struct fleet_job
+{
+    job_spec m_spec;
+    bool m_repeatable = false;
+    std::vector<submission> m_submissions;
+    std::map<std::uint32_t, std::vector<task_run>> m_runs; ///< by task
+    /// Processes that knew of the key without a record: its owner, and those that the
+    /// owner told.
+    std::set<std::pair<std::size_t, std::uint64_t>> m_holders;
+    bool m_key_lost = false; ///< all of them were gone and no record was written
+};
+
+struct table_entry
+{
+    std::uint64_t m_version = 0;
+    std::string m_value;
+};
+
+class simulation
+{
+public:
+    explicit simulation(std::uint64_t seed) : m_random(seed) {}
+
+    random_source m_random;
+    mutations m_mutations;
+    duration m_now{0};
+    std::vector<node> m_nodes;
+    std::vector<std::string> m_broken; ///< invariants that were seen broken
+
+    // Faults that are switched by the test.
+    bool m_store_down = false;
+    bool m_store_slow = false;
+    int m_lost_answers_percent = 0;
+    bool m_fencing = false;
+    int m_bad_attempts_percent = 4;
+    std::set<std::pair<std::string, std::string>> m_partitions; ///< of domains
+
+    std::map<std::string, table_entry> m_table;
+    std::map<std::string, fleet_job> m_jobs; ///< by key text
+    bool m_traced = false;
+    std::uint64_t m_steps = 0;
+    std::uint64_t m_writes = 0;
+    std::map<std::string, std::uint64_t> m_counts;
+    std::shared_ptr<config::fleet_configuration const> m_configuration;
+
+    std::uint64_t draw(std::uint64_t low, std::uint64_t high)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(low, high)(m_random);
+    }
+
+    bool chance(int percent)
+    {
+        return draw(1, 100) <= std::uint64_t(percent);
+    }
+
+    duration draw_time(duration low, duration high)
+    {
+        return duration(std::int64_t(draw(low.count(), high.count())));
+    }
+
+    void after(duration delay, callback action)
+    {
+        m_queue.push({m_now + delay, m_sequence++, std::move(action)});
+    }
+
+    void run_until(duration end)
+    {
+        while (!m_queue.empty() && m_queue.top().m_at <= end)
+        {
+            timed next = m_queue.top();
+            m_queue.pop();
+            m_now = next.m_at;
+            next.m_action();
+        }
+        m_now = end;
+    }
+
+    void add_node(std::string name, std::string domain)
+    {
+        node added;
+        added.m_name = std::move(name);
+        added.m_domain = std::move(domain);
+        added.m_clock_rate = 0.996 + 0.001 * double(draw(0, 8));
+        added.m_clock_offset = std::chrono::seconds(draw(1'000, 100'000));
+        m_nodes.push_back(std::move(added));
+    }
+
+    void set_configuration(std::uint64_t version)
+    {
+        auto next = std::make_shared<config::fleet_configuration>();
+        next->m_version = version;
+        next->m_domains = {{"a", "t", "r", 4}, {"b", "t", "r", 4}, {"c", "t", "r", 4}};
+        next->m_kinds = {{"once", "t", 1, 1, false, 20'000, 300ms},
+                         {"repeat", "t", 1, 1, true, 20'000, 300ms}};
+        next->m_tenants = {{"t", "t", 1, 10'000}};
+        for (char const * const domain : {"a", "b", "c"})
+        {
+            for (int index = 0; index < 3; ++index)
+            {
+                std::string const name = domain + std::to_string(index);
+                next->m_upstreams.push_back(
+                    {name, "t", name, domain, "rack", 8, 64, {16'000, 32'768, 0}});
+            }
+        }
+        m_configuration = next;
+    }
+
+    void start(std::size_t index)
+    {
+        node & target = m_nodes[index];
+        target.m_alive = true;
+        target.m_paused = false;
+        target.m_backlog.clear();
+        target.m_incarnation = m_random();
+        trace("start " + target.m_name);
+        target.m_state = decision::make_entry_state(
+            {{target.m_name}, target.m_domain, target.m_name, target.m_incarnation});
+        m_seen_version[index] = 0;
+        list_instances(index);
+        deliver(index, decision::configuration_changed{m_configuration, "document"});
+        schedule_tick(index, target.m_incarnation);
+    }
+
+    void kill(std::size_t index)
+    {
+        m_nodes[index].m_alive = false;
+        for (std::size_t other = 0; other < m_nodes.size(); ++other)
+        {
+            disconnect(index, other);
+        }
+    }
+
+    void pause(std::size_t index, duration length)
+    {
+        node & target = m_nodes[index];
+        target.m_paused = true;
+        std::uint64_t const incarnation = target.m_incarnation;
+        after(length,
+              [this, index, incarnation]
+              {
+                  node & woken = m_nodes[index];
+                  if (!woken.m_alive || woken.m_incarnation != incarnation)
+                  {
+                      return;
+                  }
+                  woken.m_paused = false;
+                  std::vector<callback> backlog;
+                  std::swap(backlog, woken.m_backlog);
+                  std::shuffle(backlog.begin(), backlog.end(), m_random);
+                  for (callback & action : backlog)
+                  {
+                      action();
+                  }
+              });
+    }
+
+    /// Loses every message between two nodes that is on its way.
+    void disconnect(std::size_t left, std::size_t right)
+    {
+        if (left == right)
+        {
+            return;
+        }
+        ++m_connections[std::minmax(left, right)];
+        for (auto const & [from, to] : {std::pair(left, right), std::pair(right, left)})
+        {
+            after(draw_time(0ms, 2ms), [this, from, to]
+                  { deliver(from, decision::peer_disconnected{{m_nodes[to].m_name}}); });
+        }
+    }
+
+    void list_instances(std::size_t index)
+    {
+        decision::instances_listed listed;
+        for (node const & entry : m_nodes)
+        {
+            listed.m_instances.push_back(
+                {entry.m_name, entry.m_domain, entry.m_name, true, false});
+        }
+        deliver(index, std::move(listed));
+    }
+
+    /// Submits \p key at a node. \returns the position of the submission.
+    std::size_t submit(std::string const & key, std::size_t index, bool other_job = false)
+    {
+        fleet_job & job = m_jobs.at(key);
+        std::size_t const position = job.m_submissions.size();
+        job.m_submissions.push_back({index,
+                                     m_nodes[index].m_incarnation,
+                                     m_now,
+                                     false,
+                                     false,
+                                     {},
+                                     {},
+                                     other_job});
+        job_spec spec = job.m_spec;
+        if (other_job)
+        {
+            spec.m_tasks[0].m_payload += "-other";
+        }
+        request(key, position, index, decision::key_operation::submit, std::move(spec));
+        return position;
+    }
+
+    void request_key(std::string const & key, std::size_t index,
+                     decision::key_operation operation)
+    {
+        job_spec spec;
+        spec.m_key = m_jobs.at(key).m_spec.m_key;
+        request(key, no_position, index, operation, std::move(spec));
+    }
+
+    /// Breaks the caller's connection: no answer reaches it.
+    void leave(std::string const & key, std::size_t position)
+    {
+        submission & entry = m_jobs.at(key).m_submissions[position];
+        entry.m_gone = true;
+        for (auto const & [token, waiting] : m_callers)
+        {
+            if (waiting.m_key == key && waiting.m_position == position)
+            {
+                deliver(entry.m_node, decision::caller_gone{token});
+            }
+        }
+    }
+
+    void deliver(std::size_t index, decision::event occurred)
+    {
+        node & target = m_nodes[index];
+        if (!target.m_alive)
+        {
+            return;
+        }
+        if (target.m_paused)
+        {
+            std::uint64_t const incarnation = target.m_incarnation;
+            target.m_backlog.push_back(
+                [this, index, incarnation, occurred]
+                {
+                    if (m_nodes[index].m_incarnation == incarnation)
+                    {
+                        deliver(index, occurred);
+                    }
+                });
+            return;
+        }
+        std::vector<decision::action> actions;
+        decision::step(target.m_state, std::move(occurred), local_time(target), m_random,
+                       actions);
+        ++m_steps;
+        check_step(index);
+        for (decision::action & next : actions)
+        {
+            std::visit([&](auto & action) { perform(index, action); }, next);
+        }
+    }
+
+    time_point local_time(node const & entry) const
+    {
+        return time_point(
+            entry.m_clock_offset +
+            duration(std::int64_t(double(m_now.count()) * entry.m_clock_rate)));
+    }
+
+    void trace(std::string const & what) const
+    {
+        if (m_traced)
+        {
+            std::cout << "\n" << to_milliseconds(m_now) << " ms: " << what;
+        }
+    }
+
+    void fail(std::string what)
+    {
+        m_broken.push_back(std::to_string(to_milliseconds(m_now)) +
+                           " ms: " + std::move(what));
+    }
+
+    static constexpr std::size_t no_position = ~std::size_t(0);
+
+private:
+    struct timed
+    {
+        duration m_at{0};
+        std::uint64_t m_sequence = 0;
+        callback m_action;
+        bool operator<(timed const & other) const
+        {
+            return std::tie(other.m_at, other.m_sequence) < std::tie(m_at, m_sequence);
+        }
+    };
+
+    struct waiting_caller
+    {
+        std::string m_key;
+        std::size_t m_position = 0;
+        std::size_t m_node = 0;
+    };
+
+    std::priority_queue<timed> m_queue;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_next_caller = 1;
+    std::map<decision::caller_token, waiting_caller> m_callers;
+    std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> m_connections;
+    std::map<std::pair<std::size_t, std::size_t>, duration> m_last_arrival;
+    std::map<std::size_t, std::uint64_t> m_seen_version;
+    std::map<std::string, std::uint64_t> m_highest_token;
+    std::uint64_t m_commit = 0;
+
+    void schedule_tick(std::size_t index, std::uint64_t incarnation)
+    {
+        after(20ms,
+              [this, index, incarnation]
+              {
+                  if (!m_nodes[index].m_alive ||
+                      m_nodes[index].m_incarnation != incarnation)
+                  {
+                      return;
+                  }
+                  if (!m_nodes[index].m_paused)
+                  {
+                      deliver(index, decision::tick{});
+                  }
+                  schedule_tick(index, incarnation);
+              });
+    }
+
+    void check_step(std::size_t index)
+    {
+        node const & target = m_nodes[index];
+        for (std::string_view const name : decision::check_invariants(target.m_state))
+        {
+            fail(target.m_name + " " + std::string(name));
+        }
+        auto const & configuration = target.m_state.m_dispatch.m_configuration;
+        std::uint64_t const version = configuration ? configuration->m_version : 0;
+        if (version < m_seen_version[index])
+        {
+            fail(target.m_name + " configuration_version_decreased");
+        }
+        m_seen_version[index] = version;
+        if (m_steps % 16 == 0)
+        {
+            std::vector<decision::entry_state const *> states;
+            for (node const & entry : m_nodes)
+            {
+                if (entry.m_alive)
+                {
+                    states.push_back(&entry.m_state);
+                }
+            }
+            for (std::string_view const name : decision::check_fleet_invariants(states))
+            {
+                fail(std::string(name));
+            }
+        }
+    }
+
+    void request(std::string const & key, std::size_t position, std::size_t index,
+                 decision::key_operation operation, job_spec spec)
+    {
+        decision::caller_token const token = m_next_caller++;
+        m_callers[token] = {key, position, index};
+        deliver(index, decision::caller_request{token, operation, std::move(spec)});
+    }
+
+    /// Runs \p action in the process of the node, when it runs again if it is paused.
+    void in_process(std::size_t index, std::uint64_t incarnation, callback action)
+    {
+        node & target = m_nodes[index];
+        if (!target.m_alive || target.m_incarnation != incarnation)
+        {
+            return;
+        }
+        if (target.m_paused)
+        {
+            target.m_backlog.push_back([this, index, incarnation, action]
+                                       { in_process(index, incarnation, action); });
+            return;
+        }
+        action();
+    }
+
+    void finish(std::size_t index, std::uint64_t incarnation, duration delay,
+                dispatch::attempt_result result)
+    {
+        after(delay,
+              [this, index, incarnation, result]
+              {
+                  if (m_nodes[index].m_incarnation == incarnation)
+                  {
+                      deliver(index, decision::attempt_finished{result});
+                  }
+              });
+    }
+
+    void perform(std::size_t index, dispatch::attempt_start & start)
+    {
+        std::uint64_t const incarnation = m_nodes[index].m_incarnation;
+        after(draw_time(0ms, 3ms),
+              [this, index, incarnation, start]
+              {
+                  in_process(index, incarnation,
+                             [this, index, start] { send_attempt(index, start); });
+              });
+    }
+
+    void send_attempt(std::size_t index, dispatch::attempt_start const & start)
+    {
+        std::uint64_t const incarnation = m_nodes[index].m_incarnation;
+        bool const late = local_time(m_nodes[index]) > start.m_send_before;
+        if (late && !m_mutations.m_upstream_sends_late)
+        {
+            ++m_counts["send_limit_passed"];
+            finish(index, incarnation, 0ms,
+                   {start.m_attempt, dispatch::attempt_outcome::not_run, {}, false});
+            return;
+        }
+        after(draw_time(100us, 2ms),
+              [this, index, incarnation, start] { run(index, incarnation, start); });
+    }
+
+    /// Unrecorded repeatable work is only as safe as the processes that know of it: notes
+    /// when a later owner starts a key of which no reachable process and no row knows.
+    void note_run(fleet_job & job, dispatch::attempt_start const & start)
+    {
+        bool const other_owner =
+            std::any_of(job.m_runs.begin(), job.m_runs.end(),
+                        [&start](auto const & task)
+                        { return task.second[0].m_token != start.m_token; });
+        bool const known = std::any_of(job.m_holders.begin(), job.m_holders.end(),
+                                       [this](auto const & holder)
+                                       {
+                                           node const & entry = m_nodes[holder.first];
+                                           return entry.m_alive && !entry.m_paused &&
+                                                  entry.m_incarnation == holder.second;
+                                       });
+        std::string const row = "/t/" + start.m_job.m_key;
+        bool const recorded = std::any_of(m_table.begin(), m_table.end(),
+                                          [&row](auto const & entry)
+                                          { return entry.first.ends_with(row); });
+        if (other_owner && !known && !recorded && job.m_repeatable && !job.m_key_lost)
+        {
+            job.m_key_lost = true;
+            ++m_counts["unrecorded_keys_lost"];
+        }
+        for (std::size_t index = 0; index < m_nodes.size(); ++index)
+        {
+            if (m_nodes[index].m_incarnation == start.m_attempt.m_incarnation)
+            {
+                job.m_holders.emplace(index, start.m_attempt.m_incarnation);
+            }
+        }
+    }
+
+    void note_holders(std::size_t index, decision::peer_message const & message)
+    {
+        auto const * const notice = std::get_if<decision::key_notice>(&message);
+        if (notice == nullptr || m_nodes[index].m_paused)
+        {
+            return;
+        }
+        for (job_key const & key : notice->m_keys)
+        {
+            m_jobs.at(key.m_key).m_holders.emplace(index, m_nodes[index].m_incarnation);
+        }
+    }
+
+    void run(std::size_t index, std::uint64_t incarnation,
+             dispatch::attempt_start const & start)
+    {
+        std::uint64_t & highest = m_highest_token[start.m_token.m_shard];
+        if (m_fencing && start.m_token.m_epoch < highest)
+        {
+            finish(index, incarnation, 1ms,
+                   {start.m_attempt, dispatch::attempt_outcome::not_run, {}, false});
+            return;
+        }
+        highest = std::max(highest, start.m_token.m_epoch);
+        fleet_job & job = m_jobs.at(start.m_job.m_key);
+        note_run(job, start);
+        job.m_runs[start.m_task].push_back({start.m_attempt, start.m_token, m_now});
+        ++m_counts["starts"];
+        dispatch::attempt_result result{start.m_attempt,
+                                        dispatch::attempt_outcome::succeeded,
+                                        start.m_payload, false};
+        if (chance(m_bad_attempts_percent))
+        {
+            result.m_outcome = chance(50) ? dispatch::attempt_outcome::failed
+                                          : dispatch::attempt_outcome::unknown;
+        }
+        duration const length = chance(3) ? draw_time(2s, 6s) : draw_time(30ms, 700ms);
+        finish(index, incarnation, length, result);
+    }
+
+    void perform(std::size_t, dispatch::attempt_cancel &) {}
+
+    void perform(std::size_t, decision::answer_caller & answer)
+    {
+        auto const found = m_callers.find(answer.m_caller);
+        if (found == m_callers.end())
+        {
+            fail("answer_for_nobody");
+            return;
+        }
+        waiting_caller waiting = found->second;
+        m_callers.erase(found);
+        if (m_mutations.m_answers_cross && !m_callers.empty() && chance(20))
+        {
+            std::swap(waiting, m_callers.begin()->second);
+        }
+        ++m_counts[answer.m_answer.m_error ? std::string(to_string(static_cast<job_errc>(
+                                                 answer.m_answer.m_error.value())))
+                                           : "complete"];
+        if (waiting.m_position == no_position)
+        {
+            return;
+        }
+        submission & entry = m_jobs.at(waiting.m_key).m_submissions[waiting.m_position];
+        if (entry.m_answered)
+        {
+            fail(waiting.m_key + " answered_twice");
+        }
+        entry.m_answered = true;
+        entry.m_answered_at = m_now;
+        entry.m_answer = std::move(answer.m_answer);
+        if (m_mutations.m_results_swapped && entry.m_answer.m_results.size() > 1)
+        {
+            entry.m_answer.m_results.pop_back();
+        }
+    }
+
+    bool is_cut(std::string const & left, std::string const & right) const
+    {
+        return m_partitions.contains(std::minmax(left, right));
+    }
+
+    void perform(std::size_t index, decision::send_peer & order)
+    {
+        auto const found = std::find_if(m_nodes.begin(), m_nodes.end(),
+                                        [&order](node const & entry)
+                                        { return entry.m_name == order.m_to.m_value; });
+        if (found == m_nodes.end() || is_cut(m_nodes[index].m_domain, found->m_domain))
+        {
+            return;
+        }
+        auto const to = std::size_t(found - m_nodes.begin());
+        std::uint64_t const generation = m_connections[std::minmax(index, to)];
+        std::uint64_t const incarnation = found->m_incarnation;
+        instance_id const from{m_nodes[index].m_name};
+        // Messages of one connection keep their order; connections overtake each other.
+        duration & last = m_last_arrival[{index, to}];
+        last = std::max(last, m_now + draw_time(200us, 4ms));
+        after(last - m_now,
+              [this, index, to, generation, incarnation, from,
+               message = std::move(order.m_message)]
+              {
+                  if (m_connections[std::minmax(index, to)] == generation &&
+                      m_nodes[to].m_incarnation == incarnation)
+                  {
+                      note_holders(to, message);
+                      deliver(to, decision::peer_message_received{from, message});
+                  }
+              });
+    }
+
+    void answer_store(std::size_t index, std::uint64_t incarnation, duration delay,
+                      decision::store_answered answered)
+    {
+        after(delay,
+              [this, index, incarnation, answered]
+              {
+                  if (m_nodes[index].m_incarnation == incarnation)
+                  {
+                      deliver(index, answered);
+                  }
+              });
+    }
+
+    bool is_store_reached(std::size_t index) const
+    {
+        return !m_store_down && !m_nodes[index].m_store_cut;
+    }
+
+    duration store_latency()
+    {
+        return m_store_slow ? draw_time(200ms, 4s) : draw_time(2ms, 9ms);
+    }
+
+    void perform(std::size_t index, decision::write_store & write)
+    {
+        ++m_writes;
+        std::uint64_t const incarnation = m_nodes[index].m_incarnation;
+        decision::store_answered lost{
+            write.m_request, decision::store_outcome::unavailable, {}};
+        if (!is_store_reached(index))
+        {
+            if (chance(10))
+            {
+                // The request waits somewhere on its way and arrives late.
+                after(draw_time(1s, 8s),
+                      [this, rows = write.m_rows]
+                      {
+                          decision::store_answered unseen;
+                          commit(rows, unseen);
+                      });
+            }
+            answer_store(index, incarnation, draw_time(5ms, 400ms), lost);
+            return;
+        }
+        duration const latency = store_latency();
+        bool const answer_lost = chance(m_lost_answers_percent);
+        after(latency / 2,
+              [this, index, incarnation, latency, answer_lost, lost,
+               rows = std::move(write.m_rows)]
+              {
+                  decision::store_answered answered{lost.m_request, {}, {}};
+                  commit(rows, answered);
+                  answer_store(index, incarnation, latency / 2,
+                               answer_lost ? lost : answered);
+              });
+    }
+
+    void commit(std::vector<decision::row_write> const & rows,
+                decision::store_answered & answered)
+    {
+        answered.m_outcome = decision::store_outcome::conflict;
+        for (decision::row_write const & row : rows)
+        {
+            auto const found = m_table.find(row.m_name);
+            std::uint64_t const version =
+                found == m_table.end() ? 0 : found->second.m_version;
+            if (row.m_expected_version && *row.m_expected_version != version &&
+                !m_mutations.m_table_ignores_conditions)
+            {
+                ++m_counts["conflicts"];
+                return;
+            }
+        }
+        answered.m_outcome = decision::store_outcome::done;
+        std::uint64_t const version = ++m_commit;
+        for (decision::row_write const & row : rows)
+        {
+            bool const is_record = row.m_name.starts_with("record/");
+            if (m_mutations.m_table_forgets_writes && is_record)
+            {
+                continue;
+            }
+            if (row.m_value)
+            {
+                m_table[row.m_name] = {version, *row.m_value};
+            }
+            else
+            {
+                m_table.erase(row.m_name);
+            }
+            answered.m_rows.push_back({row.m_name, version, {}});
+        }
+    }
+
+    void perform(std::size_t index, decision::read_store & read)
+    {
+        std::uint64_t const incarnation = m_nodes[index].m_incarnation;
+        decision::store_answered answered{
+            read.m_request, decision::store_outcome::unavailable, {}};
+        if (!is_store_reached(index))
+        {
+            answer_store(index, incarnation, draw_time(5ms, 400ms), answered);
+            return;
+        }
+        duration const latency = store_latency();
+        after(latency / 2,
+              [this, index, incarnation, latency, answered, prefix = read.m_prefix]
+              {
+                  decision::store_answered filled = answered;
+                  filled.m_outcome = decision::store_outcome::done;
+                  for (auto row = m_table.lower_bound(prefix);
+                       row != m_table.end() && row->first.starts_with(prefix); ++row)
+                  {
+                      filled.m_rows.push_back(
+                          {row->first, row->second.m_version, row->second.m_value});
+                  }
+                  answer_store(index, incarnation, latency / 2, filled);
+              });
+    }
+
+    void perform(std::size_t index, decision::check_document & check)
+    {
+        auto checked = std::make_shared<config::fleet_configuration>(*m_configuration);
+        checked->m_version = check.m_version;
+        decision::event changed = decision::configuration_changed{checked, "document"};
+        std::uint64_t const incarnation = m_nodes[index].m_incarnation;
+        after(1ms,
+              [this, index, incarnation, changed] {
+                  in_process(index, incarnation, [=, this] { deliver(index, changed); });
+              });
+    }
+
+    void perform(std::size_t, decision::observe_job &) {}
+
+    void perform(std::size_t index, decision::log_event & event)
+    {
+        trace(m_nodes[index].m_name + " " + std::string(event.m_code) + " " +
+              event.m_subject);
+        ++m_counts[std::string(event.m_code)];
+    }
+};
+
+} // namespace fleet
+
+#endif
--- /dev/null
+++ b/tests/decision_property_test.cpp
@@ -0,0 +1,560 @@
+/// \file Long randomised runs of six entry states in three failure domains with every
+/// fault of the design at once. CASSIAHUB_SEED and CASSIAHUB_RUNS select other runs;
+/// CASSIAHUB_VERBOSE prints what happened.
+
+#include "decision_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace cassiahub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t default_runs = 300;
+constexpr duration traffic_time = 60s;
+/// Time after the last fault in which everything must settle: the longest
+/// pause or the latest resubmission, and after it the longest job.
+constexpr duration settle_time = 55s;
+constexpr duration job_period = 60ms;
+/// A live instance answers at the latest this long after a job's deadline: grace for the
+/// owner's answer at two hops, and one scan each.
+constexpr duration answer_slack = 600ms;
+
+std::uint64_t read_number(char const * name, std::uint64_t fallback)
+{
+    char const * const text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/// Drives callers and faults of one run.
+class random_run
+{
+public:
+    explicit random_run(std::uint64_t seed) : m_fleet(seed) {}
+
+    fleet::simulation m_fleet;
+
+    void run()
+    {
+        m_fleet.set_configuration(m_version);
+        for (auto const & [name, domain] :
+             {std::pair("a1", "a"), std::pair("a2", "a"), std::pair("a3", "a"),
+              std::pair("b1", "b"), std::pair("b2", "b"), std::pair("c1", "c")})
+        {
+            m_fleet.add_node(name, domain);
+        }
+        m_paused_until.resize(m_fleet.m_nodes.size());
+        for (std::size_t index = 0; index < m_fleet.m_nodes.size(); ++index)
+        {
+            m_fleet.start(index);
+        }
+        m_fleet.m_fencing = m_fleet.chance(50);
+        m_fleet.after(1s, [this] { submit_next(); });
+        m_fleet.after(3s, [this] { next_fault(); });
+        m_fleet.run_until(traffic_time + settle_time);
+        check();
+    }
+
+private:
+    std::uint64_t m_version = 1;
+    std::uint64_t m_next_key = 0;
+    std::vector<duration> m_paused_until;
+
+    void note(char const * fault, std::string const & subject = {})
+    {
+        ++m_fleet.m_counts[fault];
+        m_fleet.trace(std::string(fault) + " " + subject);
+    }
+
+    std::size_t pick_node()
+    {
+        return m_fleet.draw(0, m_fleet.m_nodes.size() - 1);
+    }
+
+    std::size_t pick_live_node()
+    {
+        for (;;)
+        {
+            std::size_t const index = pick_node();
+            if (m_fleet.m_nodes[index].m_alive)
+            {
+                return index;
+            }
+        }
+    }
+
+    void submit_next()
+    {
+        if (m_fleet.m_now >= traffic_time)
+        {
+            return;
+        }
+        m_fleet.after(m_fleet.draw_time(duration(0), 2 * job_period),
+                      [this] { submit_next(); });
+        std::string const key = "k" + std::to_string(m_next_key++);
+        fleet::fleet_job job;
+        job.m_repeatable = m_fleet.chance(50);
+        job.m_spec.m_key = {"t", m_fleet.chance(50) ? "" : domain(), key};
+        job.m_spec.m_kind = job.m_repeatable ? "repeat" : "once";
+        job.m_spec.m_time_limit = m_fleet.draw_time(1s, 10s);
+        for (std::uint64_t task = m_fleet.draw(1, 3); task > 0; --task)
+        {
+            job.m_spec.m_tasks.push_back(
+                {key + "/" + std::to_string(job.m_spec.m_tasks.size()),
+                 {100, 100, 0},
+                 {}});
+        }
+        m_fleet.m_jobs.emplace(key, std::move(job));
+        submit(key, 3);
+        disturb(key);
+    }
+
+    std::string domain()
+    {
+        return std::string(1, char('a' + m_fleet.draw(0, 2)));
+    }
+
+    /// Submits, and submits again elsewhere when the connection breaks.
+    void submit(std::string const & key, int attempts)
+    {
+        std::size_t const index = pick_live_node();
+        std::size_t const position = m_fleet.submit(key, index);
+        watch(key, position, attempts);
+    }
+
+    void watch(std::string const & key, std::size_t position, int attempts)
+    {
+        m_fleet.after(200ms,
+                      [this, key, position, attempts]
+                      {
+                          fleet::submission const & entry =
+                              m_fleet.m_jobs.at(key).m_submissions[position];
+                          fleet::node const & node = m_fleet.m_nodes[entry.m_node];
+                          if (entry.m_answered || entry.m_gone)
+                          {
+                              return;
+                          }
+                          if (node.m_alive && node.m_incarnation == entry.m_incarnation)
+                          {
+                              watch(key, position, attempts);
+                              return;
+                          }
+                          m_fleet.leave(key, position);
+                          if (attempts > 0)
+                          {
+                              submit(key, attempts - 1);
+                          }
+                      });
+    }
+
+    /// Resubmissions, cancellations, queries, reused keys and callers that go away.
+    void disturb(std::string const & key)
+    {
+        duration const delay = m_fleet.draw_time(0ms, 3s);
+        switch (m_fleet.draw(0, 11))
+        {
+        case 0:
+        case 1:
+        case 2:
+            m_fleet.after(delay, [this, key] { submit(key, 1); });
+            break;
+        case 3:
+            m_fleet.after(m_fleet.draw_time(0ms, 40s), [this, key] { submit(key, 0); });
+            break;
+        case 4:
+            m_fleet.after(delay,
+                          [this, key] {
+                              m_fleet.request_key(key, pick_live_node(),
+                                                  decision::key_operation::cancel);
+                          });
+            break;
+        case 5:
+            m_fleet.after(delay,
+                          [this, key] {
+                              m_fleet.request_key(key, pick_live_node(),
+                                                  decision::key_operation::query);
+                          });
+            break;
+        case 6:
+            m_fleet.after(delay,
+                          [this, key] { m_fleet.submit(key, pick_live_node(), true); });
+            break;
+        case 7:
+            m_fleet.after(delay,
+                          [this, key]
+                          {
+                              m_fleet.leave(key, 0);
+                              submit(key, 0);
+                          });
+            break;
+        default:
+            break;
+        }
+    }
+
+    void restart_after(std::size_t index, duration delay)
+    {
+        m_fleet.after(delay,
+                      [this, index]
+                      {
+                          if (!m_fleet.m_nodes[index].m_alive)
+                          {
+                              m_fleet.start(index);
+                          }
+                      });
+    }
+
+    void kill_one()
+    {
+        std::size_t const index = pick_node();
+        std::size_t const alive = std::size_t(
+            std::count_if(m_fleet.m_nodes.begin(), m_fleet.m_nodes.end(),
+                          [](fleet::node const & node) { return node.m_alive; }));
+        if (alive > 3 && m_fleet.m_nodes[index].m_alive)
+        {
+            note("fault_kill", m_fleet.m_nodes[index].m_name);
+            m_fleet.kill(index);
+            restart_after(index, m_fleet.draw_time(100ms, 12s));
+        }
+    }
+
+    void drain_one()
+    {
+        std::size_t const index = pick_node();
+        std::uint64_t const incarnation = m_fleet.m_nodes[index].m_incarnation;
+        note("fault_drain", m_fleet.m_nodes[index].m_name);
+        m_fleet.deliver(index, decision::drain_requested{});
+        await_idle(index, incarnation);
+    }
+
+    /// Ends a drained process once nothing is left in progress.
+    void await_idle(std::size_t index, std::uint64_t incarnation)
+    {
+        m_fleet.after(50ms,
+                      [this, index, incarnation]
+                      {
+                          fleet::node & node = m_fleet.m_nodes[index];
+                          if (!node.m_alive || node.m_incarnation != incarnation)
+                          {
+                              return;
+                          }
+                          if (!decision::is_idle(node.m_state) || node.m_paused)
+                          {
+                              await_idle(index, incarnation);
+                              return;
+                          }
+                          m_fleet.kill(index);
+                          ++m_fleet.m_counts["drained"];
+                          restart_after(index, 500ms);
+                      });
+    }
+
+    void next_fault()
+    {
+        if (m_fleet.m_now >= traffic_time)
+        {
+            heal();
+            return;
+        }
+        m_fleet.after(m_fleet.draw_time(200ms, 4s), [this] { next_fault(); });
+        std::size_t const index = pick_node();
+        duration const length = m_fleet.draw_time(200ms, 15s);
+        switch (m_fleet.draw(0, 9))
+        {
+        case 0:
+            note("fault_store_down", std::to_string(to_milliseconds(length)));
+            m_fleet.m_store_down = true;
+            m_fleet.after(length, [this] { m_fleet.m_store_down = false; });
+            break;
+        case 1:
+            note("fault_store_slow", std::to_string(to_milliseconds(length)));
+            m_fleet.m_store_slow = true;
+            m_fleet.after(length, [this] { m_fleet.m_store_slow = false; });
+            break;
+        case 2:
+            note("fault_lost_answers", std::to_string(to_milliseconds(length)));
+            m_fleet.m_lost_answers_percent = 40;
+            m_fleet.after(length, [this] { m_fleet.m_lost_answers_percent = 0; });
+            break;
+        case 3:
+            note("fault_store_cut", m_fleet.m_nodes[index].m_name + " " +
+                                        std::to_string(to_milliseconds(length)));
+            m_fleet.m_nodes[index].m_store_cut = true;
+            m_fleet.after(length,
+                          [this, index] { m_fleet.m_nodes[index].m_store_cut = false; });
+            break;
+        case 4:
+            partition(length);
+            break;
+        case 5:
+            kill_one();
+            break;
+        case 6:
+            note("fault_pause", m_fleet.m_nodes[index].m_name + " " +
+                                    std::to_string(to_milliseconds(length)));
+            pause(index, m_fleet.chance(30) ? duration(30s) : length / 2);
+            break;
+        case 7:
+            note("fault_disconnect");
+            m_fleet.disconnect(index, pick_node());
+            break;
+        case 8:
+            drain_one();
+            break;
+        case 9:
+            change_configuration();
+            break;
+        }
+    }
+
+    void pause(std::size_t index, duration length)
+    {
+        if (m_fleet.m_nodes[index].m_alive && !m_fleet.m_nodes[index].m_paused)
+        {
+            m_fleet.pause(index, length);
+            m_paused_until[index] = m_fleet.m_now + length;
+        }
+    }
+
+    void partition(duration length)
+    {
+        note("fault_partition");
+        std::pair<std::string, std::string> const cut = std::minmax(domain(), domain());
+        if (cut.first == cut.second)
+        {
+            return;
+        }
+        m_fleet.m_partitions.insert(cut);
+        for (std::size_t left = 0; left < m_fleet.m_nodes.size(); ++left)
+        {
+            for (std::size_t right = left + 1; right < m_fleet.m_nodes.size(); ++right)
+            {
+                if (std::pair<std::string, std::string>(
+                        std::minmax(m_fleet.m_nodes[left].m_domain,
+                                    m_fleet.m_nodes[right].m_domain)) == cut)
+                {
+                    m_fleet.disconnect(left, right);
+                }
+            }
+        }
+        m_fleet.after(length, [this, cut] { m_fleet.m_partitions.erase(cut); });
+    }
+
+    /// A newer document reaches one instance; some instances see an older one again.
+    void change_configuration()
+    {
+        auto const older = m_fleet.m_configuration;
+        m_fleet.set_configuration(++m_version);
+        m_fleet.deliver(pick_live_node(),
+                        decision::configuration_changed{m_fleet.m_configuration, "d"});
+        m_fleet.deliver(pick_live_node(), decision::configuration_changed{older, "d"});
+    }
+
+    void heal()
+    {
+        m_fleet.m_store_down = false;
+        m_fleet.m_store_slow = false;
+        m_fleet.m_lost_answers_percent = 0;
+        m_fleet.m_partitions.clear();
+        for (fleet::node & node : m_fleet.m_nodes)
+        {
+            node.m_store_cut = false;
+        }
+    }
+
+    void check()
+    {
+        for (auto const & [key, job] : m_fleet.m_jobs)
+        {
+            check_starts(key, job);
+            for (fleet::submission const & entry : job.m_submissions)
+            {
+                check_answer(key, job, entry);
+            }
+        }
+        for (fleet::node const & node : m_fleet.m_nodes)
+        {
+            auto const & configuration = node.m_state.m_dispatch.m_configuration;
+            if (node.m_alive && !node.m_paused && configuration->m_version != m_version)
+            {
+                m_fleet.fail(node.m_name + " configuration_not_in_force");
+            }
+        }
+    }
+
+    void check_starts(std::string const & key, fleet::fleet_job const & job)
+    {
+        std::set<std::uint64_t> owners;
+        std::set<fencing_token> tokens;
+        for (auto const & [task, runs] : job.m_runs)
+        {
+            std::size_t const allowed = job.m_repeatable ? 3 : 1;
+            if (runs.size() > allowed)
+            {
+                m_fleet.fail(key + " task_started_too_often");
+            }
+            for (fleet::task_run const & run : runs)
+            {
+                owners.insert(run.m_attempt.m_incarnation);
+                tokens.insert(run.m_token);
+            }
+        }
+        if (!job.m_key_lost && (owners.size() > 1 || tokens.size() > 1))
+        {
+            m_fleet.fail(key + " resubmission_started_again");
+        }
+        bool const refused_by_all = std::all_of(
+            job.m_submissions.begin(), job.m_submissions.end(),
+            [](fleet::submission const & entry)
+            { return entry.m_answered && entry.m_answer.m_ran == run_state::no; });
+        if (!job.m_runs.empty() && refused_by_all)
+        {
+            m_fleet.fail(key + " refused_as_not_run_but_started");
+        }
+    }
+
+    void check_answer(std::string const & key, fleet::fleet_job const & job,
+                      fleet::submission const & entry)
+    {
+        if (!entry.m_answered)
+        {
+            fleet::node const & node = m_fleet.m_nodes[entry.m_node];
+            bool const served = node.m_alive && node.m_incarnation == entry.m_incarnation;
+            if (served && !entry.m_gone && !node.m_paused)
+            {
+                m_fleet.fail(key + " never_answered");
+            }
+            return;
+        }
+        bool const paused = m_paused_until[entry.m_node] >= entry.m_at;
+        if (!paused &&
+            entry.m_answered_at > entry.m_at + job.m_spec.m_time_limit + answer_slack)
+        {
+            m_fleet.fail(key + " answered_late");
+        }
+        std::vector<std::string> expected;
+        if (!entry.m_answer.m_error)
+        {
+            for (task_spec const & task : job.m_spec.m_tasks)
+            {
+                expected.push_back(task.m_payload);
+            }
+            if (entry.m_other_job && !job.m_submissions.empty())
+            {
+                expected[0] += "-other";
+            }
+        }
+        if (entry.m_answer.m_results != expected)
+        {
+            m_fleet.fail(key + " answer_not_whole_or_of_another_job");
+        }
+    }
+};
+
+/// Prints how a job came to its answers.
+void print_job(fleet::simulation const & run, std::string const & key)
+{
+    fleet::fleet_job const & job = run.m_jobs.at(key);
+    for (fleet::submission const & entry : job.m_submissions)
+    {
+        std::cout << "\n  submitted at " << run.m_nodes[entry.m_node].m_name << " "
+                  << to_milliseconds(entry.m_at) << " ms, other job " << entry.m_other_job
+                  << ", gone " << entry.m_gone << ", answered " << entry.m_answered << " "
+                  << to_milliseconds(entry.m_answered_at) << " ms "
+                  << entry.m_answer.m_error.message() << " results";
+        for (std::string const & result : entry.m_answer.m_results)
+        {
+            std::cout << " " << result;
+        }
+    }
+    for (auto const & [task, runs] : job.m_runs)
+    {
+        for (fleet::task_run const & started : runs)
+        {
+            std::cout << "\n  task " << task << " started "
+                      << to_milliseconds(started.m_at) << " ms attempt "
+                      << to_string(started.m_attempt) << " token "
+                      << started.m_token.m_shard << ":" << started.m_token.m_epoch;
+        }
+    }
+}
+
+void print_counts(std::uint64_t seed, fleet::simulation const & run)
+{
+    std::cout << "\nseed " << seed << ": " << run.m_jobs.size() << " jobs, "
+              << run.m_steps << " steps, " << run.m_writes << " writes";
+    for (auto const & [name, count] : run.m_counts)
+    {
+        std::cout << ", " << name << " " << count;
+    }
+    std::cout << std::endl;
+}
+
+// Guards against a second start of a task, a refusal of work that ran, a partial, crossed
+// or missing answer and a configuration that reverts, under any mix of faults.
+class decision_property_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(decision_property_test);
+    CPPUNIT_TEST(fleet_under_random_faults_keeps_promises);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void fleet_under_random_faults_keeps_promises()
+    {
+        std::uint64_t const first = read_number("CASSIAHUB_SEED", 1);
+        std::uint64_t const runs = read_number("CASSIAHUB_RUNS", default_runs);
+        std::map<std::string, std::uint64_t> totals;
+        std::size_t violations = 0;
+        for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        {
+            random_run run(seed);
+            run.m_fleet.m_traced = std::getenv("CASSIAHUB_KEY") != nullptr;
+            try
+            {
+                run.run();
+            }
+            catch (std::exception const & error)
+            {
+                run.m_fleet.fail(std::string("exception ") + error.what());
+            }
+            if (std::getenv("CASSIAHUB_VERBOSE") != nullptr)
+            {
+                print_counts(seed, run.m_fleet);
+            }
+            for (auto const & [name, count] : run.m_fleet.m_counts)
+            {
+                totals[name] += count;
+            }
+            totals["steps"] += run.m_fleet.m_steps;
+            totals["jobs"] += run.m_fleet.m_jobs.size();
+            violations += run.m_fleet.m_broken.size();
+            for (std::size_t index = 0;
+                 index < std::min<std::size_t>(5, run.m_fleet.m_broken.size()); ++index)
+            {
+                std::cout << "\nseed " << seed << ": " << run.m_fleet.m_broken[index];
+            }
+            if (char const * const key = std::getenv("CASSIAHUB_KEY"))
+            {
+                print_job(run.m_fleet, key);
+            }
+        }
+        std::cout << "\n"
+                  << runs << " runs from seed " << first << ", " << violations
+                  << " violations:";
+        for (auto const & [name, count] : totals)
+        {
+            std::cout << " " << name << "=" << count;
+        }
+        std::cout << std::endl;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), violations);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(decision_property_test);
+
+} // namespace
