--- /dev/null
+++ b/tests/config_keys_test.cpp
@@ -0,0 +1,223 @@
+/// \file Every key of the fleet document: its range, and its entry in the documentation.
+
+#include <cassiahub/config.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <regex>
+#include <string>
+
+using namespace cassiahub::config;
+
+namespace
+{
+
+/// A sound document by section type; [dispatch] has no required key.
+std::map<std::string, std::string> const sections = {
+    {"team", "[team.returns]\nkey_hash = sha256:5f1c0e7a92d34b68:"
+             "8c6976e5b5410415bde908bd4dee15dfb167a9c873fc4bb8a81f6f2ab448a918\n"},
+    {"domain", "[domain.nairobi]\nowner = returns\nregion = kenya\n"},
+    {"kind", "[kind.levy]\nowner = returns\nurgency = 2\nshare = 4\nrepeatable = yes\n"},
+    {"tenant", "[tenant.acme]\nowner = returns\n"},
+    {"upstream", "[upstream.nbo-1]\nowner = returns\naddress = 127.0.0.1:9000\n"
+                 "domain = nairobi\n"},
+    {"dispatch", "[dispatch]\n"}};
+
+// Guards against a key whose range is not checked, a fault without its place, and a key
+// that the documentation does not explain.
+class configuration_keys_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(configuration_keys_test);
+    CPPUNIT_TEST(check_malformed_value_of_each_key_names_place_and_range);
+    CPPUNIT_TEST(check_each_range_refuses_values_just_outside);
+    CPPUNIT_TEST(check_missing_required_key_is_named);
+    CPPUNIT_TEST(check_each_reference_to_nothing_is_refused);
+    CPPUNIT_TEST(check_long_section_names_stay_distinct);
+    CPPUNIT_TEST(check_section_without_keys_is_checked);
+    CPPUNIT_TEST(check_sums_and_contradictions_are_refused);
+    CPPUNIT_TEST(document_each_key_has_its_row);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::vector<config_fault> m_faults;
+
+    /// Checks the sound document with one section replaced.
+    bool check(std::string const & type, std::string const & text)
+    {
+        std::string document;
+        for (auto const & [name, sound] : sections)
+        {
+            document += name == type ? "" : sound;
+        }
+        m_faults.clear();
+        m_line_offset =
+            static_cast<std::size_t>(std::count(document.begin(), document.end(), '\n'));
+        return parse_fleet_document(document + text, m_faults).has_value();
+    }
+
+    std::size_t m_line_offset = 0;
+
+    bool has_fault(config_errc error, key_documentation const & key, std::size_t line)
+    {
+        return std::any_of(m_faults.begin(), m_faults.end(),
+                           [&](config_fault const & fault)
+                           {
+                               return fault.m_error == error &&
+                                      fault.m_key == key.m_key &&
+                                      fault.m_line == m_line_offset + line &&
+                                      fault.m_allowed == key.m_allowed &&
+                                      fault.m_section.starts_with(key.m_section);
+                           });
+    }
+
+    /// Gives \p key the value \p value and expects whether that is in its range.
+    void assert_value(key_documentation const & key, std::string const & value,
+                      bool expected)
+    {
+        std::string const text =
+            set_key(sections.at(std::string(key.m_section)), key.m_key, value);
+        check(std::string(key.m_section), text);
+        std::string const before =
+            text.substr(0, text.find("\n" + std::string(key.m_key) + " = "));
+        auto const line =
+            static_cast<std::size_t>(std::count(before.begin(), before.end(), '\n') + 2);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            std::string(key.m_section) + " " + std::string(key.m_key) + " = " + value,
+            expected, !has_fault(config_errc::bad_value, key, line));
+    }
+
+public:
+    void check_malformed_value_of_each_key_names_place_and_range()
+    {
+        for (key_documentation const & key : list_keys())
+        {
+            assert_value(key, "!", false);
+            CPPUNIT_ASSERT(std::all_of(m_faults.begin(), m_faults.end(),
+                                       [&key](config_fault const & fault)
+                                       { return fault.m_key == key.m_key; }));
+        }
+    }
+
+    void check_each_range_refuses_values_just_outside()
+    {
+        std::regex const range(
+            R"(^(\d+)(ms|s|min|)(?: \([^)]*\))? to (\d+)(ms|s|min|).*)");
+        int checked = 0;
+        for (key_documentation const & key : list_keys())
+        {
+            std::string const allowed(key.m_allowed);
+            std::smatch match;
+            if (!std::regex_match(allowed, match, range))
+            {
+                continue;
+            }
+            ++checked;
+            long long const low = std::stoll(match[1]);
+            long long const high = std::stoll(match[3]);
+            assert_value(key, std::to_string(low) + match[2].str(), true);
+            assert_value(key, std::to_string(high) + match[4].str(), true);
+            assert_value(key, std::to_string(low - 1) + match[2].str(), false);
+            assert_value(key, std::to_string(high + 1) + match[4].str(), false);
+        }
+        CPPUNIT_ASSERT(checked >= 15);
+    }
+
+    void check_missing_required_key_is_named()
+    {
+        for (key_documentation const & key : list_keys())
+        {
+            std::string text = sections.at(std::string(key.m_section));
+            std::size_t const start = text.find("\n" + std::string(key.m_key) + " = ");
+            if (!key.m_required)
+            {
+                continue;
+            }
+            CPPUNIT_ASSERT(start != std::string::npos);
+            text.erase(start, text.find('\n', start + 1) - start);
+            CPPUNIT_ASSERT(!check(std::string(key.m_section), text));
+            CPPUNIT_ASSERT(has_fault(config_errc::missing_key, key, 1));
+        }
+    }
+
+    void check_each_reference_to_nothing_is_refused()
+    {
+        for (key_documentation const & key : list_keys())
+        {
+            if (key.m_key != "owner" && key.m_key != "offered_to" &&
+                key.m_key != "domain")
+            {
+                continue;
+            }
+            CPPUNIT_ASSERT(!check(
+                std::string(key.m_section),
+                set_key(sections.at(std::string(key.m_section)), key.m_key, "nothing")));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_faults.size());
+            CPPUNIT_ASSERT(m_faults[0].m_error == config_errc::unknown_reference);
+        }
+    }
+
+    void check_long_section_names_stay_distinct()
+    {
+        std::string const name(63, 'a');
+        std::string const rest = "]\nowner = returns\n";
+        CPPUNIT_ASSERT(check("tenant", "[tenant." + name + "b" + rest + "[tenant." +
+                                           name + "c" + rest));
+        CPPUNIT_ASSERT(!check("tenant", "[tenant." + name + "bb" + rest));
+    }
+
+    void check_section_without_keys_is_checked()
+    {
+        CPPUNIT_ASSERT(!check("tenant", "[tenant.acme]\n"));
+        CPPUNIT_ASSERT(m_faults[0].m_error == config_errc::missing_key);
+        CPPUNIT_ASSERT(!check("tenant", "[colour]\n"));
+        CPPUNIT_ASSERT(m_faults[0].m_error == config_errc::unknown_section);
+        CPPUNIT_ASSERT(!check("", "[tenant.acme]\n"));
+        CPPUNIT_ASSERT(m_faults[0].m_error == config_errc::duplicate_section);
+    }
+
+    void check_sums_and_contradictions_are_refused()
+    {
+        std::string kinds;
+        for (int index = 0; index < 11; ++index)
+        {
+            kinds += "[kind.k" + std::to_string(index) +
+                     "]\nowner = returns\nurgency = 1\nshare = 1000\nrepeatable = no\n";
+        }
+        CPPUNIT_ASSERT(!check("kind", kinds));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_faults.size());
+        CPPUNIT_ASSERT(m_faults[0].m_error == config_errc::inconsistent_value);
+        CPPUNIT_ASSERT_EQUAL(std::string("kind.k10"), m_faults[0].m_section);
+        CPPUNIT_ASSERT(!check("upstream", sections.at("upstream") + "slots = 65\n"));
+        CPPUNIT_ASSERT(m_faults[0].m_error == config_errc::inconsistent_value);
+        CPPUNIT_ASSERT(check("upstream",
+                             sections.at("upstream") + "slots = 65\nconnections = 65\n"));
+    }
+
+    void document_each_key_has_its_row()
+    {
+        std::string page;
+        CPPUNIT_ASSERT(!read_file(CASSIAHUB_SOURCE_DIR "/docs/configuration.md", page));
+        for (key_documentation const & key : list_keys())
+        {
+            std::string const heading = "### [" + std::string(key.m_section);
+            std::size_t const start = page.find(heading);
+            CPPUNIT_ASSERT_MESSAGE(heading, start != std::string::npos);
+            std::string const part = page.substr(start, page.find("\n##", start) - start);
+            std::string const cell = "\n| `" + std::string(key.m_key) + "` |";
+            std::size_t const row = part.find(cell);
+            CPPUNIT_ASSERT_MESSAGE(heading + cell, row != std::string::npos);
+            std::string const line = part.substr(row, part.find('\n', row + 1) - row);
+            CPPUNIT_ASSERT_MESSAGE(line, line.find("| " + std::string(key.m_allowed) +
+                                                   " |") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(
+                line, line.find(key.m_required ? "| required |"
+                                               : "| " + std::string(key.m_default)) !=
+                          std::string::npos);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(configuration_keys_test);
+
+} // namespace
