--- a/src/config/section_edit.cpp
+++ b/src/config/section_edit.cpp
@@ -77,21 +77,42 @@
     return {};
 }
 
-/// A team may edit what it owns, and may take over what is offered to it. It may not
-/// give a section away: the text after the edit names the editing team.
+constexpr std::string_view team_prefix = "team.";
+
+/// \returns true for the section of the team \p team.
+bool is_section_of(std::string_view section, std::string_view team)
+{
+    return section.starts_with(team_prefix) && section.substr(team_prefix.size()) == team;
+}
+
+/// A team may not give a section away: the text after the edit names the editing team.
+/// A team's own section may name that team, which then changes its key by itself.
+bool may_leave(section_edit const & edit, ini_section const & after)
+{
+    std::string_view const owner = owner_of(after);
+    // A missing owner is left to the document's checks, which name the key.
+    return owner.empty() || owner == edit.m_team || is_section_of(after.m_name, owner);
+}
+
+/// A team may edit what it owns, and may take over what is offered to it. Teams are
+/// added by the administrators, who may also give each team a new key.
 bool may_edit(section_edit const & edit, ini_section const * before,
               ini_section const * after)
 {
-    if (after != nullptr)
+    if (after != nullptr && !may_leave(edit, *after))
     {
-        std::string_view const owner = owner_of(*after);
-        // A missing owner is left to the document's checks, which name the key.
-        if (!owner.empty() && owner != edit.m_team)
-        {
-            return false;
-        }
+        return false;
+    }
+    bool const is_team = edit.m_section.starts_with(team_prefix);
+    if (is_team && edit.m_team == administrators)
+    {
+        return true;
     }
-    return before == nullptr || owner_of(*before) == edit.m_team ||
+    if (before == nullptr)
+    {
+        return !is_team;
+    }
+    return owner_of(*before) == edit.m_team ||
            (after != nullptr && value_of(*before, "offered_to") == edit.m_team);
 }
 
@@ -135,6 +156,12 @@
     {
         document.m_sections.push_back(*after);
     }
+    else if (is_section_of(name, administrators))
+    {
+        // [dispatch] and teams without an owner would belong to nobody.
+        faults.push_back({config_errc::still_referenced, std::string(name), "", 0,
+                          "an edit; the administrators stay"});
+    }
     check_fleet_document(document, faults);
 }
 
--- a/tests/config_edit_test.cpp
+++ b/tests/config_edit_test.cpp
@@ -46,6 +46,9 @@
     CPPUNIT_TEST(delete_absent_section_is_not_found);
     CPPUNIT_TEST(edit_shards_of_domain_is_refused);
     CPPUNIT_TEST(edit_own_team_section_belongs_to_platform_by_default);
+    CPPUNIT_TEST(edit_team_that_owns_itself_changes_its_key);
+    CPPUNIT_TEST(add_team_by_other_team_is_not_owner);
+    CPPUNIT_TEST(delete_administrators_is_refused);
     CPPUNIT_TEST(edit_too_large_text_is_refused);
     CPPUNIT_TEST(set_key_any_section_changes_only_that_key);
     CPPUNIT_TEST_SUITE_END();
@@ -254,6 +257,35 @@
                        config_errc::not_owner);
     }
 
+    void edit_team_that_owns_itself_changes_its_key()
+    {
+        std::string const text = team_text("returns", "another-key-of-returns");
+        section_edit edit{"platform", platform_key, "team.returns", 7,
+                          text + "owner = cutting\n"};
+        assert_refused(edit, config_errc::not_owner);
+        edit.m_text = text + "owner = returns\n";
+        assert_accepted(edit);
+        m_texts["team.returns"] = team_text("returns", returns_key) + "owner = returns\n";
+        assert_accepted({"returns", returns_key, "team.returns", 7, edit.m_text});
+        assert_accepted(edit);
+    }
+
+    void add_team_by_other_team_is_not_owner()
+    {
+        std::string const text = team_text("new", "key-of-a-new-team");
+        assert_refused(
+            {"returns", returns_key, "team.new", 0, text + "owner = returns\n"},
+            config_errc::not_owner);
+        assert_accepted({"platform", platform_key, "team.new", 0, text});
+    }
+
+    void delete_administrators_is_refused()
+    {
+        m_texts["domain.nairobi"] = "[domain.nairobi]\nowner = returns\nregion = kenya\n";
+        assert_refused({"platform", platform_key, "team.platform", 7, {}},
+                       config_errc::still_referenced);
+    }
+
     void edit_too_large_text_is_refused()
     {
         std::string const comments(max_section_bytes, ';');
