--- a/src/entry/operator_endpoints.cpp
+++ b/src/entry/operator_endpoints.cpp
@@ -31,16 +31,22 @@
 /// Operator requests that one instance handles at once. With 19,000 edits a day over all
 /// instances one would do; the others let reads pass while a write waits for the store.
 constexpr std::size_t session_count = 4;
+/// Sessions and requests that wait for one; few against the 128 threads for callers.
+constexpr std::size_t ticket_count = 12;
 /// Longest wait for a session; about the time of one exchange with a slow store.
 constexpr duration session_wait = std::chrono::seconds(2);
 
-/// A session that one request uses.
+/// A ticket and the session that one request uses.
 class session_lease
 {
 public:
     explicit session_lease(operator_state & state)
-        : m_state(state), m_session(state.m_sessions.pop(session_wait))
+        : m_state(state), m_ticket(state.m_tickets.pop(duration::zero()))
     {
+        if (m_ticket)
+        {
+            m_session = state.m_sessions.pop(session_wait);
+        }
     }
 
     session_lease(session_lease const &) = delete;
@@ -52,6 +58,10 @@
         {
             m_state.m_sessions.try_push(std::move(*m_session));
         }
+        if (m_ticket)
+        {
+            m_state.m_tickets.try_push(operator_ticket());
+        }
     }
 
     /// \returns the session, or nullptr when all were in use.
@@ -62,6 +72,7 @@
 
 private:
     operator_state & m_state;
+    std::optional<operator_ticket> m_ticket;
     std::optional<platform::configuration_session> m_session;
 };
 
@@ -335,8 +346,13 @@
 } // namespace internal
 
 operator_state::operator_state(daemon_context const & context)
-    : m_context(context), m_sessions(internal::session_count)
+    : m_context(context), m_tickets(internal::ticket_count),
+      m_sessions(internal::session_count)
 {
+    for (std::size_t index = 0; index < internal::ticket_count; ++index)
+    {
+        m_tickets.try_push(operator_ticket());
+    }
     std::random_device device;
     for (std::size_t index = 0; index < internal::session_count; ++index)
     {
--- a/src/entry/operator_endpoints.hpp
+++ b/src/entry/operator_endpoints.hpp
@@ -11,14 +11,21 @@
 namespace cassiahub::entry
 {
 
-/// Sessions with the platform that operator requests take turns in using. Empty ring:
-/// the request waits a short time and is then refused, so that operators never occupy
-/// more callers' threads than there are sessions and waiters for long.
+/// A request's right to use a session or to wait for one.
+struct operator_ticket
+{
+};
+
+/// Sessions with the platform that operator requests take turns in using.
 struct operator_state
 {
     explicit operator_state(daemon_context const & context);
 
     daemon_context const & m_context;
+    // Empty: the request is refused at once, which bounds the callers' threads that
+    // operators occupy while the store is slow.
+    runtime::bounded_ring<operator_ticket> m_tickets;
+    // Empty: a request with a ticket waits a short time and is then refused.
     runtime::bounded_ring<platform::configuration_session> m_sessions;
 };
 
--- a/tests/config_keys_test.cpp
+++ b/tests/config_keys_test.cpp
@@ -1,6 +1,7 @@
 /// \file Every key of the fleet document: its range, and its entry in the documentation.
 
 #include <cassiahub/config.hpp>
+#include <cassiahub/core/error.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -38,6 +39,7 @@
     CPPUNIT_TEST(check_section_without_keys_is_checked);
     CPPUNIT_TEST(check_sums_and_contradictions_are_refused);
     CPPUNIT_TEST(document_each_key_has_its_row);
+    CPPUNIT_TEST(document_each_refusal_code_is_explained);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<config_fault> m_faults;
@@ -216,6 +218,23 @@
                           std::string::npos);
         }
     }
+
+    void document_each_refusal_code_is_explained()
+    {
+        std::string page;
+        CPPUNIT_ASSERT(!read_file(CASSIAHUB_SOURCE_DIR "/docs/operations.md", page));
+        for (std::error_category const * category :
+             {&config_category(), &cassiahub::job_category()})
+        {
+            int value = 1;
+            for (; category->message(value) != "unknown_error"; ++value)
+            {
+                std::string const code = "`" + category->message(value) + "`";
+                CPPUNIT_ASSERT_MESSAGE(code, page.find(code) != std::string::npos);
+            }
+            CPPUNIT_ASSERT(value > 20);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_keys_test);
--- a/tests/ctl_config_race_test.cpp
+++ b/tests/ctl_config_race_test.cpp
@@ -62,6 +62,7 @@
 {
     arguments.insert(arguments.begin(), CASSIAHUB_BIN_DIR "/" + name);
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (std::string & argument : arguments)
     {
         pointers.push_back(argument.data());
@@ -73,10 +74,16 @@
     return pid;
 }
 
-void stop_program(pid_t pid)
+void stop_programs(std::span<pid_t const> pids)
 {
-    kill(pid, SIGTERM);
-    waitpid(pid, nullptr, 0);
+    for (pid_t const pid : pids)
+    {
+        kill(pid, SIGTERM);
+    }
+    for (pid_t const pid : pids)
+    {
+        waitpid(pid, nullptr, 0);
+    }
 }
 
 std::string team_key(std::string const & team)
@@ -334,10 +341,7 @@
 
     void tearDown() override
     {
-        for (pid_t const child : m_children)
-        {
-            stop_program(child);
-        }
+        stop_programs(m_children);
         m_children.clear();
         for (int index = 0; index < 2; ++index)
         {
