--- a/include/cassiahub/load/load_report.hpp
+++ b/include/cassiahub/load/load_report.hpp
@@ -82,6 +82,7 @@
 /// Everything measured in one run. Used by one thread.
 struct load_report
 {
+    std::string m_run;      ///< begins every key of the run
     duration m_interval{0}; ///< length of one element of m_intervals
     std::vector<kind_totals> m_kinds;
     std::vector<std::string> m_not_run_keys; ///< refused as not run, bounded
--- /dev/null
+++ b/scripts/bench.py
@@ -0,0 +1,179 @@
+"""Measures the deployment on loopback and writes build/report.json."""
+
+import argparse
+import dataclasses
+import json
+import os
+import subprocess
+import sys
+import time
+
+import deployment as dep
+import make_examples
+
+BASE_PORT = int(os.environ.get("CASSIAHUB_BENCH_PORT", "18400"))
+REPORT = dep.ROOT / "build" / "report.json"
+FLEET_SLOTS = 96
+FLOOD_FACTOR = 3  # of fleet capacity
+URGENT_KINDS = ("lodgement", "pattern-check")
+LEAST_URGENT, MOST_URGENT = "bulk-report", "lodgement"
+EXPERIMENT_LIMIT_S = 120
+
+
+@dataclasses.dataclass
+class Lengths:
+    """Seconds of each part."""
+    steady: int
+    normal: int  # before, between and after the floods
+    flood: int
+    cost: int
+    probes: int  # calls
+
+
+DEFAULT = Lengths(steady=40, normal=10, flood=20, cost=8, probes=500)
+QUICK = Lengths(steady=6, normal=4, flood=4, cost=3, probes=100)
+
+
+def scale_mix(mix, factor):
+    return [dataclasses.replace(kind, rate=kind.rate * factor) for kind in mix]
+
+
+def mean_slots(kind):
+    """Busy slots of one kind, from cassiahub-load check."""
+    path = dep.ROOT / "build" / "bench-kind.ini"
+    path.write_text(make_examples.load_text("One kind.", [kind], "10s"))
+    text = subprocess.run([dep.BIN / "cassiahub-load", "check", path], check=True,
+                          capture_output=True).stdout.decode()
+    return float(text.split(",")[1].split()[0])
+
+
+def run_load(deployment, name, mix, length, floods=(), senders=380):
+    plan = deployment.folder / f"{name}.ini"
+    report = deployment.folder / f"{name}.json"
+    plan.write_text(make_examples.load_text(
+        f"Written by scripts/bench: {name}.", mix, f"{length}s",
+        targets=deployment.entries, upstreams=deployment.upstreams, floods=floods,
+        senders=senders, progress="15s"))
+    subprocess.run([dep.BIN / "cassiahub-load", "run", plan, "--report", report,
+                    "--plot", report.with_suffix(".svg")], check=True)
+    return json.loads(report.read_text())
+
+
+def flood_of(name, mix, start, length):
+    kind = next(kind for kind in mix if kind.name == name)
+    factor = FLOOD_FACTOR * FLEET_SLOTS / mean_slots(kind)
+    return (name, name, factor, f"{start}s", f"{length}s")
+
+
+def worst(report, member):
+    return max(report["kinds"][kind][member] for kind in URGENT_KINDS)
+
+
+def measure_policy(policy, lengths):
+    mix = scale_mix(make_examples.tausi_mix() + make_examples.ente_mix(), 0.5)
+    deployment = dep.start(f"bench-{policy or 'only'}", BASE_PORT, policy=policy)
+    try:
+        steady = run_load(deployment, "steady", mix, lengths.steady)
+        second = 2 * lengths.normal + lengths.flood
+        floods = [flood_of(LEAST_URGENT, mix, lengths.normal, lengths.flood),
+                  flood_of(MOST_URGENT, mix, second, lengths.flood)]
+        flooded = run_load(deployment, "floods", mix,
+                           3 * lengths.normal + 2 * lengths.flood, floods)
+    finally:
+        dep.stop(deployment)
+    return {
+        "response_ratio_p50": worst(steady, "response_ratio_p50"),
+        "response_ratio_p99": worst(steady, "response_ratio_p99"),
+        "good_share": min(kind["good_share"] for kind in steady["kinds"].values()),
+        "wasted_ratio": steady["wasted_ratio"],
+        "flood_retention_least_urgent": flooded["floods"][LEAST_URGENT]["retention"],
+        "flood_retention_most_urgent": flooded["floods"][MOST_URGENT]["retention"],
+        "violations": steady["violations"] + flooded["violations"],
+    }
+
+
+def measure_cost(lengths):
+    """One entry instance for each domain: added time, and starts a second and core."""
+    deployment = dep.start("bench-cost", BASE_PORT, entries_per_domain=1)
+    try:
+        probe = json.loads(subprocess.run(
+            [dep.BIN / "cassiahub-load", "probe", "--entry", deployment.entries[0],
+             "--upstream", deployment.upstreams[0], "--tenant", "tausi", "--kind",
+             "levy-validation", "--count", str(lengths.probes)],
+            check=True, capture_output=True).stdout)
+        short = [make_examples.KindLoad("levy-validation", 60, "10s", True, "20:1",
+                                        "5ms:1", "tausi:1")]
+        entries = [process for name, process in deployment.processes.items()
+                   if name.startswith("entry-")]
+        before = sum(map(dep.cpu_seconds, entries)), dep.count_starts(deployment)
+        run_load(deployment, "short-tasks", short, lengths.cost)
+        used = sum(map(dep.cpu_seconds, entries)) - before[0]
+        starts = dep.count_starts(deployment) - before[1]
+    finally:
+        dep.stop(deployment)
+    return {"added_p50_ms": probe["added_p50_ms"], "added_p99_ms": probe["added_p99_ms"],
+            "probe_failures": probe["failed"], "starts": starts, "cpu_seconds": used,
+            "starts_per_second_and_core": starts / used if used > 0 else 0}
+
+
+def run_experiment():
+    program = dep.BIN / "cassiahub-experiment"
+    if not program.exists():
+        return {"ran": False, "reason": "build/bin/cassiahub-experiment does not exist"}
+    try:
+        ran = subprocess.run([program], capture_output=True, check=False,
+                             timeout=EXPERIMENT_LIMIT_S)
+    except subprocess.TimeoutExpired:
+        return {"ran": False, "reason": f"longer than {EXPERIMENT_LIMIT_S} s"}
+    return {"ran": True, "exit_code": ran.returncode, "output": ran.stdout.decode()}
+
+
+def has_policies():
+    """Whether the fleet document knows the key policy."""
+    path = dep.ROOT / "build" / "bench-policy.ini"
+    path.write_text(make_examples.fleet_text(make_examples.local_fleet(policy="fair")))
+    return subprocess.run([dep.BIN / "cassiahubctl", "config", "check", path],
+                          capture_output=True, check=False).returncode == 0
+
+
+def print_table(report):
+    policies = report["policies"]
+    print(f"\n{'':32}" + "".join(f"{name:>14}" for name in policies))
+    for row in next(iter(policies.values())):
+        print(f"{row:32}" + "".join(f"{values[row]:14.3f}" for values in policies.values()))
+    for name, value in report["cost"].items():
+        print(f"{name:32}{value:14.3f}")
+    experiment = report["experiment"]
+    if experiment["ran"]:
+        print(f"\ncassiahub-experiment, exit code {experiment['exit_code']}:")
+        print(experiment["output"].rstrip())
+    else:
+        print(f"\ncassiahub-experiment not run: {experiment['reason']}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="under a minute")
+    parser.add_argument("--no-experiment", action="store_true",
+                        help="leave out cassiahub-experiment")
+    arguments = parser.parse_args()
+    lengths = QUICK if arguments.quick else DEFAULT
+    dep.turn_stop_signals_into_exit()
+    begin = time.monotonic()
+    policies = ("fair", "baseline") if has_policies() else ("",)
+    report = {"quick": arguments.quick, "policies": {}}
+    for policy in policies:
+        report["policies"][policy or "only"] = measure_policy(policy, lengths)
+    report["cost"] = measure_cost(lengths)
+    report["experiment"] = (
+        {"ran": False, "reason": "left out"} if arguments.no_experiment or arguments.quick
+        else run_experiment())
+    report["seconds"] = time.monotonic() - begin
+    REPORT.write_text(json.dumps(report, indent=2) + "\n")
+    print_table(report)
+    print(f"{report['seconds']:.0f} s; {REPORT}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/deployment.py
@@ -0,0 +1,195 @@
+"""Starts a deployment on loopback: a platform stand-in, upstream stand-ins for three
+failure domains, and entry instances. Used by scripts/demo and scripts/bench."""
+
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import make_examples
+
+ROOT = make_examples.ROOT
+BIN = ROOT / "build" / "bin"
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 15
+STOP_TIMEOUT_S = 20
+
+# Ports, from the base: the platform, callers from 1, peers from 31, upstreams from 100.
+CALLER_OFFSET, PEER_OFFSET, UPSTREAM_OFFSET = 1, 31, 100
+
+
+@dataclasses.dataclass
+class Deployment:
+    folder: pathlib.Path
+    fleet: object
+    platform: str
+    upstreams: list  # first address of each upstream process
+    entries: list  # caller addresses
+    processes: dict = dataclasses.field(default_factory=dict)  # name: Popen
+
+
+def request(address, method, path, body=None, headers=None, timeout=15):
+    """Returns (status, text), or (0, reason) when there was no answer."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode()
+    except (OSError, http.client.HTTPException) as fault:
+        return 0, str(fault)
+    finally:
+        connection.close()
+
+
+def get_json(address, path):
+    status, text = request(address, "GET", path)
+    if status != 200:
+        raise RuntimeError(f"{address}{path}: {status} {text}")
+    return json.loads(text)
+
+
+def start_process(deployment, name, *command):
+    log = open(deployment.folder / f"{name}.log", "wb")
+    deployment.processes[name] = subprocess.Popen(
+        [str(part) for part in command], stdout=log, stderr=subprocess.STDOUT
+    )
+    log.close()
+
+
+def wait_for(address, path, what, deadline):
+    while time.monotonic() < deadline:
+        if request(address, "GET", path, timeout=2)[0] == 200:
+            return
+        time.sleep(0.05)
+    raise RuntimeError(f"{what} at {address} is not ready")
+
+
+def accepts_secret(deployment, entry):
+    """The key peer_secret is unknown to versions without peer messages."""
+    path = deployment.folder / "check.ini"
+    path.write_text(make_examples.entry_text(entry, True))
+    checked = subprocess.run([BIN / "cassiahub-entry", "--settings", path, "--check"],
+                             capture_output=True, check=False)
+    return checked.returncode == 0
+
+
+def put_instances(deployment):
+    listed = [{"name": entry.name, "domain": entry.domain, "address": entry.peer_address,
+               "entry": True, "leaving": False} for entry in deployment.fleet.entries]
+    listed += [{"name": upstream.name, "domain": upstream.domain,
+                "address": upstream.address, "entry": False, "leaving": False}
+               for upstream in deployment.fleet.upstreams]
+    status, text = request(deployment.platform, "PUT", "/instances",
+                           json.dumps({"instances": listed}))
+    if status != 204:
+        raise RuntimeError(f"instance list: {status} {text}")
+
+
+def start(name, base_port, entries_per_domain=2, policy=""):
+    """Starts everything and waits until each entry instance is ready."""
+    folder = ROOT / "build" / name
+    folder.mkdir(parents=True, exist_ok=True)
+    fleet = make_examples.local_fleet(
+        HOST, base_port, base_port + CALLER_OFFSET, base_port + PEER_OFFSET,
+        base_port + UPSTREAM_OFFSET, entries_per_domain, policy)
+    deployment = Deployment(
+        folder, fleet, f"{HOST}:{base_port}",
+        [f"{HOST}:{base_port + UPSTREAM_OFFSET + 10 * index}" for index in range(3)],
+        [entry.caller_address for entry in fleet.entries])
+    try:
+        start_parts(deployment)
+    except BaseException:
+        stop(deployment)
+        raise
+    return deployment
+
+
+def start_parts(deployment):
+    deadline = time.monotonic() + START_TIMEOUT_S
+    start_process(deployment, "platform", BIN / "cassiahub-platform-standin",
+                  "--listen", deployment.platform)
+    for domain, address in zip(deployment.fleet.domains, deployment.upstreams):
+        start_process(deployment, f"upstreams-{domain}",
+                      BIN / "cassiahub-upstream-standin",
+                      "--first-port", address.split(":")[1], "--count", 4)
+    wait_for(deployment.platform, "/stats", "platform stand-in", deadline)
+    for address in deployment.upstreams:
+        wait_for(address, "/stats", "upstream stand-in", deadline)
+    fleet_path = deployment.folder / "fleet.ini"
+    fleet_path.write_text(make_examples.fleet_text(deployment.fleet))
+    subprocess.run([BIN / "cassiahubctl", "config", "init", "--platform",
+                    deployment.platform, fleet_path], check=True,
+                   stdout=subprocess.DEVNULL)
+    put_instances(deployment)
+    with_secret = accepts_secret(deployment, deployment.fleet.entries[0])
+    for entry in deployment.fleet.entries:
+        path = deployment.folder / f"entry-{entry.name}.ini"
+        path.write_text(make_examples.entry_text(entry, with_secret))
+        start_process(deployment, f"entry-{entry.name}", BIN / "cassiahub-entry",
+                      "--settings", path)
+    for entry in deployment.fleet.entries:
+        wait_for(entry.caller_address, "/readyz", f"entry instance {entry.name}",
+                 deadline)
+
+
+def stop(deployment):
+    """Stops the entry instances first, so that they end gracefully.
+    Returns the exit code of each process."""
+    codes = {}
+    for is_entry in (True, False):
+        chosen = {name: process for name, process in deployment.processes.items()
+                  if name.startswith("entry-") == is_entry}
+        for process in chosen.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for name, process in chosen.items():
+            try:
+                codes[name] = process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                codes[name] = process.wait()
+                print(f"{name} did not stop in {STOP_TIMEOUT_S} s and was killed",
+                      file=sys.stderr)
+    deployment.processes.clear()
+    return codes
+
+
+def cpu_seconds(process):
+    """Processor time that a running process has used so far."""
+    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def count_starts(deployment):
+    return sum(get_json(address, "/stats?upstream=all")["starts"]
+               for address in deployment.upstreams)
+
+
+def list_starts(deployment):
+    """Every start that the workers remember, over all upstreams."""
+    starts = []
+    for address in deployment.upstreams:
+        after = 0
+        while True:
+            page = get_json(address, f"/starts?upstream=all&after={after}")
+            if not page:
+                break
+            starts += page
+            after = page[-1]["sequence"]
+    return starts
+
+
+def count_job_starts(deployment, key):
+    return sum(start["job"].endswith("/" + key) for start in list_starts(deployment))
+
+
+def turn_stop_signals_into_exit():
+    """Lets the cleanup of a script run on SIGTERM and SIGHUP."""
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(1))
--- a/src/load/load_duties.hpp
+++ b/src/load/load_duties.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <stop_token>
+#include <string>
 #include <system_error>
 #include <variant>
 
@@ -29,6 +30,7 @@
 {
     load_plan const & m_plan;
     time_point m_start; ///< of the run; arrivals count from it
+    std::string m_run;  ///< begins every key
     runtime::bounded_ring<arrival> m_arrivals{arrival_ring_size};
     /// A sender waits for room: the collector does little for each outcome.
     runtime::bounded_ring<collector_event> m_outcomes{outcome_ring_size};
@@ -55,8 +57,10 @@
 /// \returns what was counted between \p before and \p after.
 upstream_totals subtract(upstream_totals after, upstream_totals const & before);
 
-/// \returns how many of report.m_not_run_keys an upstream stand-in started.
-std::uint64_t count_started(load_plan const & plan, load_report const & report);
+/// Compares the answers with the starts that the upstream stand-ins list: sets
+/// m_started_despite_refusal, and raises the repeated starts to those that only show
+/// over several processes.
+void check_starts(load_plan const & plan, load_report & report);
 
 /// Waits until \p when or a stop request. \returns false after a stop request.
 bool wait_until(time_point when, std::stop_token const & stop);
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -94,10 +94,7 @@
 
 std::error_code run_generator(load_context & context, std::stop_token const & stop)
 {
-    // Keys of two runs must differ, or the second run reads the answers of the first.
-    arrival_state state = start_arrivals(
-        context.m_plan,
-        fmt::format("{:x}", to_milliseconds(context.m_start.time_since_epoch())));
+    arrival_state state = start_arrivals(context.m_plan, context.m_run);
     std::uint64_t count = 0;
     while (std::optional<arrival> item = next_arrival(context.m_plan, state))
     {
@@ -171,13 +168,16 @@
     // Time for the senders to start before the first arrival.
     constexpr duration lead = std::chrono::milliseconds(200);
     upstream_totals const before = internal::read_upstreams(plan);
-    internal::load_context context{plan, runtime::read_boot_clock() + lead};
+    time_point const start = runtime::read_boot_clock() + lead;
+    // Keys of two runs must differ, or the second run reads the answers of the first.
+    report.m_run = fmt::format("{:x}", to_milliseconds(start.time_since_epoch()));
+    internal::load_context context{plan, start, report.m_run};
     std::stop_source finished;
     std::stop_callback const interrupted(stop, [&finished] { finished.request_stop(); });
     runtime::supervisor_spec const tree = internal::make_tree(context, report, finished);
     std::error_code const error = runtime::supervise(tree, finished.get_token());
     report.m_upstreams = internal::subtract(internal::read_upstreams(plan), before);
-    report.m_started_despite_refusal = internal::count_started(plan, report);
+    internal::check_starts(plan, report);
     return error;
 }
 
--- a/src/load/load_upstreams.cpp
+++ b/src/load/load_upstreams.cpp
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
 #include <string>
 #include <unordered_set>
 
@@ -47,10 +49,34 @@
     }
 }
 
-std::uint64_t count_started_at(std::string const & address,
-                               std::unordered_set<std::string> const & keys)
+/// Starts of one run over all processes.
+struct run_starts
+{
+    std::unordered_set<std::string> m_keys;
+    std::unordered_set<std::string> m_tasks; ///< "job task"
+    std::map<std::string, std::uint64_t> m_repeated_by_kind;
+};
+
+void add_start(json const & start, std::string const & run, run_starts & found)
+{
+    // A job is named tenant/domain/key.
+    std::string const job = start.at("job").get<std::string>();
+    std::string const key = job.substr(job.rfind('/') + 1);
+    if (!key.starts_with(run))
+    {
+        return;
+    }
+    found.m_keys.insert(key);
+    // The name of the home domain is left out: one key of a run is one job.
+    if (!found.m_tasks.insert(key + ' ' + start.at("task").get<std::string>()).second)
+    {
+        ++found.m_repeated_by_kind[start.at("kind").get<std::string>()];
+    }
+}
+
+void add_starts_of(std::string const & address, std::string const & run,
+                   run_starts & found)
 {
-    std::unordered_set<std::string> started;
     std::uint64_t after = 0;
     for (;;)
     {
@@ -58,19 +84,13 @@
             get(address, "/starts", fmt::format("upstream=all&after={}", after));
         if (!page.is_array() || page.empty())
         {
-            return started.size();
+            return;
         }
         for (json const & start : page)
         {
-            // A job is named tenant/domain/key.
-            std::string const job = start.at("job").get<std::string>();
-            std::string const key = job.substr(job.rfind('/') + 1);
-            if (keys.contains(key))
-            {
-                started.insert(key);
-            }
-            after = start.at("sequence").get<std::uint64_t>();
+            add_start(start, run, found);
         }
+        after = page.back().at("sequence").get<std::uint64_t>();
     }
 }
 
@@ -105,16 +125,22 @@
     return after;
 }
 
-std::uint64_t count_started(load_plan const & plan, load_report const & report)
+void check_starts(load_plan const & plan, load_report & report)
 {
-    std::unordered_set<std::string> const keys(report.m_not_run_keys.begin(),
-                                               report.m_not_run_keys.end());
-    std::uint64_t count = 0;
+    run_starts found;
     for (std::string const & address : plan.m_upstreams)
     {
-        count += keys.empty() ? 0 : count_started_at(address, keys);
+        add_starts_of(address, report.m_run, found);
+    }
+    for (std::string const & key : report.m_not_run_keys)
+    {
+        report.m_started_despite_refusal += found.m_keys.contains(key) ? 1 : 0;
+    }
+    for (auto const & [kind, count] : found.m_repeated_by_kind)
+    {
+        std::uint64_t & known = report.m_upstreams.m_repeated_by_kind[kind];
+        known = std::max(known, count);
     }
-    return count;
 }
 
 } // namespace cassiahub::load::internal
