--- a/programs/cassiahub-upstream-standin.cpp
+++ b/programs/cassiahub-upstream-standin.cpp
@@ -7,6 +7,7 @@
 #include <civetweb.h>
 
 #include <cstdint>
+#include <iostream>
 #include <utility>
 
 int main(int argc, char ** argv)
@@ -48,6 +49,12 @@
         return app.exit(fault) == 0 ? cassiahub::runtime::exit_success
                                     : cassiahub::runtime::exit_usage;
     }
+    constexpr std::uint32_t last_port = 65'535;
+    if (options.m_first_port + options.m_count - 1 > last_port)
+    {
+        std::cerr << "--first-port and --count: bad value, allowed: ports up to 65535\n";
+        return cassiahub::runtime::exit_usage;
+    }
     options.m_usage_lag = std::chrono::milliseconds(usage_lag_ms);
     options.m_run_time = std::chrono::milliseconds(run_time_ms);
     mg_init_library(MG_FEATURES_DEFAULT);
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -138,13 +138,14 @@
                  deadline)
 
 
-def stop(deployment):
-    """Stops the entry instances first, so that they end gracefully.
-    Returns the exit code of each process."""
+def stop(deployment, entries_first=True):
+    """Stops every process and returns their exit codes. The entry instances end
+    gracefully when the other processes outlive them."""
     codes = {}
-    for is_entry in (True, False):
+    waves = [True, False] if entries_first else [None]
+    for is_entry in waves:
         chosen = {name: process for name, process in deployment.processes.items()
-                  if name.startswith("entry-") == is_entry}
+                  if is_entry is None or name.startswith("entry-") == is_entry}
         for process in chosen.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGTERM)
