--- a/src/config/key_rules.cpp
+++ b/src/config/key_rules.cpp
@@ -185,7 +185,8 @@
                  return true;
              }
              return false;
-         }},
+         },
+         "fair", "order and placement of tasks; baseline is for comparison only"},
         {"ejection", "success_rate, consecutive_failures or none", false,
          [](std::string_view value, dispatch_settings & record)
          {
@@ -205,92 +206,81 @@
                  return true;
              }
              return false;
-         }},
+         },
+         "success_rate", "how upstreams that fail everything are kept from getting work"},
         {"max_attempts", "1 to 10", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 10, record.m_max_attempts);
-         }},
+         { return parse_number(value, 1, 10, record.m_max_attempts); },
+         "3", "attempts of one repeatable task, the first included"},
         {"retry_budget_percent", "0 to 100", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 100, record.m_retry_budget_percent);
-         }},
+         { return parse_number(value, 0, 100, record.m_retry_budget_percent); },
+         "10", "retries allowed for each 100 first attempts"},
         {"retry_reserve", "0 to 1000", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 1000, record.m_retry_reserve);
-         }},
+         { return parse_number(value, 0, 1000, record.m_retry_reserve); },
+         "50", "retries that may be made before the percentage limits them"},
         {"retry_delay", "1ms to 1s", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 1ms, 1s, record.m_retry_delay);
-         }},
+         { return parse_duration(value, 1ms, 1s, record.m_retry_delay); },
+         "10ms", "longest wait before the third attempt of a task that did not run"},
         {"hedge_budget_percent", "0 to 100", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 100, record.m_hedge_budget_percent);
-         }},
+         { return parse_number(value, 0, 100, record.m_hedge_budget_percent); },
+         "1", "hedges allowed for each 100 first attempts; 0 turns hedging off"},
         {"hedge_delay_percent", "100 to 1000", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 100, 1000, record.m_hedge_delay_percent);
-         }},
+         { return parse_number(value, 100, 1000, record.m_hedge_delay_percent); },
+         "200",
+         "run time, in percent of the 95th percentile of the kind, after which a "
+         "repeatable task is hedged"},
         {"share_window", "0ms to 60s", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 0ms, 60s, record.m_share_window);
-         }},
+         { return parse_duration(value, 0ms, 60s, record.m_share_window); },
+         "1s", "period over which a kind may use its share in a burst"},
         {"ejection_window", "1s to 10min", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 1s, 10min, record.m_ejection_window);
-         }},
+         { return parse_duration(value, 1s, 10min, record.m_ejection_window); },
+         "10s", "period over which the success rate of an upstream is taken"},
         {"ejection_min_results", "1 to 1000", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 1000, record.m_ejection_min_results);
-         }},
+         { return parse_number(value, 1, 1000, record.m_ejection_min_results); },
+         "5", "results in the window below which an upstream is not judged"},
         {"ejection_success_percent", "1 to 100", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 100, record.m_ejection_success_percent);
-         }},
+         { return parse_number(value, 1, 100, record.m_ejection_success_percent); },
+         "50", "success rate below which an upstream is ejected"},
         {"ejection_slow_percent", "150 to 10000", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 150, 10000, record.m_ejection_slow_percent);
-         }},
+         { return parse_number(value, 150, 10000, record.m_ejection_slow_percent); },
+         "300", "run time, in percent of the usual, above which an upstream is ejected"},
         {"ejection_cap_percent", "0 to 90", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 90, record.m_ejection_cap_percent);
-         }},
+         { return parse_number(value, 0, 90, record.m_ejection_cap_percent); },
+         "40", "largest ejected part of the upstreams of an instance"},
         {"ejection_cooling", "100ms to 10min", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 100ms, 10min, record.m_ejection_cooling);
-         }},
+         { return parse_duration(value, 100ms, 10min, record.m_ejection_cooling); },
+         "10s",
+         "time before an ejected upstream is probed; doubled for each ejection in a row, "
+         "up to eight times"},
         {"breaker_threshold", "1 to 100", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 100, record.m_breaker_threshold);
-         }},
+         { return parse_number(value, 1, 100, record.m_breaker_threshold); },
+         "5", "consecutive failures that open the circuit breaker"},
         {"breaker_open_time", "100ms to 10min", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 100ms, 10min, record.m_breaker_open_time);
-         }},
+         { return parse_duration(value, 100ms, 10min, record.m_breaker_open_time); },
+         "30s", "time for which the circuit breaker stays open"},
         {"attempt_timeout_margin", "100ms to 60s", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 100ms, 60s, record.m_attempt_timeout_margin);
-         }},
+         { return parse_duration(value, 100ms, 60s, record.m_attempt_timeout_margin); },
+         "5s",
+         "time after its deadline at which an attempt without a result frees its slot"},
         {"resubmission_window", "10s to 1440min", false,
          [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 10s, 24h, record.m_resubmission_window);
-         }},
+         { return parse_duration(value, 10s, 24h, record.m_resubmission_window); },
+         "10min", "time for which a job's key and answer are remembered"},
     };
     return rules;
 }
