--- a/tests/decision_fleet.hpp
+++ b/tests/decision_fleet.hpp
@@ -341,6 +341,25 @@
         }
     }
 
+    /// \returns the number of callers that wait for an answer of a node.
+    std::size_t count_waiting(std::size_t index) const
+    {
+        return std::size_t(std::count_if(
+            m_callers.begin(), m_callers.end(),
+            [this, index](auto const & item)
+            {
+                waiting_caller const & waiting = item.second;
+                if (waiting.m_node != index || waiting.m_position == no_position)
+                {
+                    return false;
+                }
+                submission const & entry =
+                    m_jobs.at(waiting.m_key).m_submissions[waiting.m_position];
+                return !entry.m_gone &&
+                       entry.m_incarnation == m_nodes[index].m_incarnation;
+            }));
+    }
+
     void fail(std::string what)
     {
         m_broken.push_back(std::to_string(to_milliseconds(m_now)) +
@@ -510,6 +529,10 @@
         bool const recorded = std::any_of(m_table.begin(), m_table.end(),
                                           [&row](auto const & entry)
                                           { return entry.first.ends_with(row); });
+        if (!job.m_repeatable && !recorded)
+        {
+            fail(start.m_job.m_key + " started_without_record");
+        }
         if (other_owner && !known && !recorded && job.m_repeatable && !job.m_key_lost)
         {
             job.m_key_lost = true;
--- a/tests/decision_property_test.cpp
+++ b/tests/decision_property_test.cpp
@@ -248,6 +248,10 @@
                               await_idle(index, incarnation);
                               return;
                           }
+                          if (m_fleet.count_waiting(index) > 0)
+                          {
+                              m_fleet.fail(node.m_name + " planned_stop_cut_off_caller");
+                          }
                           m_fleet.kill(index);
                           ++m_fleet.m_counts["drained"];
                           restart_after(index, 500ms);
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,219 @@
+/// \file Failure detection, incarnations, clock bounds and rendezvous hashing.
+
+#include <cassiahub/membership.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace cassiahub;
+using namespace cassiahub::membership;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{100s};
+
+// Guards against a dead member that stays live, a live one that is given up, and messages
+// of a replaced process that count for its successor.
+class members_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(members_test);
+    CPPUNIT_TEST(member_silent_in_domain_fails_after_timeout);
+    CPPUNIT_TEST(member_silent_in_other_domain_keeps_longer_timeout);
+    CPPUNIT_TEST(member_after_own_suspension_stays_live);
+    CPPUNIT_TEST(report_of_new_incarnation_replaces_old_one);
+    CPPUNIT_TEST(report_of_replaced_incarnation_is_ignored);
+    CPPUNIT_TEST(report_overtaken_by_later_one_is_ignored);
+    CPPUNIT_TEST(list_address_takes_precedence_over_heartbeat);
+    CPPUNIT_TEST(list_without_live_member_keeps_it_live);
+    CPPUNIT_TEST(heartbeats_at_design_size_stay_within_budget);
+    CPPUNIT_TEST(peer_clock_limit_is_never_later_than_true_limit);
+    CPPUNIT_TEST_SUITE_END();
+
+    membership_state m_state;
+    random_source m_random{1};
+
+    static member_report make_report(std::string domain, std::uint64_t incarnation,
+                                     duration sent_at = 1s)
+    {
+        member_report report;
+        report.m_incarnation = incarnation;
+        report.m_domain = std::move(domain);
+        report.m_address = "heartbeat";
+        report.m_sent_at = time_point(sent_at);
+        return report;
+    }
+
+    report_effect receive(std::string name, member_report report, time_point now = start)
+    {
+        return receive_report(m_state, {std::move(name)}, std::move(report), now);
+    }
+
+    /// Calls expire_members() as often as the decision duty does.
+    std::size_t count_failed(time_point from, time_point until)
+    {
+        std::size_t failed = 0;
+        for (time_point now = from; now <= until; now += 20ms)
+        {
+            failed += expire_members(m_state, now).size();
+        }
+        return failed;
+    }
+
+public:
+    void setUp() override
+    {
+        m_state = {};
+        m_state.m_self = {"self"};
+        m_state.m_domain = "a";
+    }
+
+    void member_silent_in_domain_fails_after_timeout()
+    {
+        receive("p", make_report("a", 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_failed(start, start + 1480ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             count_failed(start + 1500ms, start + 1600ms));
+        CPPUNIT_ASSERT(find_live(m_state, {"p"}) == nullptr);
+    }
+
+    void member_silent_in_other_domain_keeps_longer_timeout()
+    {
+        receive("p", make_report("b", 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_failed(start, start + 4980ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_failed(start + 5s, start + 5100ms));
+    }
+
+    void member_after_own_suspension_stays_live()
+    {
+        receive("p", make_report("a", 1));
+        count_failed(start, start + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0),
+                             count_failed(start + 30s, start + 30s + 400ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_failed(start + 30400ms, start + 31s));
+    }
+
+    void report_of_new_incarnation_replaces_old_one()
+    {
+        CPPUNIT_ASSERT(receive("p", make_report("a", 1)) == report_effect::joined);
+        CPPUNIT_ASSERT(receive("p", make_report("a", 1)) == report_effect::refreshed);
+        CPPUNIT_ASSERT(receive("p", make_report("a", 2, 0s)) == report_effect::restarted);
+    }
+
+    void report_of_replaced_incarnation_is_ignored()
+    {
+        receive("p", make_report("a", 1));
+        receive("p", make_report("a", 2));
+        CPPUNIT_ASSERT(receive("p", make_report("a", 1, 5s)) == report_effect::ignored);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2),
+                             find_live(m_state, {"p"})->m_report.m_incarnation);
+    }
+
+    void report_overtaken_by_later_one_is_ignored()
+    {
+        receive("p", make_report("a", 1, 3s));
+        CPPUNIT_ASSERT(receive("p", make_report("a", 1, 2s)) == report_effect::ignored);
+    }
+
+    void list_address_takes_precedence_over_heartbeat()
+    {
+        receive("p", make_report("a", 1));
+        CPPUNIT_ASSERT(address_of(m_state.m_members.at({"p"})) == "heartbeat");
+        std::vector<listed_member> const listed{{{"p"}, "a", "listed", false}};
+        merge_list(m_state, listed);
+        CPPUNIT_ASSERT(address_of(m_state.m_members.at({"p"})) == "listed");
+    }
+
+    void list_without_live_member_keeps_it_live()
+    {
+        receive("p", make_report("a", 1));
+        merge_list(m_state, {});
+        CPPUNIT_ASSERT(find_live(m_state, {"p"}) != nullptr);
+    }
+
+    // 9 KB/s for control at 30 instances in each of 15 domains leave 100 messages a
+    // second of 90 bytes.
+    void heartbeats_at_design_size_stay_within_budget()
+    {
+        for (int domain = 0; domain < 15; ++domain)
+        {
+            for (int index = 0; index < 30; ++index)
+            {
+                std::string const name = std::string(1, char('a' + domain));
+                receive(name + std::to_string(index), make_report(name, 1));
+            }
+        }
+        std::size_t sent = 0;
+        for (time_point now = start; now < start + 10s; now += 20ms)
+        {
+            sent += take_due_heartbeats(m_state, now, m_random).size();
+        }
+        CPPUNIT_ASSERT(sent <= 1000);
+    }
+
+    void peer_clock_limit_is_never_later_than_true_limit()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            "peer clock limit",
+            [](std::uint32_t offset, std::uint16_t delay, std::uint16_t ahead)
+            {
+                // The peer's clock shows local time minus the offset.
+                member peer;
+                duration const shift = std::chrono::milliseconds(offset);
+                time_point const sent = start + shift;
+                peer.m_report.m_sent_at = sent - shift;
+                peer.m_report_at = sent + std::chrono::milliseconds(delay);
+                time_point const limit = sent + std::chrono::milliseconds(ahead);
+                RC_ASSERT(to_peer_clock(peer, limit) <= limit - shift);
+            }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(members_test);
+
+// Guards against shares that are uneven or that move when an unconcerned member leaves.
+class rendezvous_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(rendezvous_test);
+    CPPUNIT_TEST(choice_after_loss_of_another_name_stays);
+    CPPUNIT_TEST(assignment_of_shards_gives_each_name_its_share);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void choice_after_loss_of_another_name_stays()
+    {
+        std::vector<std::string> const names{"a", "b", "c", "d"};
+        for (int item = 0; item < 200; ++item)
+        {
+            std::string const text = "upstream-" + std::to_string(item);
+            std::string const owner = names[rendezvous_choice(names, text)];
+            std::vector<std::string> fewer = names;
+            std::erase(fewer, owner == "a" ? "b" : "a");
+            CPPUNIT_ASSERT_EQUAL(owner, fewer[rendezvous_choice(fewer, text)]);
+        }
+    }
+
+    void assignment_of_shards_gives_each_name_its_share()
+    {
+        std::vector<std::string> const names{"a", "b", "c"};
+        std::map<std::size_t, int> counts;
+        for (std::size_t const owner : assign_shards(names, 8))
+        {
+            ++counts[owner];
+        }
+        for (std::size_t index = 0; index < names.size(); ++index)
+        {
+            CPPUNIT_ASSERT(counts[index] >= 2 && counts[index] <= 3);
+        }
+        CPPUNIT_ASSERT(assign_shards({}, 8).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(rendezvous_test);
+
+} // namespace
