--- a/tests/decision_fleet.hpp
+++ b/tests/decision_fleet.hpp
@@ -104,6 +104,7 @@
     int m_lost_answers_percent = 0;
     bool m_fencing = false;
     int m_bad_attempts_percent = 4;
+    int m_slow_attempts_percent = 3;
     std::set<std::pair<std::string, std::string>> m_partitions; ///< of domains
 
     std::map<std::string, table_entry> m_table;
@@ -583,7 +584,8 @@
             result.m_outcome = chance(50) ? dispatch::attempt_outcome::failed
                                           : dispatch::attempt_outcome::unknown;
         }
-        duration const length = chance(3) ? draw_time(2s, 6s) : draw_time(30ms, 700ms);
+        duration const length =
+            chance(m_slow_attempts_percent) ? draw_time(2s, 6s) : draw_time(30ms, 700ms);
         finish(index, incarnation, length, result);
     }
 
