Wire peers, store, documents and cancellations into the daemon

Cause: the daemon carried out only calls of upstreams and answers to callers. Change: duties for the peer exchange, the store, checking of documents and cancellations with their rings; sub-supervisors for decision, peer, platform, upstream and listener; an upstream or store duty that throws reports its command as unknown or unavailable; a planned stop waits until the decision duty has nothing in progress. The setting peer_secret is required. job_errc::in_progress maps to HTTP 202.

--- a/src/codec/job_json.cpp
+++ b/src/codec/job_json.cpp
@@ -209,6 +209,8 @@
     }
     switch (static_cast<job_errc>(error.value()))
     {
+    case job_errc::in_progress:
+        return 202;
     case job_errc::malformed_request:
     case job_errc::too_many_tasks:
         return 400;
--- a/src/config/process_settings.cpp
+++ b/src/config/process_settings.cpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/config/process_settings.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 
@@ -29,6 +30,16 @@
     return is_socket_address(value);
 }
 
+bool assign_secret(std::string_view value, std::string & target)
+{
+    constexpr std::size_t shortest = 16;
+    constexpr std::size_t longest = 256;
+    target = value;
+    return value.size() >= shortest && value.size() <= longest &&
+           std::all_of(value.begin(), value.end(),
+                       [](char c) { return c >= ' ' && c <= '~'; });
+}
+
 std::span<key_rule<entry_settings> const> entry_rules() noexcept
 {
     static constexpr key_rule<entry_settings> rules[] = {
@@ -57,6 +68,11 @@
          {
              return assign_address(value, record.m_platform_address);
          }},
+        {"peer_secret", "16 to 256 printable characters", true,
+         [](std::string_view value, entry_settings & record)
+         {
+             return assign_secret(value, record.m_peer_secret);
+         }},
         {"caller_threads", "1 to 2048", false,
          [](std::string_view value, entry_settings & record)
          {
--- a/src/entry/context.cpp
+++ b/src/entry/context.cpp
@@ -1,6 +1,11 @@
 #include "entry/context.hpp"
 
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <random>
+#include <system_error>
+#include <utility>
 
 namespace cassiahub::entry
 {
@@ -13,6 +18,12 @@
 // More than the slots of the upstreams of one failure domain with their cancellations.
 constexpr std::size_t command_ring_capacity = 16'384;
 
+// One write and one read are in flight at a time; the rest is slack for restarts.
+constexpr std::size_t store_ring_capacity = 64;
+constexpr std::size_t document_ring_capacity = 4;
+// A burst of jobs whose outcomes are observed while the telemetry writes.
+constexpr std::size_t telemetry_ring_capacity = 16'384;
+
 random_source seeded_random_source()
 {
     std::random_device device;
@@ -22,9 +33,35 @@
 
 } // namespace internal
 
+wake_descriptor::wake_descriptor() : m_fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    if (m_fd < 0)
+    {
+        throw std::system_error(errno, std::system_category(), "eventfd");
+    }
+}
+
+wake_descriptor::~wake_descriptor()
+{
+    ::close(m_fd);
+}
+
+void record(daemon_context & context, telemetry_item item)
+{
+    if (!context.m_telemetry.try_push(std::move(item)))
+    {
+        ++context.m_telemetry_dropped;
+    }
+}
+
 daemon_context::daemon_context(config::entry_settings const & settings)
     : m_settings(settings), m_events(internal::event_ring_capacity),
-      m_upstream_commands(internal::command_ring_capacity),
+      m_attempts(internal::command_ring_capacity),
+      m_cancellations(internal::command_ring_capacity),
+      m_peer_messages(internal::command_ring_capacity, m_peer_wake.get()),
+      m_store_commands(internal::store_ring_capacity),
+      m_documents(internal::document_ring_capacity),
+      m_telemetry(internal::telemetry_ring_capacity), m_idle_notices(1),
       m_free_replies(settings.m_caller_threads),
       m_random(internal::seeded_random_source())
 {
@@ -33,8 +70,11 @@
         m_replies.emplace_back(1);
         m_free_replies.try_push(std::uint32_t(index));
     }
-    m_state = decision::make_entry_state(
-        {{settings.m_instance}, settings.m_domain, settings.m_peer_address, m_random()});
+    m_incarnation = m_random();
+    m_state = decision::make_entry_state({{settings.m_instance},
+                                          settings.m_domain,
+                                          settings.m_peer_address,
+                                          m_incarnation});
 }
 
 } // namespace cassiahub::entry
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/config/process_settings.hpp>
 #include <cassiahub/decision.hpp>
+#include <cassiahub/peer.hpp>
 #include <cassiahub/runtime.hpp>
 
 #include <atomic>
@@ -15,8 +16,29 @@
 namespace cassiahub::entry
 {
 
-/// What an upstream duty is told to do.
-using upstream_command = std::variant<dispatch::attempt_start, dispatch::attempt_cancel>;
+/// What the store duty is told to do.
+using store_command = std::variant<decision::write_store, decision::read_store>;
+
+/// What is observed of the daemon, for logs and metrics.
+using telemetry_item = std::variant<decision::log_event, decision::observe_job>;
+
+/// An eventfd that wakes an event loop.
+class wake_descriptor
+{
+public:
+    wake_descriptor();
+    wake_descriptor(wake_descriptor const &) = delete;
+    wake_descriptor & operator=(wake_descriptor const &) = delete;
+    ~wake_descriptor();
+
+    int get() const noexcept
+    {
+        return m_fd;
+    }
+
+private:
+    int m_fd;
+};
 
 /// An answer on its way to a caller's thread. The token tells it from the answer to an
 /// earlier request that used the same ring.
@@ -36,17 +58,37 @@
     explicit daemon_context(config::entry_settings const & settings);
 
     config::entry_settings const & m_settings;
+    std::uint64_t m_incarnation = 0; ///< constant
 
     // Edges to the decision duty. Full: a caller is refused as not run; a result from an
     // upstream waits, since it must not be lost.
     runtime::bounded_ring<decision::event> m_events;
     // Decision duty to the upstream duties. Full: the attempt is handed back as not run.
-    runtime::bounded_ring<upstream_command> m_upstream_commands;
+    runtime::bounded_ring<dispatch::attempt_start> m_attempts;
+    // Decision duty to the cancelling duties. Full: the cancellation is dropped, and the
+    // upstream's answer is dropped as superseded.
+    runtime::bounded_ring<dispatch::attempt_cancel> m_cancellations;
+    // Decision duty to the peer duty. Full: a report is dropped, anything else is handed
+    // back as peer_disconnected.
+    wake_descriptor m_peer_wake;
+    runtime::bounded_ring<decision::send_peer> m_peer_messages;
+    // Decision duty to the store duty. Full: handed back as unavailable.
+    runtime::bounded_ring<store_command> m_store_commands;
+    // Decision duty to the document checker. Full: dropped; the peer's next heartbeat
+    // shows the newer version again.
+    runtime::bounded_ring<decision::check_document> m_documents;
+    // Every duty to the telemetry. Full: dropped and counted.
+    runtime::bounded_ring<telemetry_item> m_telemetry;
+    std::atomic<std::uint64_t> m_telemetry_dropped{0};
+    // Decision duty to the listener: nothing is in progress on a draining instance.
+    runtime::bounded_ring<std::uint32_t> m_idle_notices;
     // Decision duty to one caller's thread each; at most one answer is on its way.
     std::deque<reply_ring> m_replies;
     // Indices of m_replies that no caller uses. Empty: the caller is refused.
     runtime::bounded_ring<std::uint32_t> m_free_replies;
 
+    peer::exchange_counters m_peer_counters;
+
     // State of the decision duty.
     decision::entry_state m_state;
     random_source m_random;
@@ -55,6 +97,9 @@
     std::atomic<std::uint64_t> m_configuration_version{0};
 };
 
+/// Adds \p item to the telemetry ring, or counts it as dropped. Thread-safe.
+void record(daemon_context & context, telemetry_item item);
+
 } // namespace cassiahub::entry
 
 #endif
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -4,7 +4,10 @@
 
 #include <fmt/format.h>
 
+#include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace cassiahub::entry
 {
@@ -25,28 +28,60 @@
             restart_policy::permanent};
 }
 
-supervisor_spec make_upstream_supervisor(daemon_context & context)
+/// Duties that cancel attempts. One upstream that does not answer holds up one of them.
+constexpr std::uint32_t canceller_count = 4;
+
+/// \returns the child that supervises \p children. Failures of duties are recorded.
+child_spec make_group(std::string name, daemon_context & context,
+                      std::vector<child_spec> children)
 {
     supervisor_spec spec;
-    spec.m_name = "upstream";
+    spec.m_name = std::move(name);
+    spec.m_children = std::move(children);
+    spec.m_observer = [&context](std::string_view child, runtime::child_event event,
+                                 std::error_code cause)
+    {
+        if (event == runtime::child_event::failed)
+        {
+            record(context,
+                   decision::log_event{"duty_failed", std::string(child), cause});
+        }
+    };
+    return runtime::as_child(std::move(spec));
+}
+
+std::vector<child_spec> make_upstream_duties(daemon_context & context)
+{
+    std::vector<child_spec> duties;
     for (std::uint32_t index = 0; index < context.m_settings.m_upstream_threads; ++index)
     {
-        spec.m_children.push_back(make_duty(fmt::format("upstream-caller-{}", index),
-                                            context, run_upstream_caller));
+        duties.push_back(make_duty(fmt::format("upstream-caller-{}", index), context,
+                                   run_upstream_caller));
     }
-    return spec;
+    for (std::uint32_t index = 0; index < canceller_count; ++index)
+    {
+        duties.push_back(make_duty(fmt::format("upstream-canceller-{}", index), context,
+                                   run_upstream_canceller));
+    }
+    return duties;
 }
 
-/// Start order: what others feed comes first. Stop order is the reverse, so the
-/// listener answers its callers while everything behind it still runs.
+/// Start order: what others feed comes first. Stop order is the reverse: the listener
+/// answers its callers and waits until the decision duty has nothing in progress, while
+/// everything behind it still runs.
 supervisor_spec make_root_supervisor(daemon_context & context)
 {
     supervisor_spec spec;
     spec.m_name = "entry";
-    spec.m_children = {make_duty("decision", context, run_decision),
-                       runtime::as_child(make_upstream_supervisor(context)),
-                       make_duty("platform-poller", context, run_platform_poller),
-                       make_duty("listener", context, run_listener)};
+    spec.m_children = {
+        make_group("decision", context, {make_duty("decision", context, run_decision)}),
+        make_group("peer", context, {make_duty("peer-exchange", context, run_peer)}),
+        make_group("platform", context,
+                   {make_duty("store", context, run_store),
+                    make_duty("document-checker", context, run_document_checker),
+                    make_duty("platform-poller", context, run_platform_poller)}),
+        make_group("upstream", context, make_upstream_duties(context)),
+        make_group("listener", context, {make_duty("listener", context, run_listener)})};
     return spec;
 }
 
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -23,7 +23,7 @@
 void perform(action_context & context, dispatch::attempt_start & start)
 {
     attempt_id const id = start.m_attempt;
-    if (!context.m_daemon.m_upstream_commands.try_push(std::move(start)))
+    if (!context.m_daemon.m_attempts.try_push(std::move(start)))
     {
         context.m_returned.emplace_back(decision::attempt_finished{
             {id, dispatch::attempt_outcome::not_run, {}, false}});
@@ -32,9 +32,7 @@
 
 void perform(action_context & context, dispatch::attempt_cancel & cancel)
 {
-    // A cancellation that finds the ring full is only lost work: the upstream's answer
-    // is dropped as superseded.
-    context.m_daemon.m_upstream_commands.try_push(std::move(cancel));
+    context.m_daemon.m_cancellations.try_push(std::move(cancel));
 }
 
 void perform(action_context & context, decision::answer_caller & answer)
@@ -44,17 +42,51 @@
         {answer.m_caller, std::move(answer.m_answer)});
 }
 
-void perform(action_context &, decision::send_peer &) {}
+void perform(action_context & context, decision::send_peer & message)
+{
+    if (!context.m_daemon.m_peer_messages.try_push(std::move(message)) &&
+        !peer::is_periodic(message.m_message))
+    {
+        context.m_returned.emplace_back(decision::peer_disconnected{message.m_to});
+    }
+}
 
-void perform(action_context &, decision::write_store &) {}
+/// \p command is a write_store or a read_store.
+template <typename Command>
+void perform_store_command(action_context & context, Command & command)
+{
+    decision::store_request const request = command.m_request;
+    if (!context.m_daemon.m_store_commands.try_push(std::move(command)))
+    {
+        context.m_returned.emplace_back(
+            decision::store_answered{request, decision::store_outcome::unavailable, {}});
+    }
+}
 
-void perform(action_context &, decision::read_store &) {}
+void perform(action_context & context, decision::write_store & write)
+{
+    perform_store_command(context, write);
+}
 
-void perform(action_context &, decision::check_document &) {}
+void perform(action_context & context, decision::read_store & read)
+{
+    perform_store_command(context, read);
+}
 
-void perform(action_context &, decision::observe_job &) {}
+void perform(action_context & context, decision::check_document & check)
+{
+    context.m_daemon.m_documents.try_push(std::move(check));
+}
+
+void perform(action_context & context, decision::observe_job & observed)
+{
+    record(context.m_daemon, std::move(observed));
+}
 
-void perform(action_context &, decision::log_event &) {}
+void perform(action_context & context, decision::log_event & event)
+{
+    record(context.m_daemon, std::move(event));
+}
 
 void handle_event(daemon_context & context, decision::event occurred,
                   std::vector<decision::event> & returned)
@@ -86,6 +118,11 @@
         context.m_configuration_version =
             context.m_state.m_dispatch.m_configuration->m_version;
     }
+    if (decision::is_idle(context.m_state))
+    {
+        // A notice that waits already says the same.
+        context.m_idle_notices.try_push(1);
+    }
 }
 
 } // namespace internal
--- a/src/entry/duties.hpp
+++ b/src/entry/duties.hpp
@@ -15,11 +15,26 @@
 /// goes on until what is in the ring has been handled.
 std::error_code run_decision(daemon_context & context, std::stop_token const & stop);
 
-/// Calls upstreams. Several of these duties share one command ring, because each call
-/// blocks its thread until the task has run.
+/// Calls upstreams. Several of these duties share one ring, because each call blocks its
+/// thread until the task has run. An attempt that is lost to an exception is reported
+/// as unknown.
 std::error_code run_upstream_caller(daemon_context & context,
                                     std::stop_token const & stop);
 
+/// Cancels attempts on upstreams, apart from the calls that wait for tasks.
+std::error_code run_upstream_canceller(daemon_context & context,
+                                       std::stop_token const & stop);
+
+/// Reads and writes the platform's table for the decision duty.
+std::error_code run_store(daemon_context & context, std::stop_token const & stop);
+
+/// Checks fleet documents that peers passed on.
+std::error_code run_document_checker(daemon_context & context,
+                                     std::stop_token const & stop);
+
+/// Exchanges messages with the other entry instances.
+std::error_code run_peer(daemon_context & context, std::stop_token const & stop);
+
 /// Reads the configuration and the instance list from the platform periodically.
 std::error_code run_platform_poller(daemon_context & context,
                                     std::stop_token const & stop);
--- a/src/entry/listener_duty.cpp
+++ b/src/entry/listener_duty.cpp
@@ -261,6 +261,9 @@
     context.m_events.push(decision::drain_requested{}, {});
     std::this_thread::sleep_for(internal::linger_time);
     http::wait_until_idle(*server, internal::drain_limit);
+    // The notice that waits may be older than the last request that was served.
+    context.m_idle_notices.pop(duration::zero());
+    context.m_idle_notices.pop(internal::drain_limit);
     return {};
 }
 
--- /dev/null
+++ b/src/entry/peer_duty.cpp
@@ -0,0 +1,21 @@
+#include "entry/duties.hpp"
+
+#include <cassiahub/peer.hpp>
+
+namespace cassiahub::entry
+{
+
+std::error_code run_peer(daemon_context & context, std::stop_token const & stop)
+{
+    peer::exchange_options options;
+    options.m_instance = context.m_settings.m_instance;
+    // Set before the first duty starts and never changed, so it may be read here.
+    options.m_incarnation = context.m_incarnation;
+    options.m_listen_address = context.m_settings.m_peer_address;
+    options.m_secret = context.m_settings.m_peer_secret;
+    return peer::run_exchange(
+        options, {context.m_peer_messages, context.m_events, context.m_peer_wake.get()},
+        context.m_peer_counters, stop);
+}
+
+} // namespace cassiahub::entry
--- a/src/entry/platform_duty.cpp
+++ b/src/entry/platform_duty.cpp
@@ -5,7 +5,10 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace cassiahub::entry
 {
@@ -22,25 +25,30 @@
     never.wait_for(lock, stop, period, [] { return false; });
 }
 
-void poll_configuration(daemon_context & context, platform::client & client,
-                        platform::configuration_feed & feed, std::stop_token const & stop)
+platform::client make_client(daemon_context const & context)
+{
+    platform::client client;
+    client.m_address = context.m_settings.m_platform_address;
+    client.m_caller = context.m_settings.m_instance;
+    return client;
+}
+
+/// Hands a fleet document to the decision duty when it is valid. The only way in which
+/// one gets there.
+void submit_document(daemon_context & context, std::uint64_t version,
+                     std::string document, std::stop_token const & stop)
 {
-    codec::table_rows rows;
-    if (platform::read_rows(client, platform::section_row_prefix, feed.m_sequence,
-                            rows) ||
-        !platform::merge_sections(feed, rows))
-    {
-        return;
-    }
-    std::string document = platform::assemble_document(feed);
     std::vector<config::config_fault> faults;
     std::optional<config::fleet_configuration> parsed =
         config::parse_fleet_document(document, faults);
     if (!parsed)
     {
+        record(context, decision::log_event{"document_invalid", std::to_string(version),
+                                            faults.empty() ? std::error_code()
+                                                           : faults.front().m_error});
         return;
     }
-    parsed->m_version = platform::document_version(feed);
+    parsed->m_version = version;
     context.m_events.push(
         decision::configuration_changed{
             std::make_shared<config::fleet_configuration const>(std::move(*parsed)),
@@ -48,6 +56,19 @@
         stop);
 }
 
+void poll_configuration(daemon_context & context, platform::client & client,
+                        platform::configuration_feed & feed, std::stop_token const & stop)
+{
+    codec::table_rows rows;
+    if (!platform::read_rows(client, platform::section_row_prefix, feed.m_sequence,
+                             rows) &&
+        platform::merge_sections(feed, rows))
+    {
+        submit_document(context, platform::document_version(feed),
+                        platform::assemble_document(feed), stop);
+    }
+}
+
 void poll_instances(daemon_context & context, platform::client & client,
                     std::stop_token const & stop)
 {
@@ -58,14 +79,36 @@
     }
 }
 
+decision::store_answered perform(platform::client & client,
+                                 decision::write_store const & write)
+{
+    decision::store_answered answer{write.m_request, {}, {}};
+    answer.m_outcome = platform::write_rows(client, write, answer.m_rows);
+    return answer;
+}
+
+decision::store_answered perform(platform::client & client,
+                                 decision::read_store const & read)
+{
+    codec::table_rows rows;
+    if (platform::read_rows(client, read.m_prefix, 0, rows))
+    {
+        return {read.m_request, decision::store_outcome::unavailable, {}};
+    }
+    return {read.m_request, decision::store_outcome::done, std::move(rows.m_rows)};
+}
+
+decision::store_request request_of(store_command const & command)
+{
+    return std::visit([](auto const & order) { return order.m_request; }, command);
+}
+
 } // namespace internal
 
 std::error_code run_platform_poller(daemon_context & context,
                                     std::stop_token const & stop)
 {
-    platform::client client;
-    client.m_address = context.m_settings.m_platform_address;
-    client.m_caller = context.m_settings.m_instance;
+    platform::client client = internal::make_client(context);
     platform::configuration_feed feed;
     while (!stop.stop_requested())
     {
@@ -76,4 +119,54 @@
     return {};
 }
 
+std::error_code run_store(daemon_context & context, std::stop_token const & stop)
+{
+    constexpr duration wait_period = std::chrono::seconds(60);
+
+    platform::client client = internal::make_client(context);
+    while (!stop.stop_requested())
+    {
+        std::optional<store_command> const command =
+            context.m_store_commands.pop(wait_period, stop);
+        if (!command)
+        {
+            continue;
+        }
+        // What a failing duty leaves behind: the write may have taken effect.
+        decision::store_answered answer{
+            internal::request_of(*command), decision::store_outcome::unavailable, {}};
+        try
+        {
+            answer = std::visit([&client](auto const & order)
+                                { return internal::perform(client, order); },
+                                *command);
+        }
+        catch (...)
+        {
+            context.m_events.push(std::move(answer), stop);
+            throw;
+        }
+        context.m_events.push(std::move(answer), stop);
+    }
+    return {};
+}
+
+std::error_code run_document_checker(daemon_context & context,
+                                     std::stop_token const & stop)
+{
+    constexpr duration wait_period = std::chrono::seconds(60);
+
+    while (!stop.stop_requested())
+    {
+        std::optional<decision::check_document> check =
+            context.m_documents.pop(wait_period, stop);
+        if (check)
+        {
+            internal::submit_document(context, check->m_version,
+                                      std::move(check->m_document), stop);
+        }
+    }
+    return {};
+}
+
 } // namespace cassiahub::entry
--- a/src/entry/upstream_duty.cpp
+++ b/src/entry/upstream_duty.cpp
@@ -116,21 +116,23 @@
     return read_task_response(start.m_attempt, received);
 }
 
-void perform(daemon_context & context, connection_map & connections,
-             dispatch::attempt_start & start, std::stop_token const & stop)
-{
-    context.m_events.push(decision::attempt_finished{call_upstream(connections, start)},
-                          stop);
-}
-
-void perform(daemon_context &, connection_map &, dispatch::attempt_cancel & cancel,
-             std::stop_token const &)
+void cancel_attempt(connection_map & connections, dispatch::attempt_cancel const & cancel)
 {
+    http::connection * const used =
+        open_connection(connections, cancel.m_upstream_address);
+    if (used == nullptr)
+    {
+        return;
+    }
     http::response received;
-    http::exchange_once(
-        cancel.m_upstream_address,
-        {"DELETE", fmt::format("/v1/tasks/{}", to_string(cancel.m_attempt)), {}, {}, {}},
-        cancel_timeout, received);
+    http::request const sent{
+        "DELETE", fmt::format("/v1/tasks/{}", to_string(cancel.m_attempt)), {}, {}, {}};
+    if (http::exchange(*used, sent, cancel.m_upstream_address, cancel_timeout, received))
+    {
+        connections.erase(cancel.m_upstream_address);
+        return;
+    }
+    used->m_idle_since = runtime::read_boot_clock();
 }
 
 } // namespace internal
@@ -141,13 +143,40 @@
     internal::connection_map connections;
     while (!stop.stop_requested())
     {
-        std::optional<upstream_command> command =
-            context.m_upstream_commands.pop(internal::wait_period, stop);
-        if (command)
+        std::optional<dispatch::attempt_start> const start =
+            context.m_attempts.pop(internal::wait_period, stop);
+        if (!start)
+        {
+            continue;
+        }
+        dispatch::attempt_result result{
+            start->m_attempt, dispatch::attempt_outcome::unknown, {}, false};
+        try
+        {
+            result = internal::call_upstream(connections, *start);
+        }
+        catch (...)
+        {
+            // The attempt may have been sent before the duty failed.
+            context.m_events.push(decision::attempt_finished{std::move(result)}, stop);
+            throw;
+        }
+        context.m_events.push(decision::attempt_finished{std::move(result)}, stop);
+    }
+    return {};
+}
+
+std::error_code run_upstream_canceller(daemon_context & context,
+                                       std::stop_token const & stop)
+{
+    internal::connection_map connections;
+    while (!stop.stop_requested())
+    {
+        std::optional<dispatch::attempt_cancel> const cancel =
+            context.m_cancellations.pop(internal::wait_period, stop);
+        if (cancel)
         {
-            std::visit([&](auto & order)
-                       { internal::perform(context, connections, order, stop); },
-                       *command);
+            internal::cancel_attempt(connections, *cancel);
         }
     }
     return {};
