--- a/src/config/key_rules.cpp
+++ b/src/config/key_rules.cpp
@@ -154,129 +154,83 @@
     return rules;
 }
 
+namespace
+{
+
+template <auto Member, std::uint32_t Low, std::uint32_t High>
+bool apply_number(std::string_view value, dispatch_settings & record)
+{
+    return parse_number(value, Low, High, record.*Member);
+}
+
+/// Limits are in milliseconds.
+template <auto Member, std::int64_t Low, std::int64_t High>
+bool apply_duration(std::string_view value, dispatch_settings & record)
+{
+    return parse_duration(value, std::chrono::milliseconds(Low),
+                          std::chrono::milliseconds(High), record.*Member);
+}
+
+bool apply_policy(std::string_view value, dispatch_settings & record)
+{
+    bool const baseline = value == "baseline";
+    record.m_policy = baseline ? dispatch_policy::baseline : dispatch_policy::fair;
+    return baseline || value == "fair";
+}
+
+bool apply_ejection(std::string_view value, dispatch_settings & record)
+{
+    if (value == "consecutive_failures")
+    {
+        record.m_ejection = ejection_policy::consecutive_failures;
+        return true;
+    }
+    bool const none = value == "none";
+    record.m_ejection = none ? ejection_policy::none : ejection_policy::success_rate;
+    return none || value == "success_rate";
+}
+
+} // namespace
+
 std::span<key_rule<dispatch_settings> const> dispatch_rules() noexcept
 {
     static constexpr key_rule<dispatch_settings> rules[] = {
-        {"policy", "fair or baseline", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             if (value == "fair")
-             {
-                 record.m_policy = dispatch_policy::fair;
-                 return true;
-             }
-             if (value == "baseline")
-             {
-                 record.m_policy = dispatch_policy::baseline;
-                 return true;
-             }
-             return false;
-         }},
-        {"ejection", "success_rate, consecutive_failures or none", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             if (value == "success_rate")
-             {
-                 record.m_ejection = ejection_policy::success_rate;
-                 return true;
-             }
-             if (value == "consecutive_failures")
-             {
-                 record.m_ejection = ejection_policy::consecutive_failures;
-                 return true;
-             }
-             if (value == "none")
-             {
-                 record.m_ejection = ejection_policy::none;
-                 return true;
-             }
-             return false;
-         }},
+        {"policy", "fair or baseline", false, apply_policy},
+        {"ejection", "success_rate, consecutive_failures or none", false, apply_ejection},
         {"max_attempts", "1 to 10", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 10, record.m_max_attempts);
-         }},
+         apply_number<&dispatch_settings::m_max_attempts, 1, 10>},
         {"retry_budget_percent", "0 to 100", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 100, record.m_retry_budget_percent);
-         }},
+         apply_number<&dispatch_settings::m_retry_budget_percent, 0, 100>},
         {"retry_reserve", "0 to 1000", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 1000, record.m_retry_reserve);
-         }},
+         apply_number<&dispatch_settings::m_retry_reserve, 0, 1000>},
         {"retry_delay", "1ms to 1s", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 1ms, 1s, record.m_retry_delay);
-         }},
+         apply_duration<&dispatch_settings::m_retry_delay, 1, 1000>},
         {"hedge_budget_percent", "0 to 100", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 100, record.m_hedge_budget_percent);
-         }},
+         apply_number<&dispatch_settings::m_hedge_budget_percent, 0, 100>},
         {"hedge_delay_percent", "100 to 1000", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 100, 1000, record.m_hedge_delay_percent);
-         }},
+         apply_number<&dispatch_settings::m_hedge_delay_percent, 100, 1000>},
         {"share_window", "0ms to 60s", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 0ms, 60s, record.m_share_window);
-         }},
+         apply_duration<&dispatch_settings::m_share_window, 0, 60000>},
         {"ejection_window", "1s to 10min", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 1s, 10min, record.m_ejection_window);
-         }},
+         apply_duration<&dispatch_settings::m_ejection_window, 1000, 600000>},
         {"ejection_min_results", "1 to 1000", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 1000, record.m_ejection_min_results);
-         }},
+         apply_number<&dispatch_settings::m_ejection_min_results, 1, 1000>},
         {"ejection_success_percent", "1 to 100", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 100, record.m_ejection_success_percent);
-         }},
+         apply_number<&dispatch_settings::m_ejection_success_percent, 1, 100>},
         {"ejection_slow_percent", "150 to 10000", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 150, 10000, record.m_ejection_slow_percent);
-         }},
+         apply_number<&dispatch_settings::m_ejection_slow_percent, 150, 10000>},
         {"ejection_cap_percent", "0 to 90", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 0, 90, record.m_ejection_cap_percent);
-         }},
+         apply_number<&dispatch_settings::m_ejection_cap_percent, 0, 90>},
         {"ejection_cooling", "100ms to 10min", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 100ms, 10min, record.m_ejection_cooling);
-         }},
+         apply_duration<&dispatch_settings::m_ejection_cooling, 100, 600000>},
         {"breaker_threshold", "1 to 100", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_number(value, 1, 100, record.m_breaker_threshold);
-         }},
+         apply_number<&dispatch_settings::m_breaker_threshold, 1, 100>},
         {"breaker_open_time", "100ms to 10min", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 100ms, 10min, record.m_breaker_open_time);
-         }},
+         apply_duration<&dispatch_settings::m_breaker_open_time, 100, 600000>},
         {"attempt_timeout_margin", "100ms to 60s", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 100ms, 60s, record.m_attempt_timeout_margin);
-         }},
+         apply_duration<&dispatch_settings::m_attempt_timeout_margin, 100, 60000>},
         {"resubmission_window", "10s to 1440min", false,
-         [](std::string_view value, dispatch_settings & record)
-         {
-             return parse_duration(value, 10s, 24h, record.m_resubmission_window);
-         }},
+         apply_duration<&dispatch_settings::m_resubmission_window, 10000, 86400000>},
     };
     return rules;
 }
--- a/src/dispatch/fair_queue.cpp
+++ b/src/dispatch/fair_queue.cpp
@@ -110,7 +110,7 @@
     {
         tenant.m_start = std::max(tenant.m_start, kind.m_tenant_time);
     }
-    tenant.m_items.emplace(order, std::move(item));
+    tenant.m_items.emplace(order, item);
     internal::list_tenant(kind, tenant_id);
     if (kind.m_item_count == 0)
     {
