--- a/include/cassiahub/load/experiment.hpp
+++ b/include/cassiahub/load/experiment.hpp
@@ -1,6 +1,8 @@
 #ifndef CASSIAHUB_LOAD_EXPERIMENT_HPP
 #define CASSIAHUB_LOAD_EXPERIMENT_HPP
 
+#include <cassiahub/config/dispatch_settings.hpp>
+
 #include <cstdint>
 #include <string>
 
@@ -15,6 +17,7 @@
     /// Runs of dispatch::check_invariants() are this many events apart.
     std::uint32_t m_check_period = 500;
     bool m_only_current = false; ///< leave out the policies for comparison
+    config::dispatch_settings m_settings;
 };
 
 /// Runs the job mix in virtual time over several dispatchers, for every policy without
--- a/programs/cassiahub-experiment.cpp
+++ b/programs/cassiahub-experiment.cpp
@@ -1,16 +1,48 @@
 /// \file Runs the decision core under load in virtual time and prints figures as JSON.
 
+#include <cassiahub/config.hpp>
 #include <cassiahub/load/experiment.hpp>
 
 #include <CLI/CLI.hpp>
 
 #include <iostream>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+/// Reads "key=value" lines as a [dispatch] section.
+/// \returns false after it has printed what is wrong.
+bool read_settings(std::vector<std::string> const & lines,
+                   cassiahub::config::dispatch_settings & settings)
+{
+    std::string text = "[dispatch]\n";
+    for (std::string const & line : lines)
+    {
+        text += line + "\n";
+    }
+    std::vector<cassiahub::config::config_fault> faults;
+    auto const document = cassiahub::config::parse_fleet_document(text, faults);
+    for (cassiahub::config::config_fault const & fault : faults)
+    {
+        std::cerr << to_string(fault) << '\n';
+    }
+    if (!document)
+    {
+        return false;
+    }
+    settings = document->m_dispatch;
+    return true;
+}
+
+} // namespace
 
 int main(int argc, char ** argv)
 {
     cassiahub::load::experiment_options options;
     CLI::App app("cassiahub-experiment: measures dispatch policies in virtual time.\n"
-                 "Prints JSON. Exit code 0: the runs ended.");
+                 "Prints JSON. Exit codes: 0 the runs ended, 2 bad settings.");
     app.add_option("--seed", options.m_seed, "seed of arrivals, sizes and decisions");
     app.add_option("--seconds", options.m_seconds, "virtual seconds of arrivals")
         ->check(CLI::Range(1, 3600));
@@ -19,8 +51,14 @@
         ->check(CLI::Range(1, 1'000'000));
     app.add_flag("--only-current", options.m_only_current,
                  "leave out the policies for comparison");
+    std::vector<std::string> lines;
+    app.add_option("--set", lines, "key=value of the [dispatch] section; repeatable");
     app.set_version_flag("--version", CASSIAHUB_VERSION);
     CLI11_PARSE(app, argc, argv);
+    if (!read_settings(lines, options.m_settings))
+    {
+        return 2;
+    }
     std::cout << cassiahub::load::run_experiment(options) << '\n';
     return 0;
 }
--- a/src/load/experiment.cpp
+++ b/src/load/experiment.cpp
@@ -90,6 +90,20 @@
                std::max<std::size_t>(goodput(usual, load, flood_part, seconds), 1));
 }
 
+/// Part of the flood's jobs that were answered in time.
+double flood_answered(run_result const & run)
+{
+    std::size_t all = 0;
+    std::size_t answered = 0;
+    for (job_record const & job : run.m_jobs)
+    {
+        all += job.m_flood ? 1 : 0;
+        answered += job.m_flood && job.m_response ? 1 : 0;
+    }
+    return static_cast<double>(answered) /
+           static_cast<double>(std::max<std::size_t>(all, 1));
+}
+
 double wasted_ratio(run_result const & run)
 {
     return static_cast<double>(run.m_wasted) /
@@ -154,6 +168,7 @@
         retention(runs.m_usual, runs.m_least_flood, least_urgent_load, seconds);
     report["flood_retention_most_urgent"] =
         retention(runs.m_usual, runs.m_most_flood, most_urgent_load, seconds);
+    report["with_common_cause"] = describe_run(runs.m_common_cause, std::nullopt);
     report["goodput_after_common_cause"] =
         static_cast<double>(
             goodput(runs.m_common_cause, std::nullopt, after_common_cause, seconds)) /
@@ -166,6 +181,10 @@
     report["with_faults"] = describe_run(runs.m_faulty, std::nullopt);
     report["with_least_urgent_flood"] = describe_run(runs.m_least_flood, std::nullopt);
     report["with_most_urgent_flood"] = describe_run(runs.m_most_flood, most_urgent_load);
+    report["with_least_urgent_flood"]["flood_answered"] =
+        flood_answered(runs.m_least_flood);
+    report["with_most_urgent_flood"]["flood_answered"] =
+        flood_answered(runs.m_most_flood);
     report["violations"] =
         violation_count(runs.m_usual) + violation_count(runs.m_faulty) +
         violation_count(runs.m_common_cause) + violation_count(runs.m_least_flood) +
@@ -184,7 +203,7 @@
         report[name] = internal::describe_policy(internal::run_policy(settings, options),
                                                  options.m_seconds);
     };
-    config::dispatch_settings settings;
+    config::dispatch_settings settings = options.m_settings;
     add("current", settings);
     if (!options.m_only_current)
     {
