--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -85,8 +85,8 @@
     {
         return {};
     }
-    duration const needed =
-        expected_wait(state, kind_id, spec.m_tasks.size()) + shortest_run_time(kind, now);
+    duration const needed = expected_wait(state, kind_id, spec.m_tasks.size()) +
+                            reserved_run_time(kind, spec.m_time_limit, now);
     return needed >= spec.m_time_limit ? job_errc::deadline_unreachable
                                        : std::error_code();
 }
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -1,16 +1,25 @@
 #include "dispatch/jobs.hpp"
 #include "dispatch/shedding.hpp"
 
+#include <algorithm>
+
 namespace cassiahub::dispatch::internal
 {
 
-duration shortest_run_time(kind_state const & kind, time_point now)
+duration reserved_run_time(kind_state const & kind, duration time_limit, time_point now)
 {
-    // A low quantile: refusing by the mean would refuse the short tasks of a kind.
+    // Work that is started too late takes service and is answered as failed, so most of
+    // the kind's tasks should still end in time. The second bound keeps a time limit
+    // that is short for its kind from being refused for that alone.
     constexpr double low_quantile = 0.05;
-    return is_established(kind.m_run_time, now)
-               ? run_time_quantile(kind.m_run_time, low_quantile)
-               : duration::zero();
+    constexpr double high_quantile = 0.9;
+    if (!is_established(kind.m_run_time, now))
+    {
+        return duration::zero();
+    }
+    duration const usual = run_time_quantile(kind.m_run_time, high_quantile);
+    return std::max(run_time_quantile(kind.m_run_time, low_quantile),
+                    std::min(usual, time_limit / 2));
 }
 
 bool shed_if_hopeless(dispatch_state & state, job_state & job, time_point now,
@@ -21,7 +30,9 @@
         finish_job(state, job, failed_answer(job, job_errc::lease_lapsed), out);
         return true;
     }
-    if (now + shortest_run_time(state.m_kinds[job.m_kind], now) < job.m_deadline)
+    duration const needed =
+        reserved_run_time(state.m_kinds[job.m_kind], job.m_spec.m_time_limit, now);
+    if (now + needed < job.m_deadline)
     {
         return false;
     }
--- a/src/dispatch/shedding.hpp
+++ b/src/dispatch/shedding.hpp
@@ -12,8 +12,9 @@
 bool shed_if_hopeless(dispatch_state & state, job_state & job, time_point now,
                       effects & out);
 
-/// Shortest run time that is plausible for \p kind; zero when too little is known.
-duration shortest_run_time(kind_state const & kind, time_point now);
+/// \returns the part of \p time_limit that a task of \p kind needs to run; zero when too
+/// little is known.
+duration reserved_run_time(kind_state const & kind, duration time_limit, time_point now);
 
 } // namespace cassiahub::dispatch::internal
 
