Hedge on sound upstreams later and count silent upstreams as slow

Cause: a task that outlasts its kind is mostly long on every upstream, so its hedge was waste; and an upstream that never answers gave no evidence before the deadline. Change: an attempt on an upstream without signs of slowness is hedged after twice the time; a straggling attempt counts as slow when it is due, and a timeout as a failure.

--- a/include/cassiahub/dispatch/health.hpp
+++ b/include/cassiahub/dispatch/health.hpp
@@ -14,6 +14,7 @@
 {
     std::uint32_t m_succeeded = 0;
     std::uint32_t m_failed = 0;
+    std::uint32_t m_outlasting = 0; ///< attempts that outlast nearly all of their kind
 };
 
 /// Results over the last one to two halves of the ejection window.
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -89,6 +89,7 @@
     time_point m_timeout;
     time_point m_hedge_at; ///< time of the valid entry in m_hedges
     double m_charge = 0;   ///< slot-seconds charged to the kind
+    bool m_hedge_deferred = false;
     bool m_probe = false;
     bool m_cancelled = false; ///< nobody waits for its result; it keeps its slot
 };
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -56,8 +56,7 @@
                         context.m_random);
         break;
     case timer_kind::attempt_timeout:
-        settle_attempt(state, {subject, attempt_outcome::unknown, "", false},
-                       context.m_now, context.m_random, context.m_out);
+        time_out_attempt(state, subject, context.m_now, context.m_random, context.m_out);
         break;
     case timer_kind::forwarded_expiry:
         refuse_forwarded(state, subject, context.m_out);
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -289,6 +289,19 @@
     }
 }
 
+void time_out_attempt(dispatch_state & state, attempt_id const & id, time_point now,
+                      random_source & random, effects & out)
+{
+    running_attempt const & attempt = state.m_attempts.at(id);
+    if (attempt.m_upstream != no_upstream && attempt.m_cancelled)
+    {
+        // Not even the cancellation was answered. settle_attempt() learns nothing from
+        // a cancelled attempt that failed, so the evidence is recorded here.
+        record_evidence(state, attempt.m_upstream, {false, attempt.m_probe, 1}, now);
+    }
+    settle_attempt(state, {id, attempt_outcome::unknown, "", false}, now, random, out);
+}
+
 void settle_attempt(dispatch_state & state, attempt_result result, time_point now,
                     random_source & random, effects & out)
 {
--- a/src/dispatch/attempts.hpp
+++ b/src/dispatch/attempts.hpp
@@ -41,6 +41,10 @@
 void settle_attempt(dispatch_state & state, attempt_result result, time_point now,
                     random_source & random, effects & out);
 
+/// Ends an attempt without a result; its outcome is unknown.
+void time_out_attempt(dispatch_state & state, attempt_id const & id, time_point now,
+                      random_source & random, effects & out);
+
 } // namespace cassiahub::dispatch::internal
 
 #endif
--- a/src/dispatch/ejection.cpp
+++ b/src/dispatch/ejection.cpp
@@ -26,7 +26,8 @@
     return state.m_configuration->m_dispatch;
 }
 
-void add_result(result_window & window, bool succeeded, time_point now, duration length)
+/// \returns the counts of the half that \p now belongs to.
+result_counts & current_half(result_window & window, time_point now, duration length)
 {
     if (now - window.m_half_start >= length / 2)
     {
@@ -35,13 +36,20 @@
         window.m_halves[0] = {};
         window.m_half_start = now;
     }
-    ++(succeeded ? window.m_halves[0].m_succeeded : window.m_halves[0].m_failed);
+    return window.m_halves[0];
+}
+
+void add_result(result_window & window, bool succeeded, time_point now, duration length)
+{
+    result_counts & counts = current_half(window, now, length);
+    ++(succeeded ? counts.m_succeeded : counts.m_failed);
 }
 
 result_counts sum_of(result_window const & window)
 {
     return {window.m_halves[0].m_succeeded + window.m_halves[1].m_succeeded,
-            window.m_halves[0].m_failed + window.m_halves[1].m_failed};
+            window.m_halves[0].m_failed + window.m_halves[1].m_failed,
+            window.m_halves[0].m_outlasting + window.m_halves[1].m_outlasting};
 }
 
 std::uint64_t success_percent(result_counts const & counts)
@@ -74,7 +82,8 @@
 {
     result_counts const own = sum_of(health.m_window);
     config::dispatch_settings const & settings = settings_of(state);
-    return own.m_succeeded + own.m_failed >= settings.m_ejection_min_results &&
+    return own.m_succeeded + own.m_failed + own.m_outlasting >=
+               settings.m_ejection_min_results &&
            health.m_slowness * 100 > settings.m_ejection_slow_percent;
 }
 
@@ -205,6 +214,24 @@
     refresh_room(state, id);
 }
 
+void record_straggler(dispatch_state & state, std::uint32_t id, time_point now)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    if (!upstream.m_owned)
+    {
+        return;
+    }
+    ++current_half(upstream.m_health.m_window, now, settings_of(state).m_ejection_window)
+          .m_outlasting;
+    upstream.m_health.m_slowness +=
+        slowness_weight * (slowness_limit - upstream.m_health.m_slowness);
+    if (settings_of(state).m_ejection == config::ejection_policy::success_rate)
+    {
+        judge_by_rate(state, id, now);
+        refresh_room(state, id);
+    }
+}
+
 void begin_probing(dispatch_state & state, std::uint32_t id)
 {
     upstream_health & health = state.m_upstreams[id].m_health;
--- a/src/dispatch/ejection.hpp
+++ b/src/dispatch/ejection.hpp
@@ -18,6 +18,9 @@
 void record_evidence(dispatch_state & state, std::uint32_t id,
                      upstream_evidence const & evidence, time_point now);
 
+/// Records that an attempt on upstream \p id outlasts nearly all others of its kind.
+void record_straggler(dispatch_state & state, std::uint32_t id, time_point now);
+
 /// Ends the cooling of an ejected upstream.
 void begin_probing(dispatch_state & state, std::uint32_t id);
 
--- a/src/dispatch/hedging.cpp
+++ b/src/dispatch/hedging.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/attempts.hpp"
 #include "dispatch/baseline.hpp"
+#include "dispatch/ejection.hpp"
 #include "dispatch/hedging.hpp"
 #include "dispatch/placement.hpp"
 
@@ -32,6 +33,25 @@
            state.m_configuration->m_dispatch.m_hedge_delay_percent / 100;
 }
 
+void schedule_again(dispatch_state & state, job_state const & job,
+                    running_attempt & attempt, attempt_id const & id, time_point now)
+{
+    time_point const again = now + straggler_delay(state, attempt.m_kind);
+    if (again < job.m_deadline)
+    {
+        set_hedge_timer(state, attempt, id, again);
+    }
+}
+
+/// Most tasks that outlast the others are long on every upstream, so a sound upstream
+/// gets twice the time.
+bool is_suspect(dispatch_state const & state, running_attempt const & attempt)
+{
+    constexpr double suspect_slowness = 1.5;
+    return attempt.m_upstream != no_upstream &&
+           state.m_upstreams[attempt.m_upstream].m_health.m_slowness > suspect_slowness;
+}
+
 /// Starts a second attempt beside the straggler \p id, or looks again later.
 void start_hedge(dispatch_state & state, attempt_id const & id, time_point now,
                  random_source & random, effects & out)
@@ -42,6 +62,16 @@
     {
         return;
     }
+    if (!is_suspect(state, attempt) && !attempt.m_hedge_deferred)
+    {
+        attempt.m_hedge_deferred = true;
+        if (attempt.m_upstream != no_upstream)
+        {
+            record_straggler(state, attempt.m_upstream, now);
+        }
+        schedule_again(state, job, attempt, id, now);
+        return;
+    }
     placement_request const request{job.m_spec.m_tasks[attempt.m_task].m_demand, false,
                                     attempt.m_upstream, true};
     auto const target = pick_upstream(state, request, random);
@@ -52,11 +82,7 @@
                       out);
         return;
     }
-    time_point const again = now + straggler_delay(state, attempt.m_kind);
-    if (again < job.m_deadline)
-    {
-        set_hedge_timer(state, attempt, id, again);
-    }
+    schedule_again(state, job, attempt, id, now);
 }
 
 bool is_still_due(dispatch_state const & state, hedge_due const & due)
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -113,6 +113,8 @@
     CPPUNIT_TEST(failing_upstream_is_ejected_and_probed_after_cooling);
     CPPUNIT_TEST(probes_that_succeed_readmit_the_upstream);
     CPPUNIT_TEST(failure_of_every_upstream_ejects_none);
+    CPPUNIT_TEST(upstream_that_never_answers_gets_little_work);
+    CPPUNIT_TEST(attempt_timeout_counts_against_the_upstream);
     CPPUNIT_TEST(breaker_opens_after_consecutive_failures);
     CPPUNIT_TEST(fast_failure_withholds_the_slot);
     CPPUNIT_TEST(leaving_upstream_gets_no_new_attempt);
@@ -163,6 +165,42 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), m_state.m_counters.m_ejections);
     }
 
+    void upstream_that_never_answers_gets_little_work()
+    {
+        for (config::upstream & upstream : m_configuration.m_upstreams)
+        {
+            upstream.m_slots = 8;
+        }
+        apply();
+        run_tasks(30, {});
+        std::size_t silent = 0;
+        for (int count = 0; count < 300; ++count)
+        {
+            submit("check", 1);
+            for (attempt_start const & start : take_starts())
+            {
+                silent += start.m_upstream == "up-0" ? 1 : 0;
+                if (start.m_upstream != "up-0")
+                {
+                    m_now += 300ms;
+                    finish(start.m_attempt, attempt_outcome::succeeded);
+                }
+            }
+            step(450ms);
+        }
+        // Eight slots that fill again after each timeout of 15 s would take 120.
+        CPPUNIT_ASSERT(silent <= 24);
+    }
+
+    void attempt_timeout_counts_against_the_upstream()
+    {
+        job_spec spec = make_spec("lodge", 1);
+        spec.m_time_limit = 1s;
+        submit(spec);
+        step(6s);
+        CPPUNIT_ASSERT_EQUAL(1U, m_state.m_all_results.m_halves[0].m_failed);
+    }
+
     void breaker_opens_after_consecutive_failures()
     {
         m_configuration.m_dispatch.m_ejection =
@@ -219,7 +257,9 @@
         m_out = {};
         submit(kind, 1);
         attempt_start start = take_one_start();
-        step(1s);
+        step(650ms); // twice the usual run time, but the upstream is sound
+        CPPUNIT_ASSERT(m_out.m_starts.empty());
+        step(650ms);
         return start;
     }
 
