Check in the property test that no start follows a takeover

Cause: the records alone keep work from starting twice; nothing showed that the lease limit of a start, and its conversion to a peer's clock, hold. Change: a non-idempotent start under an epoch that is no longer the table's is a violation.

--- a/tests/decision_fleet.hpp
+++ b/tests/decision_fleet.hpp
@@ -6,6 +6,7 @@
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision.hpp>
+#include <cassiahub/ownership.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -234,8 +235,10 @@
             return;
         }
         ++m_connections[std::minmax(left, right)];
-        for (auto const & [from, to] : {std::pair(left, right), std::pair(right, left)})
+        for (auto const & ends : {std::pair(left, right), std::pair(right, left)})
         {
+            std::size_t const from = ends.first;
+            std::size_t const to = ends.second;
             after(draw_time(0ms, 2ms), [this, from, to]
                   { deliver(from, decision::peer_disconnected{{m_nodes[to].m_name}}); });
         }
@@ -456,7 +459,7 @@
     }
 
     /// Runs \p action in the process of the node, when it runs again if it is paused.
-    void in_process(std::size_t index, std::uint64_t incarnation, callback action)
+    void in_process(std::size_t index, std::uint64_t incarnation, callback const & action)
     {
         node & target = m_nodes[index];
         if (!target.m_alive || target.m_incarnation != incarnation)
@@ -473,7 +476,7 @@
     }
 
     void finish(std::size_t index, std::uint64_t incarnation, duration delay,
-                dispatch::attempt_result result)
+                dispatch::attempt_result const & result)
     {
         after(delay,
               [this, index, incarnation, result]
@@ -530,6 +533,17 @@
         bool const recorded = std::any_of(m_table.begin(), m_table.end(),
                                           [&row](auto const & entry)
                                           { return entry.first.ends_with(row); });
+        auto const lease = m_table.find(
+            ownership::lease_prefix(
+                start.m_token.m_shard.substr(0, start.m_token.m_shard.find('/'))) +
+            start.m_token.m_shard.substr(start.m_token.m_shard.find('/') + 1));
+        ownership::lease_value owner;
+        if (!job.m_repeatable && lease != m_table.end() &&
+            ownership::parse_lease(lease->second.m_value, owner) &&
+            owner.m_epoch > start.m_token.m_epoch)
+        {
+            fail(start.m_job.m_key + " started_after_takeover");
+        }
         if (!job.m_repeatable && !recorded)
         {
             fail(start.m_job.m_key + " started_without_record");
@@ -661,7 +675,7 @@
     }
 
     void answer_store(std::size_t index, std::uint64_t incarnation, duration delay,
-                      decision::store_answered answered)
+                      decision::store_answered const & answered)
     {
         after(delay,
               [this, index, incarnation, answered]
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -2,8 +2,6 @@
 
 #include "decision_fleet.hpp"
 
-#include <cassiahub/ownership.hpp>
-
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -43,7 +41,7 @@
 
     std::string add_job(bool repeatable, std::string domain = "a", duration limit = 5s)
     {
-        std::string const key = "k" + std::to_string(m_next_key++);
+        std::string key = "k" + std::to_string(m_next_key++);
         fleet::fleet_job job;
         job.m_repeatable = repeatable;
         job.m_spec.m_key = {"t", std::move(domain), key};
@@ -114,7 +112,7 @@
     {
         for (;;)
         {
-            std::string const key = add_job(repeatable, "a", limit);
+            std::string key = add_job(repeatable, "a", limit);
             if (owner_of(key) == index)
             {
                 return key;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -191,7 +191,7 @@
         for (int item = 0; item < 200; ++item)
         {
             std::string const text = "upstream-" + std::to_string(item);
-            std::string const owner = names[rendezvous_choice(names, text)];
+            std::string const & owner = names[rendezvous_choice(names, text)];
             std::vector<std::string> fewer = names;
             std::erase(fewer, owner == "a" ? "b" : "a");
             CPPUNIT_ASSERT_EQUAL(owner, fewer[rendezvous_choice(fewer, text)]);
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -356,13 +356,14 @@
     void answers_beyond_memory_limit_become_already_answered()
     {
         serve();
+        std::string large;
+        large.resize(answer_memory_limit * 3 / 4, 'x');
         for (char const * const text : {"first", "second"})
         {
             admit(text);
             advance_by(100ms);
             answer_write(store_result::done);
-            finish_job(m_state, make_key(text),
-                       {{}, run_state::yes, {}, {std::string(40'000'000, 'x')}}, m_now);
+            finish_job(m_state, make_key(text), {{}, run_state::yes, {}, {large}}, m_now);
         }
         CPPUNIT_ASSERT(m_state.m_answer_bytes <= answer_memory_limit);
         CPPUNIT_ASSERT(find_key(m_state, make_key("first"), 1).m_answer.m_error ==
