Write logs and metrics in the daemon; report readiness by owners

Cause: log events and job observations were dropped, and /readyz said ready 0.1 s after the start, before any shard had an owner, so that the first jobs were refused with owner_unreachable.

Change: a telemetry duty, /metrics, a sample of the decision state each second with the invariants checked, and readiness that waits until every shard of the failure domain has a known owner (latched, 15 s at most).

--- a/programs/cassiahub-entry.cpp
+++ b/programs/cassiahub-entry.cpp
@@ -3,6 +3,7 @@
 #include <cassiahub/config.hpp>
 #include <cassiahub/entry.hpp>
 #include <cassiahub/runtime.hpp>
+#include <cassiahub/telemetry.hpp>
 
 #include <CLI/CLI.hpp>
 #include <civetweb.h>
@@ -54,6 +55,7 @@
     {
         return cassiahub::runtime::exit_success;
     }
+    cassiahub::telemetry::configure_logging();
     mg_init_library(MG_FEATURES_DEFAULT);
     return cassiahub::runtime::run_until_signal(
         "cassiahub-entry", [&settings](std::stop_token const & stop)
--- /dev/null
+++ b/src/decision/readiness.cpp
@@ -0,0 +1,41 @@
+#include <cassiahub/decision/step.hpp>
+#include <cassiahub/membership/members.hpp>
+
+#include <algorithm>
+
+namespace cassiahub::decision
+{
+
+namespace internal
+{
+
+bool is_held_by_member(entry_state const & state, std::uint32_t shard)
+{
+    auto const & members = state.m_membership.m_members;
+    return std::any_of(members.begin(), members.end(),
+                       [&state, shard](auto const & entry)
+                       {
+                           membership::member const & known = entry.second;
+                           return known.m_live &&
+                                  known.m_domain == state.m_identity.m_domain &&
+                                  membership::held_epoch(known, shard) > 0;
+                       });
+}
+
+} // namespace internal
+
+bool knows_every_owner(entry_state const & state)
+{
+    auto const & shards = state.m_ownership.m_shards;
+    for (std::uint32_t shard = 0; shard < shards.size(); ++shard)
+    {
+        if (shards[shard].m_phase != ownership::shard_phase::serving &&
+            !internal::is_held_by_member(state, shard))
+        {
+            return false;
+        }
+    }
+    return state.m_dispatch.m_configuration != nullptr && !shards.empty();
+}
+
+} // namespace cassiahub::decision
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -11,7 +11,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <variant>
+#include <vector>
 
 namespace cassiahub::entry
 {
@@ -19,8 +22,28 @@
 /// What the store duty is told to do.
 using store_command = std::variant<decision::write_store, decision::read_store>;
 
+/// Figures of the decision duty at one time.
+struct state_sample
+{
+    dispatch::dispatch_counters m_counters;
+    dispatch::peer_load m_load;
+    std::size_t m_open_jobs = 0;
+    std::size_t m_live_members = 0;
+    std::size_t m_served_shards = 0;
+    std::uint64_t m_configuration_version = 0;
+    bool m_store_contact = false;
+    std::vector<std::string_view> m_broken_invariants;
+};
+
+/// Asks for the metrics as text. The reply ring holds one item.
+struct scrape_request
+{
+    std::shared_ptr<runtime::bounded_ring<std::string>> m_reply;
+};
+
 /// What is observed of the daemon, for logs and metrics.
-using telemetry_item = std::variant<decision::log_event, decision::observe_job>;
+using telemetry_item = std::variant<decision::log_event, decision::observe_job,
+                                    state_sample, scrape_request>;
 
 /// An eventfd that wakes an event loop.
 class wake_descriptor
@@ -95,6 +118,7 @@
 
     // Set by the decision duty, read by /readyz.
     std::atomic<std::uint64_t> m_configuration_version{0};
+    std::atomic<bool> m_ready{false};
 };
 
 /// Adds \p item to the telemetry ring, or counts it as dropped. Thread-safe.
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -74,6 +74,8 @@
     supervisor_spec spec;
     spec.m_name = "entry";
     spec.m_children = {
+        make_group("telemetry", context,
+                   {make_duty("telemetry", context, run_telemetry)}),
         make_group("decision", context, {make_duty("decision", context, run_decision)}),
         make_group("peer", context, {make_duty("peer-exchange", context, run_peer)}),
         make_group("platform", context,
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -1,5 +1,9 @@
 #include "entry/duties.hpp"
 
+#include <cassiahub/dispatch.hpp>
+#include <cassiahub/membership.hpp>
+#include <cassiahub/ownership.hpp>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -125,11 +129,52 @@
     }
 }
 
+/// Time after which an instance that knows no owner of some shard is ready all the same:
+/// while the store is down a shard may stay without an owner for long.
+constexpr duration longest_start = std::chrono::seconds(15);
+
+/// Sets m_ready once. It is never cleared, so that shards without an owner do not take
+/// every instance of a failure domain from the balancer at the same time.
+void update_readiness(daemon_context & context, time_point started)
+{
+    if (context.m_ready || context.m_configuration_version == 0)
+    {
+        return;
+    }
+    bool const waited = runtime::read_boot_clock() - started >= longest_start;
+    context.m_ready = waited || decision::knows_every_owner(context.m_state);
+}
+
+/// Time between two samples of the state for the metrics.
+constexpr duration sample_period = std::chrono::seconds(1);
+
+void record_sample(daemon_context & context)
+{
+    decision::entry_state const & state = context.m_state;
+    state_sample sample;
+    sample.m_counters = state.m_dispatch.m_counters;
+    sample.m_load = dispatch::current_load(state.m_dispatch);
+    sample.m_open_jobs = state.m_open_jobs.size();
+    sample.m_live_members =
+        membership::live_members(state.m_membership, state.m_identity.m_domain).size();
+    for (ownership::shard_state const & shard : state.m_ownership.m_shards)
+    {
+        sample.m_served_shards +=
+            shard.m_phase == ownership::shard_phase::serving ? 1 : 0;
+    }
+    sample.m_configuration_version = context.m_configuration_version;
+    sample.m_store_contact = ownership::has_store_contact(state.m_ownership, state.m_now);
+    sample.m_broken_invariants = decision::check_invariants(state);
+    record(context, std::move(sample));
+}
+
 } // namespace internal
 
 std::error_code run_decision(daemon_context & context, std::stop_token const & stop)
 {
     std::vector<decision::event> events;
+    time_point const started = runtime::read_boot_clock();
+    time_point next_sample = started;
     while (!stop.stop_requested())
     {
         if (context.m_events.pop_all(events, internal::tick_period, stop) == 0)
@@ -137,6 +182,12 @@
             events.emplace_back(decision::tick{});
         }
         internal::handle_events(context, events);
+        internal::update_readiness(context, started);
+        if (runtime::read_boot_clock() >= next_sample)
+        {
+            next_sample = runtime::read_boot_clock() + internal::sample_period;
+            internal::record_sample(context);
+        }
     }
     context.m_events.pop_all(events, duration::zero());
     internal::handle_events(context, events);
--- a/src/entry/duties.hpp
+++ b/src/entry/duties.hpp
@@ -32,6 +32,9 @@
 std::error_code run_document_checker(daemon_context & context,
                                      std::stop_token const & stop);
 
+/// Writes the log and keeps the metrics.
+std::error_code run_telemetry(daemon_context & context, std::stop_token const & stop);
+
 /// Exchanges messages with the other entry instances.
 std::error_code run_peer(daemon_context & context, std::stop_token const & stop);
 
--- a/src/entry/listener_duty.cpp
+++ b/src/entry/listener_duty.cpp
@@ -194,9 +194,22 @@
     return {405, "text/plain", {{"Allow", "GET, DELETE"}}, "method not allowed\n"};
 }
 
+http::response serve_metrics(daemon_context & context)
+{
+    constexpr duration scrape_timeout = std::chrono::seconds(2);
+    auto const reply = std::make_shared<runtime::bounded_ring<std::string>>(1);
+    record(context, scrape_request{reply});
+    std::optional<std::string> text = reply->pop(scrape_timeout);
+    if (!text)
+    {
+        return {503, "text/plain", {}, "metrics are not available\n"};
+    }
+    return {200, "text/plain; version=0.0.4", {}, std::move(*text)};
+}
+
 http::response serve_readiness(daemon_context & context, bool stopping)
 {
-    bool const ready = context.m_configuration_version != 0 && !stopping;
+    bool const ready = context.m_ready && !stopping;
     return {ready ? 200 : 503,
             "application/json",
             {},
@@ -223,6 +236,10 @@
     {
         return {200, "text/plain", {}, "ok\n"};
     }
+    if (received.m_path == "/metrics")
+    {
+        return serve_metrics(context);
+    }
     if (received.m_path == "/readyz")
     {
         return serve_readiness(context, stopping);
--- /dev/null
+++ b/src/entry/telemetry_duty.cpp
@@ -0,0 +1,134 @@
+#include "entry/duties.hpp"
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/telemetry.hpp>
+
+#include <array>
+#include <cstdlib>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::entry
+{
+
+namespace internal
+{
+
+constexpr duration wait_period = std::chrono::seconds(60);
+
+/// Figures and limits of the telemetry duty.
+struct telemetry_context
+{
+    daemon_context & m_daemon;
+    telemetry::metrics m_metrics;
+    telemetry::log_limiter m_limiter;
+};
+
+void write_event(telemetry_context & context, telemetry::log_level level,
+                 std::string_view code, std::string_view subject, std::error_code error)
+{
+    telemetry::log_permission const permission =
+        telemetry::admit_line(context.m_limiter, code, runtime::read_boot_clock());
+    if (!permission.m_allowed)
+    {
+        return;
+    }
+    std::string const message = error ? error.message() : std::string();
+    std::string const suppressed = std::to_string(permission.m_suppressed_before);
+    std::array<telemetry::log_field, 3> const fields = {
+        {{"subject", subject}, {"error", message}, {"suppressed_before", suppressed}}};
+    telemetry::write_log(level, context.m_daemon.m_settings.m_instance, code, fields);
+}
+
+void take(telemetry_context & context, decision::log_event & event)
+{
+    write_event(context,
+                event.m_error ? telemetry::log_level::warning
+                              : telemetry::log_level::info,
+                event.m_code, event.m_subject, event.m_error);
+}
+
+void take(telemetry_context & context, decision::observe_job & job)
+{
+    std::string const code = job.m_error ? job.m_error.message() : "ok";
+    telemetry::record_job(context.m_metrics, job.m_tenant, job.m_kind, code,
+                          job.m_response_time);
+}
+
+/// A broken invariant is logged and counted. Test runs set
+/// CASSIAHUB_ABORT_ON_BROKEN_INVARIANT, which ends the process.
+void report_broken_invariants(telemetry_context & context, state_sample const & sample)
+{
+    for (std::string_view const name : sample.m_broken_invariants)
+    {
+        ++context.m_metrics.m_totals["cassiahub_broken_invariants_total"];
+        write_event(context, telemetry::log_level::error, "invariant_broken", name, {});
+    }
+    bool const fatal = std::getenv("CASSIAHUB_ABORT_ON_BROKEN_INVARIANT") != nullptr;
+    if (fatal && !sample.m_broken_invariants.empty())
+    {
+        std::abort();
+    }
+}
+
+void take(telemetry_context & context, state_sample & sample)
+{
+    using telemetry::set_gauge;
+    using telemetry::set_total;
+    telemetry::metrics & target = context.m_metrics;
+    set_gauge(target, "cassiahub_free_slots", sample.m_load.m_free_slots);
+    set_gauge(target, "cassiahub_queued_tasks", sample.m_load.m_queued_tasks);
+    set_gauge(target, "cassiahub_open_jobs", static_cast<double>(sample.m_open_jobs));
+    set_gauge(target, "cassiahub_live_members",
+              static_cast<double>(sample.m_live_members));
+    set_gauge(target, "cassiahub_served_shards",
+              static_cast<double>(sample.m_served_shards));
+    set_gauge(target, "cassiahub_configuration_version",
+              static_cast<double>(sample.m_configuration_version));
+    set_gauge(target, "cassiahub_store_contact", sample.m_store_contact ? 1 : 0);
+    dispatch::dispatch_counters const & counters = sample.m_counters;
+    set_total(target, "cassiahub_first_attempts_total", counters.m_first_attempts);
+    set_total(target, "cassiahub_retries_total", counters.m_retries);
+    set_total(target, "cassiahub_hedges_total", counters.m_hedges);
+    set_total(target, "cassiahub_forwards_total", counters.m_forwards);
+    set_total(target, "cassiahub_useful_results_total", counters.m_useful_results);
+    set_total(target, "cassiahub_wasted_messages_total", wasted_messages(counters));
+    set_total(target, "cassiahub_ejections_total", counters.m_ejections);
+    set_total(target, "cassiahub_shed_jobs_total", counters.m_shed_jobs);
+    daemon_context & daemon = context.m_daemon;
+    set_total(target, "cassiahub_telemetry_dropped_total", daemon.m_telemetry_dropped);
+    set_total(target, "cassiahub_peer_messages_sent_total",
+              daemon.m_peer_counters.m_messages_sent);
+    set_total(target, "cassiahub_peer_sessions_broken_total",
+              daemon.m_peer_counters.m_sessions_broken);
+    report_broken_invariants(context, sample);
+}
+
+void take(telemetry_context & context, scrape_request & request)
+{
+    request.m_reply->try_push(telemetry::format_exposition(context.m_metrics));
+}
+
+} // namespace internal
+
+std::error_code run_telemetry(daemon_context & context, std::stop_token const & stop)
+{
+    internal::telemetry_context state{context, {}, {}};
+    internal::write_event(state, telemetry::log_level::info, "started",
+                          context.m_settings.m_domain, {});
+    std::vector<telemetry_item> items;
+    while (!stop.stop_requested())
+    {
+        context.m_telemetry.pop_all(items, internal::wait_period, stop);
+        for (telemetry_item & next : items)
+        {
+            std::visit([&state](auto & item) { internal::take(state, item); }, next);
+        }
+        items.clear();
+    }
+    internal::write_event(state, telemetry::log_level::info, "stopped",
+                          context.m_settings.m_domain, {});
+    return {};
+}
+
+} // namespace cassiahub::entry
