Name the allowed keys of an unknown key and test exit codes

Cause: the fault for an unknown key said nothing about what is allowed, and the exit codes of config put were only tried by hand.

Change: the fault lists the section's keys. A process test runs put_config() into success, conflict, bad input, refusal and a stopped store.

--- a/src/config/section_reader.hpp
+++ b/src/config/section_reader.hpp
@@ -15,6 +15,19 @@
 
 using fault_list = std::vector<config_fault>;
 
+/// \returns the keys of \p rules, separated by commas.
+template <typename Record>
+std::string list_allowed(std::span<key_rule<Record> const> rules)
+{
+    std::string text;
+    for (key_rule<Record> const & rule : rules)
+    {
+        text += text.empty() ? "" : ", ";
+        text += rule.m_key;
+    }
+    return text;
+}
+
 template <typename Record>
 void apply_entry(ini_section const & section, ini_entry const & entry,
                  std::span<key_rule<Record> const> rules, Record & record,
@@ -25,8 +38,8 @@
                                    { return candidate.m_key == entry.m_key; });
     if (rule == rules.end())
     {
-        faults.push_back(
-            {config_errc::unknown_key, section.m_name, entry.m_key, entry.m_line, ""});
+        faults.push_back({config_errc::unknown_key, section.m_name, entry.m_key,
+                          entry.m_line, list_allowed(rules)});
     }
     else if (!rule->m_apply(entry.m_value, record))
     {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -69,6 +69,7 @@
                          config_errc::unknown_key);
         CPPUNIT_ASSERT_EQUAL(std::string("upstream.nbo-1"), m_faults[0].m_section);
         CPPUNIT_ASSERT_EQUAL(std::size_t(17), m_faults[0].m_line);
+        CPPUNIT_ASSERT(m_faults[0].m_allowed.starts_with("owner, offered_to, address,"));
     }
 
     void parse_value_out_of_range_names_allowed_range()
--- a/tests/ctl_config_race_test.cpp
+++ b/tests/ctl_config_race_test.cpp
@@ -2,6 +2,7 @@
 /// stand-in, each in its own process.
 
 #include <cassiahub/config.hpp>
+#include <cassiahub/ctl.hpp>
 #include <cassiahub/http.hpp>
 #include <cassiahub/platform.hpp>
 #include <cassiahub/runtime/boot_clock.hpp>
@@ -185,6 +186,7 @@
     CPPUNIT_TEST(edit_foreign_section_changes_nothing);
     CPPUNIT_TEST(delete_section_raises_version_in_force);
     CPPUNIT_TEST(drain_upstream_from_both_instances_both_accepted);
+    CPPUNIT_TEST(put_config_each_outcome_has_its_exit_code);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<pid_t> m_children;
@@ -317,6 +319,19 @@
         return worst;
     }
 
+    /// Deletes a section of version 1 as team beta. \returns the HTTP status.
+    int delete_section(std::string const & section)
+    {
+        return send(m_entries[0], {"DELETE",
+                                   "/v1/config/sections/" + section,
+                                   {},
+                                   {{"Cassiahub-Team", "beta"},
+                                    {"Authorization", "Bearer " + team_key("beta")},
+                                    {"If-Match", "\"1\""}},
+                                   {}})
+            .m_status;
+    }
+
     void assert_section(nlohmann::json const & section, std::string const & text)
     {
         CPPUNIT_ASSERT_EQUAL(text, section["text"].get<std::string>());
@@ -468,34 +483,19 @@
     {
         racing_operator user{m_entries[0], "beta", {}, {}, 0, 0};
         std::string const text = kind_text("first", "beta");
-        CPPUNIT_ASSERT_EQUAL(
-            403, put_section(user, "kind.first", {"If-Match", "\"1\""}, text).m_status);
-        http::response const removed =
-            send(m_entries[0], {"DELETE",
-                                "/v1/config/sections/kind.first",
-                                {},
-                                {{"Cassiahub-Team", "beta"},
-                                 {"Authorization", "Bearer " + team_key("beta")},
-                                 {"If-Match", "\"1\""}},
-                                {}});
-        CPPUNIT_ASSERT_EQUAL(403, removed.m_status);
+        http::header const condition{"If-Match", "\"1\""};
+        CPPUNIT_ASSERT_EQUAL(403,
+                             put_section(user, "kind.first", condition, text).m_status);
+        CPPUNIT_ASSERT_EQUAL(403, delete_section("kind.first"));
         user.m_team = "gamma";
-        CPPUNIT_ASSERT_EQUAL(
-            401, put_section(user, "kind.first", {"If-Match", "\"1\""}, text).m_status);
+        CPPUNIT_ASSERT_EQUAL(401,
+                             put_section(user, "kind.first", condition, text).m_status);
         assert_section(read_sections().at("kind.first"), m_initial["kind.first"]);
     }
 
     void delete_section_raises_version_in_force()
     {
-        http::response const removed =
-            send(m_entries[0], {"DELETE",
-                                "/v1/config/sections/kind.still",
-                                {},
-                                {{"Cassiahub-Team", "beta"},
-                                 {"Authorization", "Bearer " + team_key("beta")},
-                                 {"If-Match", "\"1\""}},
-                                {}});
-        CPPUNIT_ASSERT_EQUAL(200, removed.m_status);
+        CPPUNIT_ASSERT_EQUAL(200, delete_section("kind.still"));
         CPPUNIT_ASSERT_EQUAL(m_initial.size() - 1, read_sections().size());
         CPPUNIT_ASSERT(!read_sections().contains("kind.still"));
         wait_for_version(2, force_limit);
@@ -523,6 +523,28 @@
         assert_section(read_sections().at("upstream.one"),
                        m_initial["upstream.one"] + "draining = yes\n");
     }
+
+    void put_config_each_outcome_has_its_exit_code()
+    {
+        std::string const path = m_directory + "/entry-1.ini"; // removed by tearDown()
+        setenv("CASSIAHUB_TEAM_KEY", team_key("beta").c_str(), 1);
+        auto const put = [&](std::string const & text, std::uint64_t version)
+        {
+            std::ofstream(path) << text;
+            return ctl::put_config({{"127.0.0.1:1", m_entries[0]}, "beta", {}, {}}, path,
+                                   version);
+        };
+        std::string const text = kind_text("still", "beta");
+        CPPUNIT_ASSERT_EQUAL(runtime::exit_success, put(text, 1));
+        CPPUNIT_ASSERT_EQUAL(ctl::exit_conflict, put(text, 1));
+        CPPUNIT_ASSERT_EQUAL(runtime::exit_usage, put(text + "slots = 1\n", 2));
+        CPPUNIT_ASSERT_EQUAL(runtime::exit_failed, put(kind_text("first", "beta"), 1));
+        stop_programs({m_children.data(), 1});
+        m_children.erase(m_children.begin());
+        CPPUNIT_ASSERT_EQUAL(ctl::exit_not_run, put(text, 2));
+        unsetenv("CASSIAHUB_TEAM_KEY");
+        CPPUNIT_ASSERT_EQUAL(runtime::exit_usage, put(text, 2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_race_test);
