Let edits that lose a race wait longer with each try

Cause: 12 operators on 4 instances that edit without a pause (about 185 edits a second; the design has 0.22) were refused as contended in 6 of 240 edits.

Change: the longest wait before a further try grows by 10 ms with each try.

--- a/src/platform/configuration_edit.cpp
+++ b/src/platform/configuration_edit.cpp
@@ -20,8 +20,9 @@
 /// Edits that conflict only on the version row are tried again this often. Each conflict
 /// means that another edit was accepted, so only a burst of edits exhausts the tries.
 constexpr int max_tries = 16;
-/// Longest wait before a further try; a few synced writes of the platform.
-constexpr std::int64_t max_wait_ms = 20;
+/// The longest wait before a further try grows by this much with each try, so that a
+/// burst of edits spreads out. A synced write of the platform takes several ms.
+constexpr std::int64_t wait_step_ms = 10;
 /// Tries of apply_key(), which reads the section's version anew each time.
 constexpr int max_key_tries = 8;
 
@@ -75,9 +76,9 @@
     return found == rows.end() ? 0 : found->m_version;
 }
 
-void wait_before_next_try(random_source & random)
+void wait_before_next_try(int attempt, random_source & random)
 {
-    std::uniform_int_distribution<std::int64_t> draw(0, max_wait_ms);
+    std::uniform_int_distribution<std::int64_t> draw(0, wait_step_ms * (attempt + 1));
     std::this_thread::sleep_for(std::chrono::milliseconds(draw(random)));
 }
 
@@ -145,7 +146,7 @@
             return result;
         case decision::store_outcome::conflict:
             // The next check reports a conflict on the section itself.
-            internal::wait_before_next_try(session.m_random);
+            internal::wait_before_next_try(attempt, session.m_random);
             break;
         }
     }
