Choose among peers at random and by the room they report

Cause: every instance forwarded to the peer with most free slots, the same one between two reports; and a demand that no worker of a peer can take would have waited there. Change: the freest of four peers from a random one on; peer_load also tells the largest free resources.

--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -113,6 +113,9 @@
 {
     std::uint32_t m_free_slots = 0;
     std::uint32_t m_queued_tasks = 0;
+    /// Largest free processors, memory and accelerators, each the maximum over the
+    /// upstreams; all zero when the report does not say.
+    resources m_largest_free{};
 };
 
 /// Another live instance to which tasks may be forwarded.
@@ -191,8 +194,8 @@
     std::vector<resources> m_largest_capacities; ///< no other capacity exceeds them
 
     std::map<instance_id, peer_state> m_peers;
-    /// (other domain, minus free slots, instance): the first is the best target.
-    std::set<std::tuple<bool, std::int64_t, instance_id>> m_peer_order;
+    /// Peers with free slots: (other domain, hash of the instance, instance).
+    std::set<std::tuple<bool, std::size_t, instance_id>> m_peer_order;
     std::unordered_map<attempt_id, forwarded_task> m_forwarded;
     std::unordered_set<attempt_id> m_finished_forwarded;
 
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -109,13 +109,13 @@
         return head_result::removed;
     }
     attempt_target target;
-    auto const upstream = pick_upstream(state, request_of(state, job), context.m_random);
-    instance_id const * const peer = best_peer(state);
-    if (upstream)
+    placement_request const request = request_of(state, job);
+    if (auto const upstream = pick_upstream(state, request, context.m_random))
     {
         target.m_upstream = *upstream;
     }
-    else if (peer != nullptr)
+    else if (auto const * const peer =
+                 pick_peer(state, request.m_demand, context.m_random))
     {
         target.m_peer = *peer;
     }
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -14,11 +14,15 @@
 namespace internal
 {
 
-std::tuple<bool, std::int64_t, instance_id> order_of(dispatch_state const & state,
-                                                     peer_capacity const & peer)
+using peer_order = std::tuple<bool, std::size_t, instance_id>;
+
+/// Peers that one search looks at in each tier.
+constexpr int peers_to_compare = 4;
+
+peer_order order_of(dispatch_state const & state, peer_capacity const & peer)
 {
     bool const other_domain = !state.m_domain.empty() && peer.m_domain != state.m_domain;
-    return {other_domain, -std::int64_t(peer.m_load.m_free_slots), peer.m_instance};
+    return {other_domain, std::hash<instance_id>()(peer.m_instance), peer.m_instance};
 }
 
 /// Lists a peer among the targets while it has free slots.
@@ -30,10 +34,45 @@
     }
 }
 
-instance_id const * best_peer(dispatch_state const & state)
+bool may_fit(peer_load const & load, resources const & demand)
+{
+    return load.m_largest_free == resources{} || fits(demand, load.m_largest_free);
+}
+
+/// The freest of a few peers of one tier, from a random one on.
+instance_id const * pick_in_tier(dispatch_state const & state, bool other_domain,
+                                 resources const & demand, random_source & random)
+{
+    auto const first = state.m_peer_order.lower_bound({other_domain, 0, {}});
+    auto next = state.m_peer_order.lower_bound({other_domain, random(), {}});
+    instance_id const * best = nullptr;
+    std::uint32_t most = 0;
+    for (int count = 0; count < peers_to_compare; ++count)
+    {
+        if (next == state.m_peer_order.end() || std::get<0>(*next) != other_domain)
+        {
+            next = first;
+        }
+        if (next == state.m_peer_order.end() || std::get<0>(*next) != other_domain)
+        {
+            break;
+        }
+        peer_load const & load = state.m_peers.at(std::get<2>(*next)).m_capacity.m_load;
+        if (load.m_free_slots > most && may_fit(load, demand))
+        {
+            best = &std::get<2>(*next);
+            most = load.m_free_slots;
+        }
+        ++next;
+    }
+    return best;
+}
+
+instance_id const * pick_peer(dispatch_state const & state, resources const & demand,
+                              random_source & random)
 {
-    return state.m_peer_order.empty() ? nullptr
-                                      : &std::get<2>(*state.m_peer_order.begin());
+    instance_id const * const local = pick_in_tier(state, false, demand, random);
+    return local != nullptr ? local : pick_in_tier(state, true, demand, random);
 }
 
 void forward_attempt(dispatch_state & state, instance_id const & peer,
@@ -172,6 +211,10 @@
     auto const queued = static_cast<std::uint32_t>(state.m_queued_tasks);
     load.m_free_slots = state.m_offered_slots - std::min(state.m_offered_slots, queued);
     load.m_queued_tasks = queued;
+    if (state.m_room.m_leaves > 0)
+    {
+        load.m_largest_free = state.m_room.m_nodes[1].m_free;
+    }
     return load;
 }
 
--- a/src/dispatch/forwarding.hpp
+++ b/src/dispatch/forwarding.hpp
@@ -1,15 +1,18 @@
 #ifndef CASSIAHUB_DISPATCH_FORWARDING_HPP
 #define CASSIAHUB_DISPATCH_FORWARDING_HPP
 
+#include <cassiahub/core/random.hpp>
 #include <cassiahub/dispatch/effects.hpp>
 #include <cassiahub/dispatch/state.hpp>
 
 namespace cassiahub::dispatch::internal
 {
 
-/// \returns the peer to forward to, in the local domain first, or nullptr when none is
-/// known to have a free slot.
-instance_id const * best_peer(dispatch_state const & state);
+/// \returns a peer with a free slot and room for \p demand, in the local domain first, or
+/// nullptr when none is known. The search starts at a random peer: were it the one with
+/// most free slots, every instance would choose the same between two reports.
+instance_id const * pick_peer(dispatch_state const & state, resources const & demand,
+                              random_source & random);
 
 /// Sends \p start to \p peer and counts one of its free slots as taken.
 void forward_attempt(dispatch_state & state, instance_id const & peer,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,3 @@
-#include "dispatch/forwarding.hpp"
 #include "dispatch/placement.hpp"
 
 namespace cassiahub::dispatch::internal
@@ -73,7 +72,7 @@
 bool any_room(dispatch_state const & state)
 {
     return state.m_offered_slots > 0 || !state.m_probe_targets.empty() ||
-           best_peer(state) != nullptr;
+           !state.m_peer_order.empty();
 }
 
 } // namespace cassiahub::dispatch::internal
