Let a forwarded task come back after a short wait

Cause: a task that found its slot at the peer taken could wait there until its deadline, and each return used one of its attempts. Change: a forward may be sent for 500 ms; a return is no attempt, takes no budget and makes the wait before the next try longer.

--- a/include/cassiahub/config/dispatch_settings.hpp
+++ b/include/cassiahub/config/dispatch_settings.hpp
@@ -64,6 +64,9 @@
     /// Time after its deadline at which an attempt without a result frees its slot.
     /// 100 ms to 60 s.
     duration m_attempt_timeout_margin = std::chrono::seconds(5);
+    /// Time for which a forwarded task may wait at the peer before it comes back. 10 ms
+    /// to 60 s.
+    duration m_forward_wait = std::chrono::milliseconds(500);
     /// Time for which a job's key and answer are remembered for resubmissions. 10 s to
     /// 24 h.
     duration m_resubmission_window = std::chrono::minutes(10);
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -34,7 +34,8 @@
 struct task_state
 {
     std::uint32_t m_attempts = 0;
-    std::uint32_t m_not_run = 0; ///< attempts that provably never started
+    std::uint32_t m_not_run = 0;  ///< attempts that provably never started
+    std::uint32_t m_declined = 0; ///< forwards that came back not run; no attempts
     std::uint32_t m_last_upstream = no_upstream;
     /// Running attempts, the hedge among them; a serial of 0 means none.
     std::array<attempt_id, 2> m_running;
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -90,7 +90,7 @@
 {
     config::dispatch_settings const & settings = state.m_configuration->m_dispatch;
     task_state & entry = job.m_tasks[task];
-    if (entry.m_attempts == 0)
+    if (entry.m_attempts + entry.m_declined == 0)
     {
         ++state.m_counters.m_first_attempts;
         earn(state.m_retry_budget, settings.m_retry_budget_percent,
@@ -139,6 +139,8 @@
     else
     {
         attempt.m_to = target.m_peer;
+        start.m_send_before = std::min(
+            start.m_send_before, now + state.m_configuration->m_dispatch.m_forward_wait);
         forward_attempt(state, target.m_peer, std::move(start), out);
     }
     schedule_hedge(state, job, attempt, id, now);
@@ -282,6 +284,11 @@
     {
         complete_task(state, job, attempt.m_task, std::move(result.m_payload), out);
     }
+    else if (result.m_outcome == attempt_outcome::not_run &&
+             !attempt.m_to.m_value.empty())
+    {
+        handle_declined(state, job, attempt.m_task, now, random);
+    }
     else
     {
         handle_unsuccessful(state, job, attempt.m_task, result.m_outcome, now, random,
--- a/src/dispatch/retry.cpp
+++ b/src/dispatch/retry.cpp
@@ -51,11 +51,12 @@
 duration delay_of(dispatch_state const & state, task_state const & task,
                   random_source & random)
 {
-    if (task.m_attempts < 2)
+    std::uint32_t const returned = task.m_attempts + task.m_declined;
+    if (returned < 2)
     {
         return duration::zero();
     }
-    std::uint32_t const doublings = std::min(task.m_attempts - 2, 6U);
+    std::uint32_t const doublings = std::min(returned - 2, 6U);
     duration const longest =
         state.m_configuration->m_dispatch.m_retry_delay * (1 << doublings);
     std::uniform_int_distribution<duration::rep> jitter(longest.count() / 2,
@@ -110,6 +111,19 @@
     }
 }
 
+void handle_declined(dispatch_state & state, job_state & job, std::uint32_t task_index,
+                     time_point now, random_source & random)
+{
+    task_state & task = job.m_tasks[task_index];
+    ++state.m_counters.m_refused_results;
+    --task.m_attempts;
+    ++task.m_declined;
+    if (!is_running(task))
+    {
+        schedule_retry(state, job, task_index, now, random);
+    }
+}
+
 void end_retry_delay(dispatch_state & state, std::uint64_t job_serial, std::uint32_t task,
                      random_source & random)
 {
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -300,6 +300,7 @@
     CPPUNIT_TEST_SUITE(forwarding_test);
     CPPUNIT_TEST(task_without_local_room_goes_to_peer_of_same_domain_first);
     CPPUNIT_TEST(forwards_stop_at_the_reported_free_slots);
+    CPPUNIT_TEST(forward_that_comes_back_is_no_attempt);
     CPPUNIT_TEST(removed_peer_makes_forwarded_attempts_unknown);
     CPPUNIT_TEST(accepted_task_runs_and_its_result_leaves);
     CPPUNIT_TEST(accepted_task_repeated_is_ignored);
@@ -359,6 +360,22 @@
         CPPUNIT_ASSERT_EQUAL(11U, current_load(m_state).m_queued_tasks);
     }
 
+    void forward_that_comes_back_is_no_attempt()
+    {
+        add_peer("near", "north", 10);
+        submit("lodge", 7);
+        for (int count = 0; count < 5; ++count)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
+            attempt_start const start = m_out.m_forwards[0].m_start;
+            CPPUNIT_ASSERT(start.m_send_before <= m_now + 500ms);
+            m_out = {};
+            finish(start.m_attempt, attempt_outcome::not_run);
+            step(640ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_state.m_jobs.size());
+    }
+
     void removed_peer_makes_forwarded_attempts_unknown()
     {
         add_peer("near", "north", 1);
