--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -34,7 +34,8 @@
 struct task_state
 {
     std::uint32_t m_attempts = 0;
-    std::uint32_t m_not_run = 0; ///< attempts that provably never started
+    std::uint32_t m_not_run = 0;  ///< attempts that provably never started
+    std::uint32_t m_declined = 0; ///< forwards that came back not run; no attempts
     std::uint32_t m_last_upstream = no_upstream;
     /// Running attempts, the hedge among them; a serial of 0 means none.
     std::array<attempt_id, 2> m_running;
@@ -113,6 +114,9 @@
 {
     std::uint32_t m_free_slots = 0;
     std::uint32_t m_queued_tasks = 0;
+    /// Largest free processors, memory and accelerators, each the maximum over the
+    /// upstreams; all zero when the report does not say.
+    resources m_largest_free{};
 };
 
 /// Another live instance to which tasks may be forwarded.
@@ -191,8 +195,8 @@
     std::vector<resources> m_largest_capacities; ///< no other capacity exceeds them
 
     std::map<instance_id, peer_state> m_peers;
-    /// (other domain, minus free slots, instance): the first is the best target.
-    std::set<std::tuple<bool, std::int64_t, instance_id>> m_peer_order;
+    /// Peers with free slots: (other domain, hash of the instance, instance).
+    std::set<std::tuple<bool, std::size_t, instance_id>> m_peer_order;
     std::unordered_map<attempt_id, forwarded_task> m_forwarded;
     std::unordered_set<attempt_id> m_finished_forwarded;
 
