Wait for contact with every failure domain before an instance is ready

Cause: the first jobs for another home domain were refused (owner_unreachable) until that domain's first heartbeat, up to 2 s after the start. An upstream with draining = yes still got work. After a write that was resolved as never committed, write_rows() repeated an identifier that the platform refuses, so it always ended unavailable. A row that is not UTF-8 ended the process.

--- a/include/cassiahub/decision/step.hpp
+++ b/include/cassiahub/decision/step.hpp
@@ -23,8 +23,9 @@
 /// \returns the names of the invariants that \p state breaks; empty when it is sound.
 std::vector<std::string_view> check_invariants(entry_state const & state);
 
-/// \returns true when a configuration is in force and every key shard of the own failure
-/// domain is served here or reported by a live instance. O(shards * members).
+/// \returns true when a configuration is in force, every key shard of the own failure
+/// domain is served here or reported by a live instance, and every other failure domain
+/// with listed instances has a live one. O(shards * members).
 bool knows_every_owner(entry_state const & state);
 
 /// \returns true when a draining instance has nothing left in progress.
--- a/src/codec/job_json.cpp
+++ b/src/codec/job_json.cpp
@@ -1,6 +1,6 @@
-#include <cassiahub/codec/job_json.hpp>
+#include "codec/json_text.hpp"
 
-#include <nlohmann/json.hpp>
+#include <cassiahub/codec/job_json.hpp>
 
 #include <algorithm>
 #include <cctype>
@@ -82,12 +82,6 @@
     return {};
 }
 
-/// \returns \p value as text; bytes that are not UTF-8 become U+FFFD.
-std::string dump(json const & value)
-{
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 } // namespace internal
 
 bool is_valid_key(std::string_view key) noexcept
--- a/src/codec/platform_json.cpp
+++ b/src/codec/platform_json.cpp
@@ -1,6 +1,6 @@
-#include <cassiahub/codec/platform_json.hpp>
+#include "codec/json_text.hpp"
 
-#include <nlohmann/json.hpp>
+#include <cassiahub/codec/platform_json.hpp>
 
 namespace cassiahub::codec
 {
@@ -65,10 +65,9 @@
         list.push_back(
             {{"row", row.m_name}, {"version", row.m_version}, {"value", row.m_value}});
     }
-    return internal::json({{"sequence", rows.m_sequence},
+    return internal::dump({{"sequence", rows.m_sequence},
                            {"rows", std::move(list)},
-                           {"deleted", rows.m_deleted}})
-        .dump();
+                           {"deleted", rows.m_deleted}});
 }
 
 bool parse_table_rows(std::string_view body, table_rows & rows)
@@ -98,7 +97,7 @@
     {
         list.push_back(internal::to_json(row));
     }
-    return internal::json({{"write_id", write_id}, {"rows", std::move(list)}}).dump();
+    return internal::dump({{"write_id", write_id}, {"rows", std::move(list)}});
 }
 
 bool parse_table_batch(std::string_view body, table_batch & batch)
@@ -128,7 +127,7 @@
                         {"entry", instance.m_is_entry},
                         {"leaving", instance.m_leaving}});
     }
-    return internal::json({{"instances", std::move(list)}}).dump();
+    return internal::dump({{"instances", std::move(list)}});
 }
 
 bool parse_instances(std::string_view body,
--- a/src/decision/readiness.cpp
+++ b/src/decision/readiness.cpp
@@ -2,6 +2,8 @@
 #include <cassiahub/membership/members.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace cassiahub::decision
 {
@@ -22,6 +24,24 @@
                        });
 }
 
+/// \returns true when a failure domain has members and none of them has been heard of.
+bool lacks_contact(entry_state const & state)
+{
+    std::set<std::string_view> known;
+    std::set<std::string_view> live;
+    for (auto const & [id, entry] : state.m_membership.m_members)
+    {
+        known.insert(entry.m_domain);
+        if (entry.m_live)
+        {
+            live.insert(entry.m_domain);
+        }
+    }
+    known.erase(state.m_identity.m_domain);
+    live.erase(state.m_identity.m_domain);
+    return known != live;
+}
+
 } // namespace internal
 
 bool knows_every_owner(entry_state const & state)
@@ -35,7 +55,8 @@
             return false;
         }
     }
-    return state.m_dispatch.m_configuration != nullptr && !shards.empty();
+    return state.m_dispatch.m_configuration != nullptr && !shards.empty() &&
+           !internal::lacks_contact(state);
 }
 
 } // namespace cassiahub::decision
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -12,10 +12,17 @@
 namespace internal
 {
 
+/// \returns true when \p upstream may get new attempts as far as its operators, the
+/// platform and itself are concerned.
+bool takes_new_work(upstream_state const & upstream)
+{
+    return upstream.m_owned && !upstream.m_leaving && !upstream.m_definition.m_draining;
+}
+
 offered_room room_of(upstream_state const & upstream)
 {
-    bool const usable = upstream.m_owned && !upstream.m_leaving &&
-                        upstream.m_health.m_phase == health_phase::healthy;
+    bool const usable =
+        takes_new_work(upstream) && upstream.m_health.m_phase == health_phase::healthy;
     std::uint32_t const taken = upstream.m_running + upstream.m_held;
     std::uint32_t const slots = upstream.m_definition.m_slots;
     if (!usable || taken >= slots ||
@@ -30,7 +37,7 @@
 
 bool takes_probe(upstream_state const & upstream)
 {
-    return upstream.m_owned && !upstream.m_leaving &&
+    return takes_new_work(upstream) &&
            upstream.m_health.m_phase == health_phase::probing &&
            !upstream.m_health.m_probe_running &&
            upstream.m_running < upstream.m_definition.m_slots;
--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -133,22 +133,24 @@
 decision::store_outcome write_rows(client & used, decision::write_store const & write,
                                    std::vector<decision::table_row> & versions)
 {
-    http::request const sent{"POST",
-                             "/table:batch",
-                             {},
-                             {},
-                             codec::format_table_batch(write.m_write_id, write.m_rows)};
+    std::string write_id = write.m_write_id;
     // A write that is known not to have taken effect is repeated once, for example
-    // when the service had closed the idle connection.
+    // when the service had closed the idle connection. The platform refuses the resolved
+    // identifier from then on, so the repetition has its own.
     for (int attempt = 0; attempt < 2; ++attempt)
     {
+        http::request const sent{"POST",
+                                 "/table:batch",
+                                 {},
+                                 {},
+                                 codec::format_table_batch(write_id, write.m_rows)};
         std::optional<decision::store_outcome> const outcome =
             internal::try_write(used, sent, versions);
         if (outcome)
         {
             return *outcome;
         }
-        switch (internal::resolve_write(used, write.m_write_id, versions))
+        switch (internal::resolve_write(used, write_id, versions))
         {
         case internal::write_fate::committed:
             return decision::store_outcome::done;
@@ -157,6 +159,7 @@
         case internal::write_fate::never_committed:
             break;
         }
+        write_id += "-repeated";
     }
     return decision::store_outcome::unavailable;
 }
