Delay some attempts in the property test between order and send

Cause: a fake upstream that ignores the send limit was not noticed in 100 runs, because attempts were sent within 3 ms. Change: one attempt in a hundred waits up to 9 s. Conclusion: the send limit is now exercised; see docs/promises.md.

--- a/tests/decision_fleet.hpp
+++ b/tests/decision_fleet.hpp
@@ -492,7 +492,8 @@
     void perform(std::size_t index, dispatch::attempt_start & start)
     {
         std::uint64_t const incarnation = m_nodes[index].m_incarnation;
-        after(draw_time(0ms, 3ms),
+        // Some attempts wait long for a connection or a thread of the upstream duty.
+        after(chance(1) ? draw_time(1s, 9s) : draw_time(0ms, 3ms),
               [this, index, incarnation, start]
               {
                   in_process(index, incarnation,
