Reserve an upstream for a task that needs most of a worker

Cause: small tasks took each slot as it became free, so a task that needs a whole worker waited until its deadline; and it was charged like a task of one slot. Change: after 100 ms without room one upstream is kept for the job, one at a time; the charge counts the slots whose resources a task takes. Conclusion: large demands are served; the cost is one partly idle upstream.

--- a/include/cassiahub/config/dispatch_settings.hpp
+++ b/include/cassiahub/config/dispatch_settings.hpp
@@ -64,6 +64,9 @@
     /// Time after its deadline at which an attempt without a result frees its slot.
     /// 100 ms to 60 s.
     duration m_attempt_timeout_margin = std::chrono::seconds(5);
+    /// Time for which a task must have found no room before an upstream is reserved for
+    /// it. 1 ms to 60 s.
+    duration m_reservation_delay = std::chrono::milliseconds(100);
     /// Time for which a forwarded task may wait at the peer before it comes back. 10 ms
     /// to 60 s.
     duration m_forward_wait = std::chrono::milliseconds(500);
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -66,7 +66,8 @@
     std::deque<std::uint32_t> m_retries; ///< tasks that are ready for another attempt
     std::map<std::uint32_t, time_point> m_delayed; ///< tasks that wait before another
     std::uint32_t m_running_count = 0;             ///< running attempts of every task
-    bool m_ran = false;                            ///< some attempt is known to have run
+    time_point m_blocked_since;  ///< when its next task first found no room, or zero
+    bool m_ran = false;          ///< some attempt is known to have run
     bool m_may_have_run = false; ///< the outcome of some attempt is unknown
 };
 
@@ -90,6 +91,7 @@
     time_point m_timeout;
     time_point m_hedge_at; ///< time of the valid entry in m_hedges
     double m_charge = 0;   ///< slot-seconds charged to the kind
+    double m_slots = 1;    ///< slots whose resources the task takes
     bool m_hedge_deferred = false;
     bool m_probe = false;
     bool m_cancelled = false; ///< nobody waits for its result; it keeps its slot
@@ -109,6 +111,14 @@
         m_bound; ///< baseline: (job, task)
 };
 
+/// An upstream that is kept for one job whose next task needs much room.
+struct reservation
+{
+    std::uint64_t m_job = 0; ///< serial; 0 when nothing is reserved
+    std::uint32_t m_upstream = no_upstream;
+    resources m_demand;
+};
+
 /// Room that another instance has reported.
 struct peer_load
 {
@@ -186,6 +196,8 @@
     std::map<std::string, std::uint32_t, std::less<>> m_upstream_index;
     std::vector<std::uint32_t> m_unused_upstreams;
     capacity_index m_room;
+    capacity_index m_whole_room; ///< room that usable upstreams would have when empty
+    reservation m_reservation;
     std::uint32_t m_offered_slots = 0; ///< sum of the slots in m_room
     std::uint32_t m_owned_slots = 0;
     std::uint32_t m_owned_count = 0;
--- a/src/config/key_rules.cpp
+++ b/src/config/key_rules.cpp
@@ -229,6 +229,8 @@
          apply_duration<&dispatch_settings::m_breaker_open_time, 100, 600000>},
         {"attempt_timeout_margin", "100ms to 60s", false,
          apply_duration<&dispatch_settings::m_attempt_timeout_margin, 100, 60000>},
+        {"reservation_delay", "1ms to 60s", false,
+         apply_duration<&dispatch_settings::m_reservation_delay, 1, 60000>},
         {"forward_wait", "10ms to 60s", false,
          apply_duration<&dispatch_settings::m_forward_wait, 10, 60000>},
         {"resubmission_window", "10s to 1440min", false,
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/hedging.hpp"
 #include "dispatch/jobs.hpp"
 #include "dispatch/placement.hpp"
+#include "dispatch/reservation.hpp"
 #include "dispatch/retry.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
@@ -110,7 +111,12 @@
     }
     attempt_target target;
     placement_request const request = request_of(state, job);
-    if (auto const upstream = pick_upstream(state, request, context.m_random))
+    if (auto const reserved = reserved_room(state, job, request.m_demand))
+    {
+        target.m_upstream = *reserved;
+        drop_reservation(state, job);
+    }
+    else if (auto const upstream = pick_upstream(state, request, context.m_random))
     {
         target.m_upstream = *upstream;
     }
@@ -121,6 +127,8 @@
     }
     else
     {
+        consider_reservation(state, job, request.m_demand, context.m_now,
+                             context.m_random);
         return head_result::no_room;
     }
     std::uint32_t const task = take_waiting_task(state, job);
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -52,6 +52,21 @@
     return attempt;
 }
 
+/// \returns the slots whose part of the worker \p demand takes, at least one. A task that
+/// needs a whole worker keeps all its slots from others and is charged for them.
+double slots_taken(config::upstream const & upstream, resources const & demand)
+{
+    auto const part = [](std::uint32_t wanted, std::uint32_t offered)
+    {
+        return offered == 0 ? 0.0 : double(wanted) / double(offered);
+    };
+    double const largest =
+        std::max({part(demand.m_millicores, upstream.m_capacity.m_millicores),
+                  part(demand.m_memory_mib, upstream.m_capacity.m_memory_mib),
+                  part(demand.m_accelerators, upstream.m_capacity.m_accelerators)});
+    return std::max(1.0, largest * upstream.m_slots);
+}
+
 /// Charges the service, takes the slot and orders the start.
 void start_on_upstream(dispatch_state & state, attempt_start start,
                        running_attempt & attempt, std::uint32_t tenant,
@@ -60,7 +75,9 @@
     kind_state const & kind = state.m_kinds[attempt.m_kind];
     upstream_state & upstream = state.m_upstreams[upstream_id];
     attempt.m_upstream = upstream_id;
+    attempt.m_slots = slots_taken(upstream.m_definition, attempt.m_demand);
     attempt.m_charge =
+        attempt.m_slots *
         mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
     if (state.m_queue.m_kinds[attempt.m_kind].m_tenants.contains(tenant))
     {
@@ -233,7 +250,8 @@
     upstream.m_leaving |= result.m_upstream_leaving;
     learn_from(state, attempt, result.m_outcome, now);
     double const actual = std::chrono::duration<double>(now - attempt.m_started).count();
-    correct_charge(state.m_queue, attempt.m_kind, actual - attempt.m_charge);
+    correct_charge(state.m_queue, attempt.m_kind,
+                   actual * attempt.m_slots - attempt.m_charge);
     vacate_slot(state, attempt.m_upstream, attempt.m_demand);
 }
 
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -138,6 +138,9 @@
         share += items > 0 ? queue.m_share : 0;
         add_fault(faults, items != queue.m_item_count, "queue_items_counted");
     }
+    bool const reserved = state.m_reservation.m_job != 0;
+    add_fault(faults, reserved && !state.m_jobs.contains(state.m_reservation.m_job),
+              "reservation_has_job");
     add_fault(faults, queued != state.m_queued_tasks, "kind_queues_counted");
     add_fault(faults, share != state.m_queue.m_active_share, "active_share_counted");
 }
--- a/src/dispatch/jobs.cpp
+++ b/src/dispatch/jobs.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/attempts.hpp"
 #include "dispatch/baseline.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/reservation.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
@@ -70,9 +71,11 @@
         job.m_retries.pop_front();
     }
     count_waiting(state, job.m_kind, -1);
+    job.m_blocked_since = {};
     if (waiting_tasks(job) == 0 && !is_baseline(state))
     {
         remove_item(state.m_queue, job.m_kind, job.m_tenant, {true, job.m_serial});
+        drop_reservation(state, job);
     }
     return task;
 }
@@ -111,6 +114,7 @@
 {
     job_key const key = job.m_spec.m_key;
     free_waiting_tasks(state, job);
+    drop_reservation(state, job);
     for (std::uint32_t task = 0; task < job.m_tasks.size() && job.m_running_count > 0;
          ++task)
     {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/placement.hpp"
+#include "dispatch/reservation.hpp"
 
 namespace cassiahub::dispatch::internal
 {
@@ -72,7 +73,7 @@
 bool any_room(dispatch_state const & state)
 {
     return state.m_offered_slots > 0 || !state.m_probe_targets.empty() ||
-           !state.m_peer_order.empty();
+           !state.m_peer_order.empty() || reservation_is_due(state);
 }
 
 } // namespace cassiahub::dispatch::internal
--- /dev/null
+++ b/src/dispatch/reservation.cpp
@@ -0,0 +1,83 @@
+#include "dispatch/reservation.hpp"
+#include "dispatch/upstreams.hpp"
+
+#include <utility>
+
+namespace cassiahub::dispatch::internal
+{
+
+namespace
+{
+
+bool has_room(upstream_state const & upstream, resources const & demand)
+{
+    resources needed = upstream.m_used;
+    release(needed, demand);
+    return upstream.m_running + upstream.m_held < upstream.m_definition.m_slots &&
+           fits(needed, upstream.m_definition.m_capacity);
+}
+
+void release_reservation(dispatch_state & state)
+{
+    std::uint32_t const id = std::exchange(state.m_reservation, {}).m_upstream;
+    refresh_room(state, id);
+}
+
+} // namespace
+
+void consider_reservation(dispatch_state & state, job_state & job,
+                          resources const & demand, time_point now,
+                          random_source & random)
+{
+    bool const lacks_resources = state.m_offered_slots > 0;
+    if (!lacks_resources || state.m_reservation.m_job != 0)
+    {
+        return;
+    }
+    if (job.m_blocked_since == time_point{})
+    {
+        job.m_blocked_since = now;
+    }
+    duration const delay = state.m_configuration->m_dispatch.m_reservation_delay;
+    if (now - job.m_blocked_since < delay)
+    {
+        return;
+    }
+    if (auto const id = find_room(state.m_whole_room, demand, no_upstream, random))
+    {
+        state.m_reservation = {job.m_serial, *id, demand};
+        refresh_room(state, *id);
+    }
+}
+
+std::optional<std::uint32_t> reserved_room(dispatch_state & state, job_state const & job,
+                                           resources const & demand)
+{
+    if (state.m_reservation.m_job != job.m_serial)
+    {
+        return std::nullopt;
+    }
+    std::uint32_t const id = state.m_reservation.m_upstream;
+    if (!is_usable(state.m_upstreams[id]))
+    {
+        release_reservation(state);
+        return std::nullopt;
+    }
+    return has_room(state.m_upstreams[id], demand) ? std::optional(id) : std::nullopt;
+}
+
+void drop_reservation(dispatch_state & state, job_state const & job)
+{
+    if (state.m_reservation.m_job == job.m_serial)
+    {
+        release_reservation(state);
+    }
+}
+
+bool reservation_is_due(dispatch_state const & state)
+{
+    reservation const & held = state.m_reservation;
+    return held.m_job != 0 && has_room(state.m_upstreams[held.m_upstream], held.m_demand);
+}
+
+} // namespace cassiahub::dispatch::internal
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -12,13 +12,17 @@
 namespace internal
 {
 
+bool is_usable(upstream_state const & upstream) noexcept
+{
+    return upstream.m_owned && !upstream.m_leaving &&
+           upstream.m_health.m_phase == health_phase::healthy;
+}
+
 offered_room room_of(upstream_state const & upstream)
 {
-    bool const usable = upstream.m_owned && !upstream.m_leaving &&
-                        upstream.m_health.m_phase == health_phase::healthy;
     std::uint32_t const taken = upstream.m_running + upstream.m_held;
     std::uint32_t const slots = upstream.m_definition.m_slots;
-    if (!usable || taken >= slots ||
+    if (!is_usable(upstream) || taken >= slots ||
         !fits(upstream.m_used, upstream.m_definition.m_capacity))
     {
         return {};
@@ -54,11 +58,17 @@
 
 void refresh_room(dispatch_state & state, std::uint32_t id)
 {
-    offered_room const room = room_of(state.m_upstreams[id]);
+    upstream_state const & upstream = state.m_upstreams[id];
+    bool const reserved =
+        state.m_reservation.m_job != 0 && state.m_reservation.m_upstream == id;
+    offered_room const room = reserved ? offered_room{} : room_of(upstream);
+    set_room(state.m_whole_room, id,
+             is_usable(upstream) ? offered_room{1, upstream.m_definition.m_capacity}
+                                 : offered_room{});
     state.m_offered_slots -= state.m_room.m_nodes[state.m_room.m_leaves + id].m_slots;
     state.m_offered_slots += room.m_slots;
     set_room(state.m_room, id, room);
-    if (takes_probe(state.m_upstreams[id]))
+    if (takes_probe(upstream))
     {
         state.m_probe_targets.insert(id);
     }
@@ -113,6 +123,7 @@
     {
         state.m_upstreams.emplace_back();
         grow_index(state.m_room, state.m_upstreams.size());
+        grow_index(state.m_whole_room, state.m_upstreams.size());
     }
     state.m_upstreams[id] = {};
     state.m_upstreams[id].m_definition = definition;
--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -6,6 +6,9 @@
 namespace cassiahub::dispatch::internal
 {
 
+/// \returns true when the upstream may get new attempts.
+bool is_usable(upstream_state const & upstream) noexcept;
+
 /// Brings the capacity index and the sums in line with upstream \p id. Must follow every
 /// change of the upstream.
 void refresh_room(dispatch_state & state, std::uint32_t id);
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(tenants_of_one_kind_share_by_weight);
     CPPUNIT_TEST(jobs_of_one_tenant_finish_in_order_of_arrival);
     CPPUNIT_TEST(large_demand_that_does_not_fit_lets_others_pass);
+    CPPUNIT_TEST(large_demand_among_small_tasks_is_served);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<attempt_start> m_running;
@@ -103,6 +104,28 @@
         auto const starts = take_starts();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_kind(starts, "bulk"));
     }
+
+    void large_demand_among_small_tasks_is_served()
+    {
+        submit("check", 60);
+        job_spec large = make_spec("check", 1, "zeta");
+        large.m_tasks[0].m_demand.m_millicores = 16'000;
+        job_key const key = submit(large);
+        std::vector<attempt_start> starts;
+        for (int count = 0; count < 30; ++count)
+        {
+            auto const started = take_starts();
+            m_running.insert(m_running.end(), started.begin(), started.end());
+            starts.insert(starts.end(), started.begin(), started.end());
+            attempt_id const oldest = m_running.front().m_attempt;
+            m_running.erase(m_running.begin());
+            m_now += 50ms;
+            finish(oldest, attempt_outcome::succeeded);
+        }
+        CPPUNIT_ASSERT(std::any_of(starts.begin(), starts.end(),
+                                   [&key](attempt_start const & start)
+                                   { return start.m_job == key; }));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(fair_queue_test);
 
