--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -14,11 +14,6 @@
 LARGE_JOB_TASKS = 230
 
 
-def submit(address, tenant, key, body, timeout=30):
-    headers = {"Cassiahub-Tenant": tenant, "Idempotency-Key": key}
-    return dep.request(address, "POST", "/v1/jobs", body, headers, timeout)
-
-
 def results_match(text, key, payloads):
     expected = [f"{key}/{index}:{payload}" for index, payload in enumerate(payloads)]
     return json.loads(text)["results"] == expected
@@ -45,7 +40,7 @@
     answered = 0
     for index, address in enumerate(deployment.entries):
         payloads = [f"run_ms=60 instance {index}"]
-        status, text = submit(address, "tausi", f"demo-entry-{index}",
+        status, text = dep.submit(address, "tausi", f"demo-entry-{index}",
                               make_examples.job_text("levy-validation", 5000, payloads))
         answered += status == 200 and results_match(text, f"demo-entry-{index}", payloads)
     return answered == len(deployment.entries), \
@@ -56,7 +51,7 @@
     payloads = [f"run_ms={50 + index % 50} part {index}"
                 for index in range(LARGE_JOB_TASKS)]
     start = time.monotonic()
-    status, text = submit(deployment.entries[-1], "tausi", "demo-large",
+    status, text = dep.submit(deployment.entries[-1], "tausi", "demo-large",
                           make_examples.job_text("levy-validation", 15000, payloads))
     elapsed = time.monotonic() - start
     if status != 200:
@@ -70,8 +65,8 @@
 def check_resubmission(deployment):
     """The second submission reaches another instance of another failure domain."""
     body = make_examples.job_text("lodgement", 8000, ["run_ms=200 lodgement once"])
-    first = submit(deployment.entries[0], "tausi", "demo-again", body)
-    second = submit(deployment.entries[3], "tausi", "demo-again", body)
+    first = dep.submit(deployment.entries[0], "tausi", "demo-again", body)
+    second = dep.submit(deployment.entries[3], "tausi", "demo-again", body)
     starts = dep.count_job_starts(deployment, "demo-again")
     same = first[0] == second[0] == 200 and first[1] == second[1]
     return same and starts == 1, \
@@ -82,7 +77,7 @@
 def check_refusal(deployment):
     body = make_examples.job_text("levy-validation", 5000, ["run_ms=50 too large"],
                                   millicores=900_000)
-    status, text = submit(deployment.entries[1], "tausi", "demo-never", body)
+    status, text = dep.submit(deployment.entries[1], "tausi", "demo-never", body)
     problem = json.loads(text) if status else {}
     starts = dep.count_job_starts(deployment, "demo-never")
     return status == 422 and problem.get("ran") == "no" and starts == 0, \
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -3,6 +3,7 @@
 
 import dataclasses
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -136,6 +137,31 @@
     for entry in deployment.fleet.entries:
         wait_for(entry.caller_address, "/readyz", f"entry instance {entry.name}",
                  deadline)
+    wait_for_jobs(deployment, deadline)
+
+
+def submit(address, tenant, key, body, home_domain=None, timeout=30):
+    headers = {"Cassiahub-Tenant": tenant, "Idempotency-Key": key}
+    if home_domain:
+        headers["Cassiahub-Home-Domain"] = home_domain
+    return request(address, "POST", "/v1/jobs", body, headers, timeout)
+
+
+def wait_for_jobs(deployment, deadline):
+    """Waits until every instance has a job of every failure domain answered. An instance
+    is ready before all key shards have an owner, and refuses their jobs as not run."""
+    body = make_examples.job_text("levy-validation", 5000, ["run_ms=1"])
+    for attempt in itertools.count():
+        answers = [submit(address, "tausi", f"warm-up-{attempt}-{index}-{domain}", body,
+                          domain)
+                   for index, address in enumerate(deployment.entries)
+                   for domain in deployment.fleet.domains]
+        refused = [text for status, text in answers if status != 200]
+        if not refused:
+            return
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"jobs are still refused: {refused[0]}")
+        time.sleep(0.2)
 
 
 def stop(deployment, entries_first=True):
