Add tests of two instances as processes

Cause: restarts, pauses and planned stops were not tested with real processes. Change: tests/entry_process_test.cpp starts the daemon, the stand-ins and the client.

--- /dev/null
+++ b/tests/entry_process_test.cpp
@@ -0,0 +1,384 @@
+/// \file The daemon as processes: two instances of one domain with stand-ins of the
+/// platform and an upstream.
+
+#include <cassiahub/http.hpp>
+#include <cassiahub/runtime.hpp>
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace cassiahub;
+using namespace std::chrono_literals;
+
+extern char ** environ;
+
+namespace
+{
+
+/// Longest wait for something that must happen; reached only when it does not.
+constexpr duration patience = 60s;
+
+void wait_until(std::string const & what, std::function<bool()> const & condition)
+{
+    time_point const limit = runtime::read_boot_clock() + patience;
+    while (!condition())
+    {
+        CPPUNIT_ASSERT_MESSAGE("never happened: " + what,
+                               runtime::read_boot_clock() < limit);
+        std::this_thread::sleep_for(20ms);
+    }
+}
+
+int free_port()
+{
+    int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    CPPUNIT_ASSERT(bind(fd, reinterpret_cast<sockaddr *>(&address), size) == 0);
+    getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+    close(fd);
+    return ntohs(address.sin_port);
+}
+
+std::string free_address()
+{
+    return fmt::format("127.0.0.1:{}", free_port());
+}
+
+/// A child process; it is killed when the object goes.
+class process
+{
+public:
+    process(std::string const & program, std::vector<std::string> arguments)
+    {
+        std::string path = std::string(CASSIAHUB_BIN_DIR) + "/" + program;
+        std::vector<char *> pointers{path.data()};
+        for (std::string & argument : arguments)
+        {
+            pointers.push_back(argument.data());
+        }
+        pointers.push_back(nullptr);
+        CPPUNIT_ASSERT_EQUAL(0, posix_spawn(&m_pid, path.c_str(), nullptr, nullptr,
+                                            pointers.data(), environ));
+    }
+
+    process(process const &) = delete;
+    process & operator=(process const &) = delete;
+
+    ~process()
+    {
+        if (m_pid > 0)
+        {
+            kill(m_pid, SIGKILL);
+            waitpid(m_pid, nullptr, 0);
+        }
+    }
+
+    void signal(int number) const
+    {
+        CPPUNIT_ASSERT_EQUAL(0, kill(m_pid, number));
+    }
+
+    /// Waits for the process to end. \returns its exit code, or -1 after a signal.
+    int wait()
+    {
+        int status = 0;
+        wait_until("end of process",
+                   [&] { return waitpid(m_pid, &status, WNOHANG) == m_pid; });
+        m_pid = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+
+private:
+    pid_t m_pid = -1;
+};
+
+http::response ask(std::string const & address, http::request const & sent)
+{
+    http::response received;
+    received.m_status = 0;
+    http::exchange_once(address, sent, patience, received);
+    return received;
+}
+
+/// One entry instance.
+struct instance
+{
+    std::string m_name;
+    std::string m_caller_address = free_address();
+    std::string m_peer_address = free_address();
+    std::unique_ptr<process> m_process;
+};
+
+// Guards against a task that starts twice, and an answer that is lost, when instances
+// die, pause or stop.
+class two_instances_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(two_instances_test);
+    CPPUNIT_TEST(job_through_either_instance_is_answered);
+    CPPUNIT_TEST(resubmission_to_other_instance_starts_nothing);
+    CPPUNIT_TEST(resubmission_after_owner_is_killed_starts_nothing);
+    CPPUNIT_TEST(planned_stop_answers_running_job_and_exits_zero);
+    CPPUNIT_TEST(paused_owner_starts_nothing_after_takeover);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::filesystem::path m_folder;
+    std::string m_platform_address;
+    std::string m_upstream_address;
+    std::unique_ptr<process> m_platform;
+    std::unique_ptr<process> m_upstream;
+    instance m_instances[2];
+
+    std::string write_file(std::string const & name, std::string const & text) const
+    {
+        std::string const path = m_folder / name;
+        std::ofstream(path) << text;
+        return path;
+    }
+
+    void start_stand_ins()
+    {
+        m_platform_address = free_address();
+        int const port = free_port();
+        m_upstream_address = fmt::format("127.0.0.1:{}", port);
+        m_platform = std::make_unique<process>(
+            "cassiahub-platform-standin",
+            std::vector<std::string>{"--listen", m_platform_address});
+        m_upstream = std::make_unique<process>(
+            "cassiahub-upstream-standin",
+            std::vector<std::string>{"--first-port", std::to_string(port), "--count",
+                                     "1"});
+        wait_until(
+            "stand-ins serve",
+            [this]
+            {
+                return ask(m_platform_address, {"GET", "/instances", {}, {}, {}})
+                               .m_status == 200 &&
+                       ask(m_upstream_address, {"GET", "/starts", {}, {}, {}}).m_status ==
+                           200;
+            });
+    }
+
+    void write_fleet_document()
+    {
+        std::string const document = fmt::format(
+            "[team.t]\nkey_hash = sha256:"
+            "8c6976e5b5410415bde908bd4dee15dfb167a9c873fc4bb8a81f6f2ab448a918\n"
+            "[domain.north]\nowner = t\nregion = local\nshards = 1\n"
+            "[kind.lodgement]\nowner = t\nurgency = 1\nshare = 1\nrepeatable = no\n"
+            "[tenant.acme]\nowner = t\n"
+            "[upstream.u]\nowner = t\naddress = {}\ndomain = north\n",
+            m_upstream_address);
+        process init("cassiahubctl", {"config", "init", "--platform", m_platform_address,
+                                      write_file("fleet.ini", document)});
+        CPPUNIT_ASSERT_EQUAL(0, init.wait());
+    }
+
+    void list_instances()
+    {
+        std::string listed;
+        for (instance const & each : m_instances)
+        {
+            listed +=
+                fmt::format(R"({}{{"name":"{}","domain":"north","address":"{}",)"
+                            R"("entry":true,"leaving":false}})",
+                            listed.empty() ? "" : ",", each.m_name, each.m_peer_address);
+        }
+        ask(m_platform_address, {"PUT",
+                                 "/instances",
+                                 {},
+                                 {},
+                                 fmt::format(R"({{"instances":[{}]}})", listed)});
+    }
+
+    void start_instance(instance & started) const
+    {
+        std::string const settings = fmt::format(
+            "[entry]\ninstance = {}\ndomain = north\ncaller_address = {}\n"
+            "peer_address = {}\nplatform_address = {}\n"
+            "peer_secret = secret of the process test\n"
+            "caller_threads = 16\nupstream_threads = 16\npoll_period = 100ms\n",
+            started.m_name, started.m_caller_address, started.m_peer_address,
+            m_platform_address);
+        started.m_process = std::make_unique<process>(
+            "cassiahub-entry",
+            std::vector<std::string>{"--settings",
+                                     write_file(started.m_name + ".ini", settings)});
+    }
+
+    /// \returns the index of the instance that holds the lease of the only shard, or -1.
+    int owner() const
+    {
+        std::string const rows =
+            ask(m_platform_address, {"GET", "/table", "prefix=lease/&after=0", {}, {}})
+                .m_body;
+        for (int index = 0; index < 2; ++index)
+        {
+            if (rows.find(m_instances[index].m_name) != std::string::npos)
+            {
+                return index;
+            }
+        }
+        return -1;
+    }
+
+    http::response submit(instance const & to, std::string const & key,
+                          std::string const & payload) const
+    {
+        return ask(to.m_caller_address,
+                   {"POST",
+                    "/v1/jobs",
+                    {},
+                    {{"Idempotency-Key", key}, {"Cassiahub-Tenant", "acme"}},
+                    fmt::format(R"({{"kind":"lodgement","deadline_ms":30000,)"
+                                R"("tasks":[{{"payload":"{}"}}]}})",
+                                payload)});
+    }
+
+    /// Submits until the answer is more than "not run, try again".
+    http::response submit_until_settled(instance const & to,
+                                        std::string const & key) const
+    {
+        http::response received;
+        wait_until("settled answer to " + key,
+                   [&]
+                   {
+                       received = submit(to, key, "run_ms=10");
+                       return received.m_status != 0 && received.m_status != 503;
+                   });
+        return received;
+    }
+
+    std::size_t starts_of(std::string const & key) const
+    {
+        std::string const starts =
+            ask(m_upstream_address, {"GET", "/starts", {}, {}, {}}).m_body;
+        std::string const wanted = "/" + key + "\"";
+        std::size_t count = 0;
+        for (std::size_t at = starts.find(wanted); at != std::string::npos;
+             at = starts.find(wanted, at + 1))
+        {
+            ++count;
+        }
+        return count;
+    }
+
+    /// Submits a job that runs \p run_ms and returns once its task has started.
+    std::future<http::response>
+    submit_and_await_start(instance const & to, std::string const & key, int run_ms)
+    {
+        auto answer =
+            std::async(std::launch::async, [this, &to, key, run_ms]
+                       { return submit(to, key, fmt::format("run_ms={}", run_ms)); });
+        wait_until("start of " + key, [&] { return starts_of(key) == 1; });
+        return answer;
+    }
+
+public:
+    void setUp() override
+    {
+        std::string pattern =
+            std::filesystem::temp_directory_path() / "cassiahub-entry-test-XXXXXX";
+        m_folder = mkdtemp(pattern.data());
+        m_instances[0] = {"north-1", free_address(), free_address(), nullptr};
+        m_instances[1] = {"north-2", free_address(), free_address(), nullptr};
+        start_stand_ins();
+        write_fleet_document();
+        list_instances();
+        for (instance & each : m_instances)
+        {
+            start_instance(each);
+        }
+        for (instance const & each : m_instances)
+        {
+            submit_until_settled(each, "warm-up-" + each.m_name);
+        }
+    }
+
+    void tearDown() override
+    {
+        for (instance & each : m_instances)
+        {
+            each.m_process.reset();
+        }
+        m_upstream.reset();
+        m_platform.reset();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void job_through_either_instance_is_answered()
+    {
+        CPPUNIT_ASSERT_EQUAL(200, submit_until_settled(m_instances[0], "k1").m_status);
+        CPPUNIT_ASSERT_EQUAL(200, submit_until_settled(m_instances[1], "k2").m_status);
+    }
+
+    void resubmission_to_other_instance_starts_nothing()
+    {
+        http::response const first = submit_until_settled(m_instances[0], "k1");
+        http::response const second = submit_until_settled(m_instances[1], "k1");
+        CPPUNIT_ASSERT_EQUAL(200, first.m_status);
+        CPPUNIT_ASSERT(second.m_status == 200 || second.m_status == 409);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_of("k1"));
+    }
+
+    void resubmission_after_owner_is_killed_starts_nothing()
+    {
+        int const first = owner();
+        CPPUNIT_ASSERT(first >= 0);
+        auto lost = submit_and_await_start(m_instances[first], "k1", 500);
+        m_instances[first].m_process->signal(SIGKILL);
+        http::response const settled = submit_until_settled(m_instances[1 - first], "k1");
+        // The task runs but nobody saw its result, so the outcome is unknown.
+        CPPUNIT_ASSERT_EQUAL(502, settled.m_status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_of("k1"));
+        CPPUNIT_ASSERT_EQUAL(200,
+                             submit_until_settled(m_instances[1 - first], "k2").m_status);
+    }
+
+    void planned_stop_answers_running_job_and_exits_zero()
+    {
+        int const first = owner();
+        auto answer = submit_and_await_start(m_instances[first], "k1", 1'500);
+        m_instances[first].m_process->signal(SIGTERM);
+        CPPUNIT_ASSERT_EQUAL(200, answer.get().m_status);
+        CPPUNIT_ASSERT_EQUAL(0, m_instances[first].m_process->wait());
+        CPPUNIT_ASSERT_EQUAL(200,
+                             submit_until_settled(m_instances[1 - first], "k2").m_status);
+    }
+
+    void paused_owner_starts_nothing_after_takeover()
+    {
+        int const first = owner();
+        int const second = 1 - first;
+        auto lost = submit_and_await_start(m_instances[first], "k1", 500);
+        m_instances[first].m_process->signal(SIGSTOP);
+        wait_until("takeover", [&] { return owner() == second; });
+        CPPUNIT_ASSERT_EQUAL(502,
+                             submit_until_settled(m_instances[second], "k1").m_status);
+        m_instances[first].m_process->signal(SIGCONT);
+        lost.get();
+        submit_until_settled(m_instances[first], "k1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_of("k1"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(two_instances_test);
+
+} // namespace
