Choose ports of the process tests below the ephemeral range

Cause: a daemon failed with bind_failed when an outgoing connection had taken its port. Change: ports come from 10000 to 30000. Conclusion: no outgoing connection can take them.

--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -18,6 +18,8 @@
 #include <fstream>
 #include <functional>
 #include <future>
+#include <memory>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -44,17 +46,28 @@
     }
 }
 
+/// \returns a port that is free now. It lies below the range from which the kernel takes
+/// ports for outgoing connections, so that none of these takes it before its server does.
 int free_port()
 {
-    int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    CPPUNIT_ASSERT(bind(fd, reinterpret_cast<sockaddr *>(&address), size) == 0);
-    getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
-    close(fd);
-    return ntohs(address.sin_port);
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<int> ports(10'000, 30'000);
+    while (true)
+    {
+        int const port = ports(random);
+        int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        int const bound =
+            bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        close(fd);
+        if (bound == 0)
+        {
+            return port;
+        }
+    }
 }
 
 std::string free_address()
