Resubmit the same job in the process tests

Cause: two resubmissions changed the payload and were refused as key_reused. Change: they repeat the payload of the first submission; the expected 502 stays.

--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -265,15 +265,16 @@
                                 payload)});
     }
 
-    /// Submits until the answer is more than "not run, try again".
-    http::response submit_until_settled(instance const & to,
-                                        std::string const & key) const
+    /// Submits until the answer is more than "not run, try again". A resubmission must be
+    /// the same job, so it takes the same \p run_ms.
+    http::response submit_until_settled(instance const & to, std::string const & key,
+                                        int run_ms = 10) const
     {
         http::response received;
         wait_until("settled answer to " + key,
                    [&]
                    {
-                       received = submit(to, key, "run_ms=10");
+                       received = submit(to, key, fmt::format("run_ms={}", run_ms));
                        return received.m_status != 0 && received.m_status != 503;
                    });
         return received;
@@ -357,7 +358,8 @@
         CPPUNIT_ASSERT(first >= 0);
         auto lost = submit_and_await_start(m_instances[first], "k1", 500);
         m_instances[first].m_process->signal(SIGKILL);
-        http::response const settled = submit_until_settled(m_instances[1 - first], "k1");
+        http::response const settled =
+            submit_until_settled(m_instances[1 - first], "k1", 500);
         // The task runs but nobody saw its result, so the outcome is unknown.
         CPPUNIT_ASSERT_EQUAL(502, settled.m_status);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_of("k1"));
@@ -383,11 +385,11 @@
         auto lost = submit_and_await_start(m_instances[first], "k1", 500);
         m_instances[first].m_process->signal(SIGSTOP);
         wait_until("takeover", [&] { return owner() == second; });
-        CPPUNIT_ASSERT_EQUAL(502,
-                             submit_until_settled(m_instances[second], "k1").m_status);
+        CPPUNIT_ASSERT_EQUAL(
+            502, submit_until_settled(m_instances[second], "k1", 500).m_status);
         m_instances[first].m_process->signal(SIGCONT);
         lost.get();
-        submit_until_settled(m_instances[first], "k1");
+        submit_until_settled(m_instances[first], "k1", 500);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), starts_of("k1"));
     }
 };
