Answer a caller that joined a job at its own deadline

Change: such a caller is answered outcome_unknown at its own deadline; the job goes on. Stalled attempts are a setting of the fake fleet, off in the tests without faults.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace cassiahub::decision
@@ -74,6 +75,8 @@
 
     std::unordered_map<job_key, open_job> m_open_jobs;
     std::unordered_set<caller_token> m_callers; ///< wait for an answer
+    /// Callers that joined an open job whose deadline is later than their own.
+    std::multimap<time_point, std::pair<job_key, caller_token>> m_early_deadlines;
     std::unordered_map<peer_request, forwarded_request> m_forwarded;
     peer_request m_next_request = 0;
     std::unordered_set<attempt_id>
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -42,6 +42,9 @@
 bool handle_own_key(step_context & context, answer_route const & route,
                     key_operation operation, job_spec & spec, time_point deadline);
 
+/// Answers callers that joined a job and whose own deadline has passed before the job's.
+void expire_callers(step_context & context);
+
 /// Ends an open job for a reason of this instance's own. What was not started is
 /// answered as not run with \p error, everything else as outcome_unknown.
 void abort_job(step_context & context, job_key const & key, std::error_code error);
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -310,7 +310,8 @@
 
 /// Handles a request for a job that is open here.
 void handle_open_job(step_context & context, answer_route const & route,
-                     key_operation operation, job_spec const & spec, open_job & job)
+                     key_operation operation, job_spec const & spec, open_job & job,
+                     time_point deadline)
 {
     switch (operation)
     {
@@ -321,6 +322,11 @@
             return;
         }
         job.m_waiting.push_back(route);
+        if (route.m_peer.m_value.empty() && deadline < job.m_deadline)
+        {
+            context.m_state.m_early_deadlines.emplace(
+                deadline, std::pair(spec.m_key, route.m_caller));
+        }
         break;
     case key_operation::query:
         answer(context, route,
@@ -346,6 +352,28 @@
     }
 }
 
+void expire_callers(step_context & context)
+{
+    entry_state & state = context.m_state;
+    while (!state.m_early_deadlines.empty() &&
+           state.m_early_deadlines.begin()->first <= context.m_now)
+    {
+        auto const [key, caller] = std::move(state.m_early_deadlines.begin()->second);
+        state.m_early_deadlines.erase(state.m_early_deadlines.begin());
+        auto const job = state.m_open_jobs.find(key);
+        if (job == state.m_open_jobs.end() || !state.m_callers.contains(caller))
+        {
+            continue;
+        }
+        std::erase_if(job->second.m_waiting,
+                      [caller = caller](answer_route const & route) {
+                          return route.m_peer.m_value.empty() && route.m_caller == caller;
+                      });
+        answer(context, {caller, {}, 0, false},
+               {job_errc::outcome_unknown, run_state::unknown, {}, {}});
+    }
+}
+
 bool handle_own_key(step_context & context, answer_route const & route,
                     key_operation operation, job_spec & spec, time_point deadline)
 {
@@ -353,7 +381,7 @@
     if (auto const found = state.m_open_jobs.find(spec.m_key);
         found != state.m_open_jobs.end())
     {
-        handle_open_job(context, route, operation, spec, found->second);
+        handle_open_job(context, route, operation, spec, found->second, deadline);
         return true;
     }
     bool const submit = operation == key_operation::submit;
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -202,6 +202,7 @@
         state.m_next_scan = context.m_now + scan_period;
         advance_peers(context);
         advance_requests(context);
+        expire_callers(context);
     }
     ownership::effects ownership_effects;
     ownership::advance(state.m_ownership, context.m_now, ownership_effects);
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -126,6 +126,7 @@
         m_fleet = fleet::simulation(1);
         m_fleet.m_bad_attempts_percent = 0;
         m_fleet.m_slow_attempts_percent = 0;
+        m_fleet.m_stalled_attempts_percent = 0;
         m_fleet.set_configuration(1);
         m_fleet.add_node("a1", "a");
         m_fleet.add_node("a2", "a");
