--- a/include/cassiahub/http/client.hpp
+++ b/include/cassiahub/http/client.hpp
@@ -5,6 +5,7 @@
 #include <cassiahub/http/error.hpp>
 #include <cassiahub/http/message.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <string_view>
 #include <system_error>
@@ -24,6 +25,8 @@
 {
     std::unique_ptr<mg_connection, connection_deleter> m_handle;
     time_point m_idle_since;
+    /// Largest response body accepted; a larger one counts as response_lost.
+    std::size_t m_max_body_bytes = 64 * 1024 * 1024;
 };
 
 /// Connects to \p address ("ip:port").
--- a/src/entry/upstream_duty.cpp
+++ b/src/entry/upstream_duty.cpp
@@ -113,7 +113,13 @@
                 false};
     }
     used->m_idle_since = runtime::read_boot_clock();
-    return read_task_response(start.m_attempt, received);
+    dispatch::attempt_result result = read_task_response(start.m_attempt, received);
+    if (result.m_upstream_leaving)
+    {
+        // It will close the connection soon, perhaps just as a request is sent.
+        connections.erase(start.m_upstream_address);
+    }
+    return result;
 }
 
 void cancel_attempt(connection_map & connections, dispatch::attempt_cancel const & cancel)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -45,7 +45,8 @@
     return text;
 }
 
-std::error_code read_response(mg_connection * handle, response & received)
+std::error_code read_response(mg_connection * handle, std::size_t limit,
+                              response & received)
 {
     mg_response_info const & info = *mg_get_response_info(handle);
     received = response();
@@ -56,6 +57,10 @@
         received.m_headers.push_back({field.name, field.value});
     }
     received.m_content_type = find_header(received.m_headers, "Content-Type");
+    if (info.content_length > 0 && static_cast<std::size_t>(info.content_length) > limit)
+    {
+        return http_errc::response_lost;
+    }
     char buffer[16 * 1024];
     int count = 0;
     // mg_read() on a response without a body would wait for the connection to close.
@@ -63,6 +68,10 @@
     while (has_body && (count = mg_read(handle, buffer, sizeof buffer)) > 0)
     {
         received.m_body.append(buffer, static_cast<std::size_t>(count));
+        if (received.m_body.size() > limit)
+        {
+            return http_errc::response_lost;
+        }
     }
     bool const whole =
         count == 0 && info.content_length >= 0 &&
@@ -116,7 +125,7 @@
     {
         return http_errc::response_lost;
     }
-    return internal::read_response(used.m_handle.get(), received);
+    return internal::read_response(used.m_handle.get(), used.m_max_body_bytes, received);
 }
 
 std::error_code exchange_once(std::string_view address, request const & sent,
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -122,6 +122,19 @@
     return !(value.size() == 5 && (value[0] == 'c' || value[0] == 'C'));
 }
 
+/// An exception must not pass through the C code of the library.
+response call_handler(server_state const & state, request const & received)
+{
+    try
+    {
+        return state.m_handler(received);
+    }
+    catch (...)
+    {
+        return {500, "text/plain", {}, "internal error\n"};
+    }
+}
+
 int handle_request(mg_connection * connection, void * user)
 {
     auto & state = *static_cast<server_state *>(user);
@@ -142,7 +155,7 @@
                        false);
         return 413;
     }
-    response const answer = state.m_handler(received);
+    response const answer = call_handler(state, received);
     write_response(connection, answer, wants_keep_alive(received));
     return answer.m_status;
 }
