Share idle upstream connections among the upstream duties

Cause: each of 128 duties kept its own connection to each upstream, up to 128 where an upstream accepts 64 (the stand-in 20), so new connections waited up to 20 s for a place. Change: idle connections to an upstream are passed through one ring of 8. Conclusion: connections to an upstream stay within its running calls and 8 idle ones.

--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -1,6 +1,8 @@
 #ifndef CASSIAHUB_ENTRY_CONTEXT_HPP
 #define CASSIAHUB_ENTRY_CONTEXT_HPP
 
+#include "entry/connection_pool.hpp"
+
 #include <cassiahub/config/process_settings.hpp>
 #include <cassiahub/decision.hpp>
 #include <cassiahub/peer.hpp>
@@ -87,6 +89,7 @@
     // Indices of m_replies that no caller uses. Empty: the caller is refused.
     runtime::bounded_ring<std::uint32_t> m_free_replies;
 
+    connection_pool m_connections; ///< of the upstream duties
     peer::exchange_counters m_peer_counters;
 
     // State of the decision duty.
--- a/src/entry/upstream_duty.cpp
+++ b/src/entry/upstream_duty.cpp
@@ -5,7 +5,7 @@
 
 #include <fmt/format.h>
 
-#include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -21,9 +21,6 @@
 constexpr duration wait_period = std::chrono::seconds(60);
 constexpr duration cancel_timeout = std::chrono::seconds(1);
 
-/// Connections of one upstream duty, one for each upstream address.
-using connection_map = std::map<std::string, http::connection>;
-
 http::request make_task_request(dispatch::attempt_start const & start, duration remaining)
 {
     auto const field = [](std::string_view name, std::string value)
@@ -73,72 +70,80 @@
     return result;
 }
 
-http::connection * open_connection(connection_map & connections,
-                                   std::string const & address)
+/// \returns a connection to \p address without a handle when it cannot be reached.
+http::connection take_connection(connection_pool & pool, std::string const & address)
 {
-    http::connection & kept = connections[address];
-    if (!kept.m_handle || runtime::read_boot_clock() - kept.m_idle_since > max_idle_time)
+    connection_pool::idle_ring & idle = pool.ring_of(address);
+    time_point const now = runtime::read_boot_clock();
+    while (std::optional<http::connection> kept = idle.pop(duration::zero()))
     {
-        std::error_code error;
-        kept = http::connect(address, error);
+        if (now - kept->m_idle_since <= max_idle_time)
+        {
+            return std::move(*kept);
+        }
     }
-    return kept.m_handle ? &kept : nullptr;
+    std::error_code error;
+    return http::connect(address, error);
 }
 
-dispatch::attempt_result call_upstream(connection_map & connections,
+void keep_connection(connection_pool & pool, std::string const & address,
+                     http::connection used)
+{
+    used.m_idle_since = runtime::read_boot_clock();
+    // A full ring closes the connection.
+    pool.ring_of(address).try_push(std::move(used));
+}
+
+dispatch::attempt_result call_upstream(connection_pool & connections,
                                        dispatch::attempt_start const & start)
 {
     using dispatch::attempt_outcome;
-    http::connection * const used =
-        open_connection(connections, start.m_upstream_address);
+    http::connection used = take_connection(connections, start.m_upstream_address);
     time_point const now = runtime::read_boot_clock();
     // Checked after every wait, just before the send: the holder of a lease may have
     // been paused.
-    if (used == nullptr || now >= start.m_send_before || now >= start.m_deadline)
+    if (!used.m_handle || now >= start.m_send_before || now >= start.m_deadline)
     {
         return {start.m_attempt, attempt_outcome::not_run, {}, false};
     }
     duration const remaining = start.m_deadline - now;
     http::response received;
     std::error_code const error =
-        http::exchange(*used, make_task_request(start, remaining),
+        http::exchange(used, make_task_request(start, remaining),
                        start.m_upstream_address, remaining, received);
     if (error)
     {
-        connections.erase(start.m_upstream_address);
         bool const not_sent = error == http::http_errc::send_failed;
         return {start.m_attempt,
                 not_sent ? attempt_outcome::not_run : attempt_outcome::unknown,
                 {},
                 false};
     }
-    used->m_idle_since = runtime::read_boot_clock();
     dispatch::attempt_result result = read_task_response(start.m_attempt, received);
-    if (result.m_upstream_leaving)
+    // An upstream that is leaving will close the connection soon, perhaps just as a
+    // request is sent.
+    if (!result.m_upstream_leaving)
     {
-        // It will close the connection soon, perhaps just as a request is sent.
-        connections.erase(start.m_upstream_address);
+        keep_connection(connections, start.m_upstream_address, std::move(used));
     }
     return result;
 }
 
-void cancel_attempt(connection_map & connections, dispatch::attempt_cancel const & cancel)
+void cancel_attempt(connection_pool & connections,
+                    dispatch::attempt_cancel const & cancel)
 {
-    http::connection * const used =
-        open_connection(connections, cancel.m_upstream_address);
-    if (used == nullptr)
+    http::connection used = take_connection(connections, cancel.m_upstream_address);
+    if (!used.m_handle)
     {
         return;
     }
     http::response received;
     http::request const sent{
         "DELETE", fmt::format("/v1/tasks/{}", to_string(cancel.m_attempt)), {}, {}, {}};
-    if (http::exchange(*used, sent, cancel.m_upstream_address, cancel_timeout, received))
+    if (!http::exchange(used, sent, cancel.m_upstream_address, cancel_timeout, received))
     {
-        connections.erase(cancel.m_upstream_address);
-        return;
+        keep_connection(connections, cancel.m_upstream_address, std::move(used));
     }
-    used->m_idle_since = runtime::read_boot_clock();
 }
 
 } // namespace internal
@@ -146,7 +151,6 @@
 std::error_code run_upstream_caller(daemon_context & context,
                                     std::stop_token const & stop)
 {
-    internal::connection_map connections;
     while (!stop.stop_requested())
     {
         std::optional<dispatch::attempt_start> const start =
@@ -159,7 +163,7 @@
             start->m_attempt, dispatch::attempt_outcome::unknown, {}, false};
         try
         {
-            result = internal::call_upstream(connections, *start);
+            result = internal::call_upstream(context.m_connections, *start);
         }
         catch (...)
         {
@@ -175,14 +179,13 @@
 std::error_code run_upstream_canceller(daemon_context & context,
                                        std::stop_token const & stop)
 {
-    internal::connection_map connections;
     while (!stop.stop_requested())
     {
         std::optional<dispatch::attempt_cancel> const cancel =
             context.m_cancellations.pop(internal::wait_period, stop);
         if (cancel)
         {
-            internal::cancel_attempt(connections, *cancel);
+            internal::cancel_attempt(context.m_connections, *cancel);
         }
     }
     return {};
