--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -19,6 +19,7 @@
 # Sizes of docs/design.md section 1.6, and the deployment that docs/CAPACITY.md chooses.
 DESIGN = {"upstreams": 7400, "domains": 15, "tenants": 670, "starts": 580_000,
           "changes_per_day": 19_000, "mean_tasks_per_job": 10}
+CHOICES = (105, 225, 450, 900)  # entry instances, for the comparison
 DECISION_SIZES = [(17, 670), (50, 670), (200, 670), (500, 670), (2000, 670), (7400, 670),
                   (500, 1), (500, 10), (500, 100)]
 # Series whose cost is expected to grow with the logarithm of the size.
@@ -100,7 +101,10 @@
     members = entries // DESIGN["domains"]
     sections = series["document.bytes"][-1][0]
     document = last(series, "document.bytes")
-    at = lambda name, x: value_at(fits[name], x)
+
+    def at(name, x):
+        return value_at(fits[name], x)
+
     shards = 2 * members
     per_domain_us = sum(fits[f"other_domains.{part}"]["slope"]
                         for part in ("decision_us", "peer_codec_us"))
@@ -153,14 +157,19 @@
     jobs = DESIGN["starts"] / DESIGN["mean_tasks_per_job"] / entries
     window_s = 600
     owned = math.ceil(DESIGN["upstreams"] / entries)
-    answers = fits["record_memory.jobs_of_10_tasks"]["slope"]
+    of_1, of_10 = (fits[f"record_memory.jobs_of_{tasks}_tasks"]["slope"]
+                   for tasks in (1, 10))
+    result = (of_10 - of_1) / 9
+    key = of_1 - result
+    answers = jobs * window_s * result * DESIGN["mean_tasks_per_job"]
     return {
         "owned upstreams": owned * fits["dispatch_memory.owned_upstreams"]["slope"],
         "known upstreams": DESIGN["upstreams"]
         * fits["dispatch_memory.known_upstreams"]["slope"],
         "tenants": DESIGN["tenants"] * fits["dispatch_memory.tenants"]["slope"],
         "20,000 queued tasks": 20_000 * fits["dispatch_memory.queued_tasks"]["slope"],
-        "job keys and answers of 10 min": jobs * window_s * answers,
+        "job keys of 10 min": jobs * window_s * key,
+        "answers of 10 min": answers,
         "parsed document": last(series, "document.memory"),
         "document text, twice": 2 * last(series, "document.bytes"),
         "256 waiting threads": 256 * fits["thread_memory.waiting"]["slope"],
@@ -174,7 +183,8 @@
     jobs = DESIGN["starts"] / DESIGN["mean_tasks_per_job"]
     lease_reads = value_at(fits["members_idle.store_reads"], members)
     # From 20 jobs/s on, the token bucket of the instance limits its writes.
-    busy_writes = max(value for _, value in series["jobs.store_writes"])
+    busy_writes = min(jobs / entries,
+                      max(value for _, value in series["jobs.store_writes"]))
     return {
         "lease reads": entries * lease_reads,
         "configuration polls": entries * 1.0,
@@ -186,14 +196,51 @@
     }
 
 
+def compare(fits, series, entries):
+    """Figures that decide on the number of entry instances."""
+    control = control_costs(fits, series, entries)
+    store = store_load(series, fits, entries)
+    return {
+        "members of a domain": entries // DESIGN["domains"],
+        "starts a second": DESIGN["starts"] / entries,
+        "slots at 8 an upstream": 8 * DESIGN["upstreams"] / entries,
+        "memory, MB": sum(memory_costs(fits, series, entries).values()) / 1e6,
+        "control CPU, % of a core": sum(control["cpu_us"].values()) / 1e4,
+        "decisions at peak, % of a core": work_costs(fits, entries)["decision_us"] / 1e4,
+        "heartbeats sent, KB/s": control["bytes"]["heartbeats sent"] / 1e3,
+        "lease reads, KB/s": control["bytes"]["lease reads"] / 1e3,
+        "fleet: store reads a second": store["lease reads"]
+        + store["configuration polls"] + store["instance list polls"],
+        "fleet: idle renewals a second": store["lease renewals (idle)"],
+        "fleet: record writes a second": store["record writes (peak)"],
+    }
+
+
+def print_choices(choices):
+    print(f"\n{'entry instances':36}" + "".join(f"{entries:>12}" for entries in choices))
+    for row in next(iter(choices.values())):
+        print(f"  {row:34}" + "".join(f"{values[row]:>12,.1f}"
+                                      for values in choices.values()))
+
+
+def is_constant(fitted):
+    return len({value for _, value in fitted["points"]}) == 1
+
+
 def print_fits(fits):
     print(f"{'series':38}{'form':>6}{'points':>7}{'from':>9}{'to':>9}{'slope':>14}"
           f"{'intercept':>14}{'error':>12}")
     for name, fitted in fits.items():
         points = fitted["points"]
+        if is_constant(fitted):
+            continue
         print(f"{name:38}{fitted['form']:>6}{len(points):>7}{points[0][0]:>9g}"
               f"{points[-1][0]:>9g}{fitted['slope']:>14.5g}{fitted['intercept']:>14.5g}"
               f"{fitted['error']:>12.3g}")
+    print("\nconstant series:")
+    for name, fitted in fits.items():
+        if is_constant(fitted):
+            print(f"{name:38}{fitted['points'][0][1]:>14g}")
 
 
 def print_part(title, values, bound=None):
@@ -223,12 +270,13 @@
         "memory": memory_costs(fits, series, arguments.entries),
         "store": store_load(series, fits, arguments.entries),
     }
+    choices = {entries: compare(fits, series, entries) for entries in CHOICES}
     report = {"date": datetime.datetime.now(datetime.timezone.utc).isoformat(),
               "seconds": time.monotonic() - begin, "load_average": load_before,
               "entries": arguments.entries, "design": DESIGN, "fits": fits,
               "single_points": {name: points for name, points in series.items()
                                 if len(points) <= 2},
-              "at_design_size": design}
+              "at_design_size": design, "choices": choices}
     REPORT.write_text(json.dumps(report, indent=2) + "\n")
     print_fits(fits)
     print(f"\nAt the design size with {arguments.entries} entry instances, extrapolated:")
@@ -238,6 +286,7 @@
     print_part("work of one instance, a second", design["work"])
     print_part("memory of one instance, bytes", design["memory"], MEMORY_BYTES)
     print_part("store requests of the fleet, a second", design["store"])
+    print_choices(choices)
     print(f"\n{report['seconds']:.0f} s, load average {load_before:.1f} before; {REPORT}")
     return 0
 
