--- a/bench/codec_capacity_bench.cpp
+++ b/bench/codec_capacity_bench.cpp
@@ -796,20 +796,26 @@
         decision::instances_listed listed;
         for (std::size_t index = 0; index < count; ++index)
         {
+            // One instance in 18 is an entry instance, as at the design size.
+            bool const is_entry = index % (design_upstreams_of_instance + 1) == 0;
             listed.m_instances.push_back(
-                {fmt::format("upstream-{:05}", index),
+                {fmt::format("instance-{:05}", index),
                  fmt::format("domain-{:02}", index % 15),
-                 fmt::format("10.0.{}.{}:9000", index / 250, index % 250), false, false});
+                 fmt::format("10.0.{}.{}:9000", index / 250, index % 250), is_entry,
+                 false});
         }
         std::string const body = codec::format_instances(listed.m_instances);
         simulation run = make_simulation({30, 14, 60, 0, 10}, 17);
         run_for(run, warm_up, 0);
         run.m_counted = {};
+        double const heap_before = read_heap_bytes();
         double const begin = read_processor_time();
         decision::instances_listed parsed;
         codec::parse_instances(body, parsed.m_instances);
         double const used = read_processor_time() - begin;
         handle(run, std::move(parsed));
+        print_point("instance_list.memory", double(count),
+                    read_heap_bytes() - heap_before);
         print_point("instance_list.bytes", double(count), double(body.size()));
         print_point("instance_list.us", double(count),
                     used + run.m_counted.m_decision_us);
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -172,6 +172,8 @@
         "answers of 10 min": answers,
         "parsed document": last(series, "document.memory"),
         "document text, twice": 2 * last(series, "document.bytes"),
+        "listed instances": (DESIGN["upstreams"] + entries)
+        * fits["instance_list.memory"]["slope"],
         "256 waiting threads": 256 * fits["thread_memory.waiting"]["slope"],
     }
 
