--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -27,6 +27,12 @@
 CONTROL_CPU_US = 36_000  # a second: 3.6% of a core
 CONTROL_BYTES = 9_000  # a second
 MEMORY_BYTES = 256 << 20
+RESUBMISSION_WINDOW_S = 600
+# ownership::answer_memory_limit, and what answer_size() counts of an answer: the struct
+# and, for each result, a string and its text of 64 B as the benchmark has it.
+ANSWER_LIMIT_BYTES = 64 << 20
+ANSWER_BYTES = 56
+RESULT_BYTES = 32 + 64
 
 
 def fit(points, transform):
@@ -155,21 +161,23 @@
 def memory_costs(fits, series, entries):
     """Bytes of one instance, by what holds them."""
     jobs = DESIGN["starts"] / DESIGN["mean_tasks_per_job"] / entries
-    window_s = 600
     owned = math.ceil(DESIGN["upstreams"] / entries)
     of_1, of_10 = (fits[f"record_memory.jobs_of_{tasks}_tasks"]["slope"]
                    for tasks in (1, 10))
     result = (of_10 - of_1) / 9
     key = of_1 - result
-    answers = jobs * window_s * result * DESIGN["mean_tasks_per_job"]
+    results = DESIGN["mean_tasks_per_job"]
+    remembered = jobs * RESUBMISSION_WINDOW_S
+    answered = min(remembered,
+                   ANSWER_LIMIT_BYTES / (ANSWER_BYTES + results * RESULT_BYTES))
     return {
         "owned upstreams": owned * fits["dispatch_memory.owned_upstreams"]["slope"],
         "known upstreams": DESIGN["upstreams"]
         * fits["dispatch_memory.known_upstreams"]["slope"],
         "tenants": DESIGN["tenants"] * fits["dispatch_memory.tenants"]["slope"],
         "20,000 queued tasks": 20_000 * fits["dispatch_memory.queued_tasks"]["slope"],
-        "job keys of 10 min": jobs * window_s * key,
-        "answers of 10 min": answers,
+        "job keys of the window": remembered * key,
+        "answers of the window, as limited": answered * result * results,
         "parsed document": last(series, "document.memory"),
         "document text, twice": 2 * last(series, "document.bytes"),
         "listed instances": (DESIGN["upstreams"] + entries)
