Leave the own lease rows unchanged in the simulated store

Cause: each simulated read raised the versions of the measured instance's own lease rows, which only the other holders' renewals should do. Change: only rows of other owners get a new version.

--- a/bench/codec_capacity_bench.cpp
+++ b/bench/codec_capacity_bench.cpp
@@ -262,7 +262,12 @@
         if (name.starts_with(read.m_prefix))
         {
             // The other holders have renewed their leases since the last read.
-            row.m_version = ++run.m_commit;
+            ownership::lease_value lease;
+            if (ownership::parse_lease(row.m_value, lease) &&
+                lease.m_owner.m_value != own_name)
+            {
+                row.m_version = ++run.m_commit;
+            }
             rows.m_rows.push_back(row);
         }
     }
