Accept a cancellation from a peer before the first configuration

Cause: the margin for remembering a finished attempt was read from a configuration that may not be there yet. Change: the default margin is used then; a test covers it.

--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -33,6 +33,7 @@
 
 /// Sets the upstreams whose slots this instance accounts for.
 /// \param names sorted; names that the configuration lacks are ignored.
+/// \pre a configuration is in force.
 void set_owned_upstreams(dispatch_state & state, std::span<std::string const> names);
 
 /// Marks an upstream that is leaving: it gets no new attempt from now on.
@@ -60,8 +61,9 @@
 void cancel_job(dispatch_state & state, job_key const & key, time_point now,
                 effects & out);
 
-/// Accounts for a finished attempt. A result of an attempt that is not running (late,
-/// superseded, never ordered) is dropped and counted as a wasted message.
+/// Accounts for a finished attempt, ordered here or forwarded to a peer. A result of an
+/// attempt that is not running (late, superseded, never ordered) is dropped and counted
+/// as a wasted message.
 void finish_attempt(dispatch_state & state, attempt_result result, time_point now,
                     random_source & random, effects & out);
 
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -116,9 +116,12 @@
 void refuse_forwarded(dispatch_state & state, attempt_id const & id, effects & out)
 {
     forwarded_task const task = take_forwarded(state, id);
+    // A peer may forward before this instance has its first configuration.
+    config::dispatch_settings const settings = state.m_configuration
+                                                   ? state.m_configuration->m_dispatch
+                                                   : config::dispatch_settings{};
     remember_forwarded(state, id,
-                       task.m_start.m_deadline +
-                           state.m_configuration->m_dispatch.m_attempt_timeout_margin);
+                       task.m_start.m_deadline + settings.m_attempt_timeout_margin);
     out.m_forward_results.push_back(
         {task.m_from, {id, attempt_outcome::not_run, "", false}});
 }
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -329,6 +329,7 @@
     CPPUNIT_TEST(accepted_task_repeated_is_ignored);
     CPPUNIT_TEST(accepted_task_past_send_time_is_not_run);
     CPPUNIT_TEST(accepted_task_cancelled_while_waiting_is_not_run);
+    CPPUNIT_TEST(accepted_task_without_configuration_is_not_run_when_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
     void add_peer(char const * name, char const * domain, std::uint32_t free_slots)
@@ -442,6 +443,15 @@
         CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
     }
 
+    void accepted_task_without_configuration_is_not_run_when_cancelled()
+    {
+        m_state = {};
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        step();
+        cancel_forwarded(m_state, {77, 1}, m_now, m_out);
+        CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
+    }
+
     void accepted_task_cancelled_while_waiting_is_not_run()
     {
         submit("check", 20);
