Charge a kind for the tasks that it forwards

Cause: forwards were not charged, so one urgent kind could take every free slot of the peers. Change: a forward is charged like a local start.

--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -67,22 +67,29 @@
     return std::max(1.0, largest * upstream.m_slots);
 }
 
-/// Charges the service, takes the slot and orders the start.
-void start_on_upstream(dispatch_state & state, attempt_start start,
-                       running_attempt & attempt, std::uint32_t tenant,
-                       std::uint32_t upstream_id, effects & out)
+void charge_attempt(dispatch_state & state, running_attempt & attempt,
+                    std::uint32_t tenant)
 {
     kind_state const & kind = state.m_kinds[attempt.m_kind];
-    upstream_state & upstream = state.m_upstreams[upstream_id];
-    attempt.m_upstream = upstream_id;
-    attempt.m_slots = slots_taken(upstream.m_definition, attempt.m_demand);
     attempt.m_charge =
         attempt.m_slots *
         mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
+    // A task of the baseline policy has no queue to charge.
     if (state.m_queue.m_kinds[attempt.m_kind].m_tenants.contains(tenant))
     {
         charge_service(state.m_queue, attempt.m_kind, tenant, attempt.m_charge);
     }
+}
+
+/// Charges the service, takes the slot and orders the start.
+void start_on_upstream(dispatch_state & state, attempt_start start,
+                       running_attempt & attempt, std::uint32_t tenant,
+                       std::uint32_t upstream_id, effects & out)
+{
+    upstream_state & upstream = state.m_upstreams[upstream_id];
+    attempt.m_upstream = upstream_id;
+    attempt.m_slots = slots_taken(upstream.m_definition, attempt.m_demand);
+    charge_attempt(state, attempt, tenant);
     attempt.m_probe = upstream.m_health.m_phase == health_phase::probing;
     upstream.m_health.m_probe_running |= attempt.m_probe;
     occupy_slot(state, upstream_id, attempt.m_demand);
@@ -158,6 +165,7 @@
         attempt.m_to = target.m_peer;
         start.m_send_before = std::min(
             start.m_send_before, now + state.m_configuration->m_dispatch.m_forward_wait);
+        charge_attempt(state, attempt, job.m_tenant);
         forward_attempt(state, target.m_peer, std::move(start), out);
     }
     schedule_hedge(state, job, attempt, id, now);
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -323,6 +323,7 @@
     CPPUNIT_TEST_SUITE(forwarding_test);
     CPPUNIT_TEST(task_without_local_room_goes_to_peer_of_same_domain_first);
     CPPUNIT_TEST(forwards_stop_at_the_reported_free_slots);
+    CPPUNIT_TEST(forwards_are_shared_between_kinds);
     CPPUNIT_TEST(forward_that_comes_back_is_no_attempt);
     CPPUNIT_TEST(removed_peer_makes_forwarded_attempts_unknown);
     CPPUNIT_TEST(accepted_task_runs_and_its_result_leaves);
@@ -384,6 +385,21 @@
         CPPUNIT_ASSERT_EQUAL(11U, current_load(m_state).m_queued_tasks);
     }
 
+    void forwards_are_shared_between_kinds()
+    {
+        m_configuration.m_dispatch.m_share_window = 0ms;
+        apply();
+        submit("lodge", 90);
+        submit("bulk", 90, "zeta");
+        add_peer("near", "north", 30);
+        step();
+        auto const bulk = std::count_if(m_out.m_forwards.begin(), m_out.m_forwards.end(),
+                                        [](task_forward const & forward)
+                                        { return forward.m_start.m_kind == "bulk"; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(30), m_out.m_forwards.size());
+        CPPUNIT_ASSERT(bulk >= 13);
+    }
+
     void forward_that_comes_back_is_no_attempt()
     {
         add_peer("near", "north", 10);
