--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -323,12 +323,14 @@
     CPPUNIT_TEST_SUITE(forwarding_test);
     CPPUNIT_TEST(task_without_local_room_goes_to_peer_of_same_domain_first);
     CPPUNIT_TEST(forwards_stop_at_the_reported_free_slots);
+    CPPUNIT_TEST(forwards_are_shared_between_kinds);
     CPPUNIT_TEST(forward_that_comes_back_is_no_attempt);
     CPPUNIT_TEST(removed_peer_makes_forwarded_attempts_unknown);
     CPPUNIT_TEST(accepted_task_runs_and_its_result_leaves);
     CPPUNIT_TEST(accepted_task_repeated_is_ignored);
     CPPUNIT_TEST(accepted_task_past_send_time_is_not_run);
     CPPUNIT_TEST(accepted_task_cancelled_while_waiting_is_not_run);
+    CPPUNIT_TEST(accepted_task_without_configuration_is_not_run_when_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
     void add_peer(char const * name, char const * domain, std::uint32_t free_slots)
@@ -383,6 +385,21 @@
         CPPUNIT_ASSERT_EQUAL(11U, current_load(m_state).m_queued_tasks);
     }
 
+    void forwards_are_shared_between_kinds()
+    {
+        m_configuration.m_dispatch.m_share_window = 0ms;
+        apply();
+        submit("lodge", 90);
+        submit("bulk", 90, "zeta");
+        add_peer("near", "north", 30);
+        step();
+        auto const bulk = std::count_if(m_out.m_forwards.begin(), m_out.m_forwards.end(),
+                                        [](task_forward const & forward)
+                                        { return forward.m_start.m_kind == "bulk"; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(30), m_out.m_forwards.size());
+        CPPUNIT_ASSERT(bulk >= 13);
+    }
+
     void forward_that_comes_back_is_no_attempt()
     {
         add_peer("near", "north", 10);
@@ -442,6 +459,15 @@
         CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
     }
 
+    void accepted_task_without_configuration_is_not_run_when_cancelled()
+    {
+        m_state = {};
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        step();
+        cancel_forwarded(m_state, {77, 1}, m_now, m_out);
+        CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
+    }
+
     void accepted_task_cancelled_while_waiting_is_not_run()
     {
         submit("check", 20);
