Keep one connection for each sender of the load generator

Cause: each sender kept a connection to every entry instance, up to 166 at an instance that serves 128 callers at a time, so jobs waited for idle connections to time out.

Change: a sender keeps the connection it used last. The scripts pass the users' limit of 64 connections to the upstream stand-ins.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -19,6 +19,7 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 20
+UPSTREAM_CONNECTIONS = 64  # the limit of both users' upstreams
 
 # Ports, from the base: the platform, callers from 1, peers from 31, upstreams from 100.
 CALLER_OFFSET, PEER_OFFSET, UPSTREAM_OFFSET = 1, 31, 100
@@ -118,7 +119,8 @@
     for domain, address in zip(deployment.fleet.domains, deployment.upstreams):
         start_process(deployment, f"upstreams-{domain}",
                       BIN / "cassiahub-upstream-standin",
-                      "--first-port", address.split(":")[1], "--count", 4)
+                      "--first-port", address.split(":")[1], "--count", 4,
+                      "--connections", UPSTREAM_CONNECTIONS)
     wait_for(deployment.platform, "/stats", "platform stand-in", deadline)
     for address in deployment.upstreams:
         wait_for(address, "/stats", "upstream stand-in", deadline)
--- a/src/load/load_sender.cpp
+++ b/src/load/load_sender.cpp
@@ -4,7 +4,6 @@
 #include <cassiahub/http.hpp>
 #include <cassiahub/runtime/boot_clock.hpp>
 
-#include <map>
 #include <string>
 #include <utility>
 
@@ -23,19 +22,28 @@
 constexpr duration answer_grace = std::chrono::seconds(6);
 constexpr duration wait_period = std::chrono::seconds(60);
 
-/// Connections of one sender, by index of the target.
-using connection_map = std::map<std::size_t, http::connection>;
+/// The one connection that a sender keeps. One for each target would occupy the entry
+/// instances, which serve as many connections as they have threads for callers.
+struct kept_connection
+{
+    std::size_t m_target = 0;
+    http::connection m_connection;
+};
 
-http::connection * open_connection(load_plan const & plan, connection_map & connections,
-                                   std::size_t target)
+/// \returns false when the target cannot be reached.
+bool open_connection(load_plan const & plan, kept_connection & kept, std::size_t target)
 {
-    http::connection & kept = connections[target];
-    if (!kept.m_handle || runtime::read_boot_clock() - kept.m_idle_since > max_idle_time)
+    bool const is_usable =
+        kept.m_connection.m_handle && kept.m_target == target &&
+        runtime::read_boot_clock() - kept.m_connection.m_idle_since <= max_idle_time;
+    if (!is_usable)
     {
         std::error_code error;
-        kept = http::connect(plan.m_targets[target], error);
+        kept.m_connection = {};
+        kept.m_connection = http::connect(plan.m_targets[target], error);
+        kept.m_target = target;
     }
-    return kept.m_handle ? &kept : nullptr;
+    return kept.m_connection.m_handle != nullptr;
 }
 
 http::request make_request(arrival const & item, duration remaining)
@@ -83,11 +91,10 @@
 }
 
 /// Submits once. \returns false when there was no answer.
-bool submit(load_context & context, connection_map & connections, arrival const & item,
+bool submit(load_context & context, kept_connection & kept, arrival const & item,
             std::size_t target, submission_outcome & outcome)
 {
-    http::connection * const used = open_connection(context.m_plan, connections, target);
-    if (used == nullptr)
+    if (!open_connection(context.m_plan, kept, target))
     {
         outcome.m_code = "connect_failed";
         return false;
@@ -95,22 +102,22 @@
     duration const remaining = context.m_start + item.m_at + item.m_job.m_time_limit -
                                runtime::read_boot_clock();
     http::response received;
-    std::error_code const error = http::exchange(*used, make_request(item, remaining),
-                                                 context.m_plan.m_targets[target],
-                                                 remaining + answer_grace, received);
+    std::error_code const error = http::exchange(
+        kept.m_connection, make_request(item, remaining),
+        context.m_plan.m_targets[target], remaining + answer_grace, received);
     if (error)
     {
-        connections.erase(target);
+        kept.m_connection = {};
         outcome.m_code = error.message();
         outcome.m_ran = run_state::unknown;
         return false;
     }
-    used->m_idle_since = runtime::read_boot_clock();
+    kept.m_connection.m_idle_since = runtime::read_boot_clock();
     read_response(item, received, outcome);
     return true;
 }
 
-submission_outcome send_job(load_context & context, connection_map & connections,
+submission_outcome send_job(load_context & context, kept_connection & kept,
                             arrival const & item)
 {
     submission_outcome outcome;
@@ -131,8 +138,7 @@
     for (int attempt = 0; attempt < max_submissions; ++attempt)
     {
         if (runtime::read_boot_clock() >= deadline ||
-            submit(context, connections, item, (item.m_target + attempt) % targets,
-                   outcome))
+            submit(context, kept, item, (item.m_target + attempt) % targets, outcome))
         {
             break;
         }
@@ -146,13 +152,13 @@
 
 std::error_code run_sender(load_context & context, std::stop_token const & stop)
 {
-    connection_map connections;
+    kept_connection kept;
     while (!stop.stop_requested())
     {
         std::optional<arrival> item = context.m_arrivals.pop(wait_period, stop);
         if (item)
         {
-            context.m_outcomes.push(send_job(context, connections, *item), stop);
+            context.m_outcomes.push(send_job(context, kept, *item), stop);
         }
     }
     return {};
