--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/hedging.hpp"
 #include "dispatch/jobs.hpp"
 #include "dispatch/placement.hpp"
+#include "dispatch/reservation.hpp"
 #include "dispatch/retry.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
@@ -109,18 +110,25 @@
         return head_result::removed;
     }
     attempt_target target;
-    auto const upstream = pick_upstream(state, request_of(state, job), context.m_random);
-    instance_id const * const peer = best_peer(state);
-    if (upstream)
+    placement_request const request = request_of(state, job);
+    if (auto const reserved = reserved_room(state, job, request.m_demand))
+    {
+        target.m_upstream = *reserved;
+        drop_reservation(state, job);
+    }
+    else if (auto const upstream = pick_upstream(state, request, context.m_random))
     {
         target.m_upstream = *upstream;
     }
-    else if (peer != nullptr)
+    else if (auto const * const peer =
+                 pick_peer(state, request.m_demand, context.m_random))
     {
         target.m_peer = *peer;
     }
     else
     {
+        consider_reservation(state, job, request.m_demand, context.m_now,
+                             context.m_random);
         return head_result::no_room;
     }
     std::uint32_t const task = take_waiting_task(state, job);
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -12,13 +12,23 @@
 namespace internal
 {
 
+/// \returns true when \p upstream may get new attempts as far as its operators, the
+/// platform and itself are concerned.
+bool takes_new_work(upstream_state const & upstream) noexcept
+{
+    return upstream.m_owned && !upstream.m_leaving && !upstream.m_definition.m_draining;
+}
+
+bool is_usable(upstream_state const & upstream) noexcept
+{
+    return takes_new_work(upstream) && upstream.m_health.m_phase == health_phase::healthy;
+}
+
 offered_room room_of(upstream_state const & upstream)
 {
-    bool const usable = upstream.m_owned && !upstream.m_leaving &&
-                        upstream.m_health.m_phase == health_phase::healthy;
     std::uint32_t const taken = upstream.m_running + upstream.m_held;
     std::uint32_t const slots = upstream.m_definition.m_slots;
-    if (!usable || taken >= slots ||
+    if (!is_usable(upstream) || taken >= slots ||
         !fits(upstream.m_used, upstream.m_definition.m_capacity))
     {
         return {};
@@ -30,7 +40,7 @@
 
 bool takes_probe(upstream_state const & upstream)
 {
-    return upstream.m_owned && !upstream.m_leaving &&
+    return takes_new_work(upstream) &&
            upstream.m_health.m_phase == health_phase::probing &&
            !upstream.m_health.m_probe_running &&
            upstream.m_running < upstream.m_definition.m_slots;
@@ -54,11 +64,17 @@
 
 void refresh_room(dispatch_state & state, std::uint32_t id)
 {
-    offered_room const room = room_of(state.m_upstreams[id]);
+    upstream_state const & upstream = state.m_upstreams[id];
+    bool const reserved =
+        state.m_reservation.m_job != 0 && state.m_reservation.m_upstream == id;
+    offered_room const room = reserved ? offered_room{} : room_of(upstream);
+    set_room(state.m_whole_room, id,
+             is_usable(upstream) ? offered_room{1, upstream.m_definition.m_capacity}
+                                 : offered_room{});
     state.m_offered_slots -= state.m_room.m_nodes[state.m_room.m_leaves + id].m_slots;
     state.m_offered_slots += room.m_slots;
     set_room(state.m_room, id, room);
-    if (takes_probe(state.m_upstreams[id]))
+    if (takes_probe(upstream))
     {
         state.m_probe_targets.insert(id);
     }
@@ -113,6 +129,7 @@
     {
         state.m_upstreams.emplace_back();
         grow_index(state.m_room, state.m_upstreams.size());
+        grow_index(state.m_whole_room, state.m_upstreams.size());
     }
     state.m_upstreams[id] = {};
     state.m_upstreams[id].m_definition = definition;
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(tenants_of_one_kind_share_by_weight);
     CPPUNIT_TEST(jobs_of_one_tenant_finish_in_order_of_arrival);
     CPPUNIT_TEST(large_demand_that_does_not_fit_lets_others_pass);
+    CPPUNIT_TEST(large_demand_among_small_tasks_is_served);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<attempt_start> m_running;
@@ -103,6 +104,28 @@
         auto const starts = take_starts();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_kind(starts, "bulk"));
     }
+
+    void large_demand_among_small_tasks_is_served()
+    {
+        submit("check", 60);
+        job_spec large = make_spec("check", 1, "zeta");
+        large.m_tasks[0].m_demand.m_millicores = 16'000;
+        job_key const key = submit(large);
+        std::vector<attempt_start> starts;
+        for (int count = 0; count < 30; ++count)
+        {
+            auto const started = take_starts();
+            m_running.insert(m_running.end(), started.begin(), started.end());
+            starts.insert(starts.end(), started.begin(), started.end());
+            attempt_id const oldest = m_running.front().m_attempt;
+            m_running.erase(m_running.begin());
+            m_now += 50ms;
+            finish(oldest, attempt_outcome::succeeded);
+        }
+        CPPUNIT_ASSERT(std::any_of(starts.begin(), starts.end(),
+                                   [&key](attempt_start const & start)
+                                   { return start.m_job == key; }));
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(fair_queue_test);
 
@@ -300,6 +323,7 @@
     CPPUNIT_TEST_SUITE(forwarding_test);
     CPPUNIT_TEST(task_without_local_room_goes_to_peer_of_same_domain_first);
     CPPUNIT_TEST(forwards_stop_at_the_reported_free_slots);
+    CPPUNIT_TEST(forward_that_comes_back_is_no_attempt);
     CPPUNIT_TEST(removed_peer_makes_forwarded_attempts_unknown);
     CPPUNIT_TEST(accepted_task_runs_and_its_result_leaves);
     CPPUNIT_TEST(accepted_task_repeated_is_ignored);
@@ -359,6 +383,22 @@
         CPPUNIT_ASSERT_EQUAL(11U, current_load(m_state).m_queued_tasks);
     }
 
+    void forward_that_comes_back_is_no_attempt()
+    {
+        add_peer("near", "north", 10);
+        submit("lodge", 7);
+        for (int count = 0; count < 5; ++count)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
+            attempt_start const start = m_out.m_forwards[0].m_start;
+            CPPUNIT_ASSERT(start.m_send_before <= m_now + 500ms);
+            m_out = {};
+            finish(start.m_attempt, attempt_outcome::not_run);
+            step(640ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_state.m_jobs.size());
+    }
+
     void removed_peer_makes_forwarded_attempts_unknown()
     {
         add_peer("near", "north", 1);
