Test overtaken answers, lapsed leases and late releases one by one

Change: five tests of ownership alone. Conclusion: each of these rules now has a test that always reaches it.

--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -108,6 +108,11 @@
     CPPUNIT_TEST(answers_beyond_memory_limit_become_already_answered);
     CPPUNIT_TEST(writes_under_load_stay_below_rate);
     CPPUNIT_TEST(notice_is_not_acknowledged_by_owner);
+    CPPUNIT_TEST(notice_of_superseded_owner_is_not_acknowledged);
+    CPPUNIT_TEST(claim_answer_overtaken_by_read_gives_no_ownership);
+    CPPUNIT_TEST(release_answer_overtaken_by_read_keeps_later_epoch);
+    CPPUNIT_TEST(release_after_failed_job_waits_for_send_limit);
+    CPPUNIT_TEST(lease_lapsed_in_suspension_allows_no_unrecorded_start);
     CPPUNIT_TEST_SUITE_END();
 
     ownership_state m_state;
@@ -395,6 +400,76 @@
                        job_errc::outcome_unknown);
         CPPUNIT_ASSERT(!receive_notice(m_state, 0, 1, keys, m_now));
     }
+
+    void notice_of_superseded_owner_is_not_acknowledged()
+    {
+        advance_by(20ms);
+        answer_reads({lease_row(5, "other", 3)});
+        std::vector<job_key> const keys{make_key("k")};
+        CPPUNIT_ASSERT(!receive_notice(m_state, 0, 2, keys, m_now));
+        CPPUNIT_ASSERT(receive_notice(m_state, 0, 3, keys, m_now));
+    }
+
+    void claim_answer_overtaken_by_read_gives_no_ownership()
+    {
+        advance_by(20ms);
+        answer_reads({});
+        advance_by(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_writes.size());
+        advance_by(1s);
+        answer_reads({lease_row(99, "other", 2)});
+        answer_write(store_result::done);
+        CPPUNIT_ASSERT(m_state.m_shards[0].m_phase == shard_phase::idle);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_state.m_shards[0].m_lease.m_epoch);
+    }
+
+    void release_answer_overtaken_by_read_keeps_later_epoch()
+    {
+        serve();
+        begin_drain(m_state, m_now);
+        advance_by(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_writes.size());
+        advance_by(1s);
+        answer_reads({lease_row(99, "other", 2)});
+        answer_write(store_result::done);
+        CPPUNIT_ASSERT(m_state.m_shards[0].m_lease.m_owner.m_value == "other");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_state.m_shards[0].m_lease.m_epoch);
+    }
+
+    void release_after_failed_job_waits_for_send_limit()
+    {
+        serve();
+        admit("k");
+        advance_by(20ms);
+        answer_write(store_result::done);
+        time_point const limit = m_state.m_shards[0].m_valid_until;
+        finish_job(m_state, make_key("k"),
+                   {job_errc::outcome_unknown, run_state::unknown, {}, {}}, m_now);
+        begin_drain(m_state, m_now);
+        while (m_now < limit + 100ms)
+        {
+            bool const owned = m_state.m_shards[0].m_phase == shard_phase::serving;
+            CPPUNIT_ASSERT_EQUAL(m_now < limit, owned);
+            advance_by(20ms);
+            answer_write(store_result::done);
+        }
+    }
+
+    void lease_lapsed_in_suspension_allows_no_unrecorded_start()
+    {
+        serve();
+        set_surroundings(m_state, {{"peer"}}, std::vector<std::uint32_t>{0}, m_now,
+                         m_out);
+        m_out = {};
+        admit("k", true);
+        advance_by(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_writes.size());
+        m_now += 30s;
+        observe_time(m_state, m_now);
+        advance_by(20ms);
+        CPPUNIT_ASSERT(m_out.m_notices.empty());
+        CPPUNIT_ASSERT(m_out.m_cleared.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(owner_test);
