Give up a pending job when an earlier owner turns out to know its key

Change: such a job is answered outcome_unknown and is not started. Conclusion: what an earlier owner tells counts until the moment of the start.

--- a/include/cassiahub/ownership/effects.hpp
+++ b/include/cassiahub/ownership/effects.hpp
@@ -40,11 +40,12 @@
     fencing_token m_token;
 };
 
-/// A job that was waiting and is refused as not run.
+/// A job that was waiting and does not start.
 struct refused_job
 {
     job_key m_key;
     std::error_code m_error;
+    run_state m_ran = run_state::no; ///< unknown: an earlier owner may have run it
 };
 
 /// Keys to send to another instance, which keeps them for a takeover.
--- a/include/cassiahub/ownership/owner.hpp
+++ b/include/cassiahub/ownership/owner.hpp
@@ -108,7 +108,7 @@
 /// the shard or has seen a later epoch, so that the sender starts nothing more.
 bool receive_notice(ownership_state & state, std::uint32_t shard,
                     std::uint64_t sender_epoch, std::span<job_key const> keys,
-                    time_point now);
+                    time_point now, effects & out);
 
 /// Takes in the acknowledgement of a notice_order.
 void receive_acknowledgement(ownership_state & state, instance_id const & from,
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -253,7 +253,7 @@
     for (ownership::refused_job const & refused : effects.m_refused)
     {
         close_job(context, refused.m_key,
-                  {refused.m_error, run_state::no, refusal_retry_after, {}});
+                  {refused.m_error, refused.m_ran, refusal_retry_after, {}});
     }
     for (ownership::shard_event const & event : effects.m_shard_events)
     {
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -125,11 +125,13 @@
         membership::find_live(context.m_state.m_membership, from);
     std::uint64_t const epoch =
         sender == nullptr ? 0 : membership::held_epoch(*sender, message.m_shard);
+    ownership::effects effects;
     if (ownership::receive_notice(context.m_state.m_ownership, message.m_shard, epoch,
-                                  message.m_keys, context.m_now))
+                                  message.m_keys, context.m_now, effects))
     {
         send(context, from, key_notice_received{message.m_request});
     }
+    apply(context, std::move(effects));
 }
 
 void handle_message(step_context & context, instance_id const & from,
--- a/src/ownership/notices.cpp
+++ b/src/ownership/notices.cpp
@@ -141,6 +141,22 @@
     }
 }
 
+/// Gives up a pending job of which an earlier owner tells that it had admitted the key.
+/// A key that this instance has announced itself may only come back to it.
+void yield_pending(shard_state & shard, job_key const & key, time_point now,
+                   effects & out)
+{
+    if (!is_pending(shard, key) || shard.m_records.at(key).m_noticed)
+    {
+        return;
+    }
+    record & entry = shard.m_records.at(key);
+    set_phase(shard, entry, record_phase::earlier_admitted);
+    mark_dirty(shard, key, entry);
+    settle(shard, key, entry, now);
+    out.m_refused.push_back({key, job_errc::outcome_unknown, run_state::unknown});
+}
+
 void adopt_noticed(ownership_state & state, std::uint32_t index, time_point now)
 {
     shard_state & shard = state.m_shards[index];
@@ -162,7 +178,7 @@
 
 bool receive_notice(ownership_state & state, std::uint32_t shard,
                     std::uint64_t sender_epoch, std::span<job_key const> keys,
-                    time_point now)
+                    time_point now, effects & out)
 {
     for (job_key const & key : keys)
     {
@@ -173,9 +189,13 @@
     {
         return true;
     }
-    shard_state const & own = state.m_shards[shard];
+    shard_state & own = state.m_shards[shard];
     if (own.m_phase == shard_phase::serving)
     {
+        for (job_key const & key : keys)
+        {
+            internal::yield_pending(own, key, now, out);
+        }
         internal::adopt_noticed(state, shard, now);
     }
     return own.m_phase == shard_phase::idle && own.m_lease.m_epoch <= sender_epoch;
--- a/src/ownership/records.cpp
+++ b/src/ownership/records.cpp
@@ -166,7 +166,7 @@
     auto const found = shard.m_records.find(key);
     if (found != shard.m_records.end() && found->second.m_phase == record_phase::pending)
     {
-        out.m_refused.push_back({key, error});
+        out.m_refused.push_back({key, error, run_state::no});
         discard(state, shard, key);
     }
 }
@@ -188,7 +188,7 @@
     {
         if (entry.m_phase == record_phase::pending)
         {
-            out.m_refused.push_back({key, job_errc::lease_lapsed});
+            out.m_refused.push_back({key, job_errc::lease_lapsed, run_state::no});
         }
         else if (entry.m_noticed && entry.m_dirty &&
                  entry.m_phase != record_phase::obsolete)
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(writes_under_load_stay_below_rate);
     CPPUNIT_TEST(notice_is_not_acknowledged_by_owner);
     CPPUNIT_TEST(notice_of_superseded_owner_is_not_acknowledged);
+    CPPUNIT_TEST(notice_of_pending_key_keeps_it_from_starting);
     CPPUNIT_TEST(claim_answer_overtaken_by_read_gives_no_ownership);
     CPPUNIT_TEST(release_answer_overtaken_by_read_keeps_later_epoch);
     CPPUNIT_TEST(release_after_failed_job_waits_for_send_limit);
@@ -394,11 +395,11 @@
     void notice_is_not_acknowledged_by_owner()
     {
         std::vector<job_key> const keys{make_key("k")};
-        CPPUNIT_ASSERT(receive_notice(m_state, 0, 1, keys, m_now));
+        CPPUNIT_ASSERT(receive_notice(m_state, 0, 1, keys, m_now, m_out));
         serve();
         CPPUNIT_ASSERT(find_key(m_state, make_key("k"), 1).m_answer.m_error ==
                        job_errc::outcome_unknown);
-        CPPUNIT_ASSERT(!receive_notice(m_state, 0, 1, keys, m_now));
+        CPPUNIT_ASSERT(!receive_notice(m_state, 0, 1, keys, m_now, m_out));
     }
 
     void notice_of_superseded_owner_is_not_acknowledged()
@@ -406,8 +407,20 @@
         advance_by(20ms);
         answer_reads({lease_row(5, "other", 3)});
         std::vector<job_key> const keys{make_key("k")};
-        CPPUNIT_ASSERT(!receive_notice(m_state, 0, 2, keys, m_now));
-        CPPUNIT_ASSERT(receive_notice(m_state, 0, 3, keys, m_now));
+        CPPUNIT_ASSERT(!receive_notice(m_state, 0, 2, keys, m_now, m_out));
+        CPPUNIT_ASSERT(receive_notice(m_state, 0, 3, keys, m_now, m_out));
+    }
+
+    void notice_of_pending_key_keeps_it_from_starting()
+    {
+        serve();
+        admit("k", true);
+        advance_by(20ms);
+        std::vector<job_key> const keys{make_key("k")};
+        CPPUNIT_ASSERT(!receive_notice(m_state, 0, 0, keys, m_now, m_out));
+        answer_write(store_result::done);
+        CPPUNIT_ASSERT(m_out.m_cleared.empty());
+        CPPUNIT_ASSERT(m_out.m_refused.at(0).m_ran == run_state::unknown);
     }
 
     void claim_answer_overtaken_by_read_gives_no_ownership()
@@ -461,11 +474,12 @@
         set_surroundings(m_state, {{"peer"}}, std::vector<std::uint32_t>{0}, m_now,
                          m_out);
         m_out = {};
-        admit("k", true);
+        admit("first", true);
         advance_by(20ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_writes.size());
         m_now += 30s;
         observe_time(m_state, m_now);
+        admit("k", true);
         advance_by(20ms);
         CPPUNIT_ASSERT(m_out.m_notices.empty());
         CPPUNIT_ASSERT(m_out.m_cleared.empty());
