Fix findings of clang-tidy in the peer and decision duties

Cause: clang-tidy reported a use after move and KJ's macros. Change: what is needed after the move is read before; rejections are returned as promises.

--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -44,10 +44,11 @@
 
 void perform(action_context & context, decision::send_peer & message)
 {
-    if (!context.m_daemon.m_peer_messages.try_push(std::move(message)) &&
-        !peer::is_periodic(message.m_message))
+    bool const must_arrive = !peer::is_periodic(message.m_message);
+    instance_id to = message.m_to;
+    if (!context.m_daemon.m_peer_messages.try_push(std::move(message)) && must_arrive)
     {
-        context.m_returned.emplace_back(decision::peer_disconnected{message.m_to});
+        context.m_returned.emplace_back(decision::peer_disconnected{std::move(to)});
     }
 }
 
--- a/src/peer/incoming.cpp
+++ b/src/peer/incoming.cpp
@@ -78,14 +78,17 @@
     kj::Promise<void> deliver(DeliverContext context) override
     {
         incoming_connection * const connection = find_connection(m_state, m_id);
-        KJ_REQUIRE(connection != nullptr, "connection was replaced");
+        if (connection == nullptr)
+        {
+            return KJ_EXCEPTION(DISCONNECTED, "connection was replaced");
+        }
         std::vector<decision::peer_message> messages;
         std::error_code const error = decode_batch(context.getParams().getMessages(),
                                                    connection->m_incarnation, messages);
         if (error)
         {
             ++m_state.m_counters.m_batches_rejected;
-            KJ_FAIL_REQUIRE("batch rejected", error.message().c_str());
+            return KJ_EXCEPTION(FAILED, "batch rejected", error.message().c_str());
         }
         context.releaseParams();
         m_state.m_counters.m_messages_received += messages.size();
@@ -136,7 +139,7 @@
         {
             ++m_state.m_counters.m_opens_rejected;
             // One text for every reason, so that nothing can be learnt from it.
-            KJ_FAIL_REQUIRE("open rejected");
+            return KJ_EXCEPTION(FAILED, "open rejected");
         }
         std::string const instance(params.getInstance().begin(),
                                    params.getInstance().size());
