--- /dev/null
+++ b/src/dispatch/forwarding.cpp
@@ -0,0 +1,224 @@
+#include "dispatch/attempts.hpp"
+#include "dispatch/baseline.hpp"
+#include "dispatch/forwarding.hpp"
+#include "dispatch/jobs.hpp"
+
+#include <cassiahub/dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::dispatch
+{
+
+namespace internal
+{
+
+using peer_order = std::tuple<bool, std::size_t, instance_id>;
+
+/// Peers that one search looks at in each tier.
+constexpr int peers_to_compare = 4;
+
+peer_order order_of(dispatch_state const & state, peer_capacity const & peer)
+{
+    bool const other_domain = !state.m_domain.empty() && peer.m_domain != state.m_domain;
+    return {other_domain, std::hash<instance_id>()(peer.m_instance), peer.m_instance};
+}
+
+/// Lists a peer among the targets while it has free slots.
+void list_peer(dispatch_state & state, peer_capacity const & peer)
+{
+    if (peer.m_load.m_free_slots > 0)
+    {
+        state.m_peer_order.insert(order_of(state, peer));
+    }
+}
+
+bool may_fit(peer_load const & load, resources const & demand)
+{
+    return load.m_largest_free == resources{} || fits(demand, load.m_largest_free);
+}
+
+/// The freest of a few peers of one tier, from a random one on.
+instance_id const * pick_in_tier(dispatch_state const & state, bool other_domain,
+                                 resources const & demand, random_source & random)
+{
+    auto const first = state.m_peer_order.lower_bound({other_domain, 0, {}});
+    auto next = state.m_peer_order.lower_bound({other_domain, random(), {}});
+    instance_id const * best = nullptr;
+    std::uint32_t most = 0;
+    for (int count = 0; count < peers_to_compare; ++count)
+    {
+        if (next == state.m_peer_order.end() || std::get<0>(*next) != other_domain)
+        {
+            next = first;
+        }
+        if (next == state.m_peer_order.end() || std::get<0>(*next) != other_domain)
+        {
+            break;
+        }
+        peer_load const & load = state.m_peers.at(std::get<2>(*next)).m_capacity.m_load;
+        if (load.m_free_slots > most && may_fit(load, demand))
+        {
+            best = &std::get<2>(*next);
+            most = load.m_free_slots;
+        }
+        ++next;
+    }
+    return best;
+}
+
+instance_id const * pick_peer(dispatch_state const & state, resources const & demand,
+                              random_source & random)
+{
+    instance_id const * const local = pick_in_tier(state, false, demand, random);
+    return local != nullptr ? local : pick_in_tier(state, true, demand, random);
+}
+
+void forward_attempt(dispatch_state & state, instance_id const & peer,
+                     attempt_start start, effects & out)
+{
+    peer_state & target = state.m_peers.at(peer);
+    state.m_peer_order.erase(order_of(state, target.m_capacity));
+    --target.m_capacity.m_load.m_free_slots;
+    list_peer(state, target.m_capacity);
+    target.m_forwarded.insert(start.m_attempt);
+    ++state.m_counters.m_forwards;
+    out.m_forwards.push_back({target.m_capacity.m_instance, std::move(start)});
+}
+
+void forget_peer_attempt(dispatch_state & state, instance_id const & peer,
+                         attempt_id const & id)
+{
+    auto const found = state.m_peers.find(peer);
+    if (found != state.m_peers.end())
+    {
+        found->second.m_forwarded.erase(id);
+    }
+}
+
+forwarded_task take_forwarded(dispatch_state & state, attempt_id const & id)
+{
+    auto const found = state.m_forwarded.find(id);
+    forwarded_task task = std::move(found->second);
+    state.m_forwarded.erase(found);
+    remove_item(state.m_queue, task.m_kind, task.m_tenant, {false, task.m_serial});
+    count_waiting(state, task.m_kind, -1);
+    state.m_timers.erase({task.m_start.m_send_before, timer_kind::forwarded_expiry, id});
+    auto const peer = state.m_peers.find(task.m_from);
+    if (peer != state.m_peers.end())
+    {
+        peer->second.m_accepted.erase(id);
+    }
+    return task;
+}
+
+void refuse_forwarded(dispatch_state & state, attempt_id const & id, effects & out)
+{
+    forwarded_task const task = take_forwarded(state, id);
+    // A peer may forward before this instance has its first configuration.
+    config::dispatch_settings const settings = state.m_configuration
+                                                   ? state.m_configuration->m_dispatch
+                                                   : config::dispatch_settings{};
+    remember_forwarded(state, id,
+                       task.m_start.m_deadline + settings.m_attempt_timeout_margin);
+    out.m_forward_results.push_back(
+        {task.m_from, {id, attempt_outcome::not_run, "", false}});
+}
+
+void remember_forwarded(dispatch_state & state, attempt_id const & id, time_point until)
+{
+    state.m_finished_forwarded.insert(id);
+    state.m_timers.insert({until, timer_kind::forget_forwarded, id});
+}
+
+} // namespace internal
+
+void set_peer(dispatch_state & state, peer_capacity peer)
+{
+    peer_state & known = state.m_peers[peer.m_instance];
+    state.m_peer_order.erase(internal::order_of(state, known.m_capacity));
+    known.m_capacity = std::move(peer);
+    internal::list_peer(state, known.m_capacity);
+}
+
+void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
+                 random_source & random, effects & out)
+{
+    auto const found = state.m_peers.find(instance);
+    if (found == state.m_peers.end())
+    {
+        return;
+    }
+    peer_state const gone = std::move(found->second);
+    state.m_peer_order.erase(internal::order_of(state, gone.m_capacity));
+    state.m_peers.erase(found);
+    for (attempt_id const & id : gone.m_accepted)
+    {
+        internal::take_forwarded(state, id);
+    }
+    for (attempt_id const & id : gone.m_forwarded)
+    {
+        internal::settle_attempt(state, {id, attempt_outcome::unknown, "", false}, now,
+                                 random, out);
+    }
+}
+
+void accept_forwarded(dispatch_state & state, instance_id const & from,
+                      attempt_start task, time_point)
+{
+    attempt_id const id = task.m_attempt;
+    if (state.m_forwarded.contains(id) || state.m_attempts.contains(id) ||
+        state.m_finished_forwarded.contains(id))
+    {
+        return;
+    }
+    forwarded_task entry;
+    entry.m_from = from;
+    entry.m_serial = state.m_next_serial++;
+    entry.m_kind = internal::kind_index(state, task.m_kind);
+    entry.m_tenant = internal::tenant_index(state, task.m_job.m_tenant);
+    entry.m_start = std::move(task);
+    std::uint32_t const weight = state.m_tenants[entry.m_tenant].m_definition.m_weight;
+    insert_item(state.m_queue, entry.m_kind, entry.m_tenant, weight,
+                {false, entry.m_serial}, {id});
+    internal::count_waiting(state, entry.m_kind, 1);
+    state.m_timers.insert(
+        {entry.m_start.m_send_before, timer_kind::forwarded_expiry, id});
+    auto const peer = state.m_peers.find(from);
+    if (peer != state.m_peers.end())
+    {
+        peer->second.m_accepted.insert(id);
+    }
+    state.m_forwarded.emplace(id, std::move(entry));
+}
+
+void cancel_forwarded(dispatch_state & state, attempt_id const & attempt, time_point,
+                      effects & out)
+{
+    if (state.m_forwarded.contains(attempt))
+    {
+        internal::refuse_forwarded(state, attempt, out);
+        return;
+    }
+    auto const running = state.m_attempts.find(attempt);
+    if (running != state.m_attempts.end() && !running->second.m_from.m_value.empty())
+    {
+        internal::cancel_attempt(state, attempt, out);
+    }
+}
+
+peer_load current_load(dispatch_state const & state)
+{
+    peer_load load;
+    auto const queued = static_cast<std::uint32_t>(state.m_queued_tasks);
+    load.m_free_slots = state.m_offered_slots - std::min(state.m_offered_slots, queued);
+    load.m_queued_tasks = queued;
+    if (state.m_room.m_leaves > 0)
+    {
+        load.m_largest_free = state.m_room.m_nodes[1].m_free;
+    }
+    return load;
+}
+
+} // namespace cassiahub::dispatch
--- a/src/entry/listener_duty.cpp
+++ b/src/entry/listener_duty.cpp
@@ -1,4 +1,5 @@
 #include "entry/duties.hpp"
+#include "entry/operator_endpoints.hpp"
 
 #include <cassiahub/codec.hpp>
 #include <cassiahub/core/error.hpp>
@@ -193,9 +194,22 @@
     return {405, "text/plain", {{"Allow", "GET, DELETE"}}, "method not allowed\n"};
 }
 
+http::response serve_metrics(daemon_context & context)
+{
+    constexpr duration scrape_timeout = std::chrono::seconds(2);
+    auto const reply = std::make_shared<runtime::bounded_ring<std::string>>(1);
+    record(context, scrape_request{reply});
+    std::optional<std::string> text = reply->pop(scrape_timeout);
+    if (!text)
+    {
+        return {503, "text/plain", {}, "metrics are not available\n"};
+    }
+    return {200, "text/plain; version=0.0.4", {}, std::move(*text)};
+}
+
 http::response serve_readiness(daemon_context & context, bool stopping)
 {
-    bool const ready = context.m_configuration_version != 0 && !stopping;
+    bool const ready = context.m_ready && !stopping;
     return {ready ? 200 : 503,
             "application/json",
             {},
@@ -222,6 +236,10 @@
     {
         return {200, "text/plain", {}, "ok\n"};
     }
+    if (received.m_path == "/metrics")
+    {
+        return serve_metrics(context);
+    }
     if (received.m_path == "/readyz")
     {
         return serve_readiness(context, stopping);
@@ -247,10 +265,16 @@
     options.m_threads = context.m_settings.m_caller_threads;
     options.m_max_body_bytes = std::size_t(context.m_settings.m_max_body_kib) * 1024;
     std::error_code error;
+    operator_state operators(context);
     http::server const server = http::start_server(
         options,
-        [&context, &stop](http::request const & received)
-        { return internal::serve(context, received, stop.stop_requested()); },
+        [&context, &operators, &stop](http::request const & received)
+        {
+            bool const stopping = stop.stop_requested();
+            return is_operator_path(received.m_path)
+                       ? serve_operator(operators, received, stopping)
+                       : internal::serve(context, received, stopping);
+        },
         error);
     if (error)
     {
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -14,7 +14,7 @@
 
 constexpr char const * sound_document =
     "[team.returns]\n"
-    "key_hash = sha256:"
+    "key_hash = sha256:5f1c0e7a92d34b68a1c7e0f3d5b29846:"
     "8c6976e5b5410415bde908bd4dee15dfb167a9c873fc4bb8a81f6f2ab448a918\n"
     "[domain.nairobi]\nowner = returns\nregion = kenya\n"
     "[kind.levy]\nowner = returns\nurgency = 2\nshare = 40\nrepeatable = yes\n"
@@ -69,6 +69,7 @@
                          config_errc::unknown_key);
         CPPUNIT_ASSERT_EQUAL(std::string("upstream.nbo-1"), m_faults[0].m_section);
         CPPUNIT_ASSERT_EQUAL(std::size_t(17), m_faults[0].m_line);
+        CPPUNIT_ASSERT(m_faults[0].m_allowed.starts_with("owner, offered_to, address,"));
     }
 
     void parse_value_out_of_range_names_allowed_range()
