--- a/bench/http_bench.cpp
+++ b/bench/http_bench.cpp
@@ -51,6 +51,7 @@
     time_point const start = runtime::read_boot_clock();
     {
         std::vector<std::jthread> threads;
+        threads.reserve(clients);
         for (std::vector<duration> & result : results)
         {
             threads.emplace_back([&result, rounds] { result = measure(rounds); });
--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -27,8 +27,6 @@
 using namespace cassiahub;
 using namespace std::chrono_literals;
 
-extern char ** environ;
-
 namespace
 {
 
@@ -161,7 +159,7 @@
 
     std::string write_file(std::string const & name, std::string const & text) const
     {
-        std::string const path = m_folder / name;
+        std::string path = m_folder / name;
         std::ofstream(path) << text;
         return path;
     }
@@ -192,8 +190,8 @@
     void write_fleet_document()
     {
         std::string const document = fmt::format(
-            "[team.t]\nkey_hash = sha256:"
-            "8c6976e5b5410415bde908bd4dee15dfb167a9c873fc4bb8a81f6f2ab448a918\n"
+            "[team.t]\nkey_hash = sha256:5f1c0e7a92d34b68a1c7e0f3d5b29846:"
+            "12fde00eaf346540ab6aa574f2b6c09ce9c9973ab33c4aa1fb748a195182fcb6\n"
             "[domain.north]\nowner = t\nregion = local\nshards = 1\n"
             "[kind.lodgement]\nowner = t\nurgency = 1\nshare = 1\nrepeatable = no\n"
             "[tenant.acme]\nowner = t\n"
