--- a/src/codec/peer_codec.cpp
+++ b/src/codec/peer_codec.cpp
@@ -95,6 +95,7 @@
 {
     target.setFreeSlots(load.m_free_slots);
     target.setQueuedTasks(load.m_queued_tasks);
+    encode(load.m_largest_free, target.initLargestFree());
 }
 
 void encode(job_spec const & spec, protocol::JobSpec::Builder target)
@@ -328,7 +329,8 @@
 
 dispatch::peer_load to_peer_load(protocol::PeerLoad::Reader source)
 {
-    return {source.getFreeSlots(), source.getQueuedTasks()};
+    return {source.getFreeSlots(), source.getQueuedTasks(),
+            to_resources(source.getLargestFree())};
 }
 
 std::error_code decode(protocol::JobSpec::Reader source, job_spec & target)
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -108,6 +108,16 @@
     return true;
 }
 
+/// Reports an attempt that was ordered and not sent, so that its slot is free again.
+void withdraw_attempt(step_context & context, attempt_id const & id)
+{
+    dispatch::effects effects;
+    dispatch::finish_attempt(context.m_state.m_dispatch,
+                             {id, dispatch::attempt_outcome::not_run, {}, false},
+                             context.m_now, context.m_random, effects);
+    apply(context, std::move(effects));
+}
+
 /// Sends a task to a peer, with its times on the clock of the peer.
 void forward(step_context & context, dispatch::task_forward & task)
 {
@@ -115,12 +125,7 @@
         membership::find_live(context.m_state.m_membership, task.m_to);
     if (peer == nullptr)
     {
-        dispatch::effects effects;
-        dispatch::finish_attempt(
-            context.m_state.m_dispatch,
-            {task.m_start.m_attempt, dispatch::attempt_outcome::not_run, {}, false},
-            context.m_now, context.m_random, effects);
-        apply(context, std::move(effects));
+        withdraw_attempt(context, task.m_start.m_attempt);
         return;
     }
     task.m_start.m_deadline = membership::to_peer_clock(*peer, task.m_start.m_deadline);
@@ -149,6 +154,10 @@
         {
             context.m_actions.emplace_back(std::move(start));
         }
+        else
+        {
+            withdraw_attempt(context, start.m_attempt);
+        }
     }
     for (dispatch::task_forward & task : effects.m_forwards)
     {
@@ -156,6 +165,10 @@
         {
             forward(context, task);
         }
+        else
+        {
+            withdraw_attempt(context, task.m_start.m_attempt);
+        }
     }
     for (dispatch::forward_result & result : effects.m_forward_results)
     {
@@ -294,6 +307,7 @@
     }
     if (error)
     {
+        dispatch::record_refusal(state.m_dispatch, error);
         refuse(context, route, error);
         return;
     }
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -266,6 +266,7 @@
 {
     entry_state state;
     state.m_dispatch.m_incarnation = identity.m_incarnation;
+    state.m_dispatch.m_domain = identity.m_domain;
     state.m_membership.m_self = identity.m_instance;
     state.m_membership.m_domain = identity.m_domain;
     state.m_ownership.m_self = identity.m_instance;
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -78,6 +78,7 @@
 struct PeerLoad {
   freeSlots @0 :UInt32;
   queuedTasks @1 :UInt32;
+  largestFree @2 :Resources;
 }
 
 struct ShardHolding {
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -124,8 +124,15 @@
 
     void heartbeat_all_fields_survive()
     {
-        auto const got = round_trip(heartbeat{
-            5, "nairobi", "127.0.0.1:1", noon, 6, true, true, {{1, 2}, {3, 4}}, {7, 8}});
+        auto const got = round_trip(heartbeat{5,
+                                              "nairobi",
+                                              "127.0.0.1:1",
+                                              noon,
+                                              6,
+                                              true,
+                                              true,
+                                              {{1, 2}, {3, 4}},
+                                              {7, 8, {}}});
         CPPUNIT_ASSERT(got.m_incarnation == 5 && got.m_domain == "nairobi");
         CPPUNIT_ASSERT(got.m_peer_address == "127.0.0.1:1" && got.m_sent_at == noon);
         CPPUNIT_ASSERT(got.m_configuration_version == 6);
@@ -137,8 +144,9 @@
 
     void load_report_all_fields_survive()
     {
-        auto const got = round_trip(load_report{{9, 10}});
+        auto const got = round_trip(load_report{{9, 10, {11, 12, 13}}});
         CPPUNIT_ASSERT(got.m_load.m_free_slots == 9 && got.m_load.m_queued_tasks == 10);
+        CPPUNIT_ASSERT(got.m_load.m_largest_free == resources({11, 12, 13}));
     }
 
     void key_notice_keys_survive()
