--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -19,7 +19,8 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 20
-UPSTREAM_CONNECTIONS = 64  # the limit of both users' upstreams
+# The limit of both users' upstreams; another value is for trials.
+UPSTREAM_CONNECTIONS = int(os.environ.get("CASSIAHUB_UPSTREAM_CONNECTIONS", "64"))
 
 # Ports, from the base: the platform, callers from 1, peers from 31, upstreams from 100.
 CALLER_OFFSET, PEER_OFFSET, UPSTREAM_OFFSET = 1, 31, 100
