--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -51,8 +51,6 @@
     std::string m_upstream;
     resources m_demand;
     time_point m_started;
-    instance_id m_to;
-    instance_id m_from;
 };
 
 /// Slots and worker capacity of an upstream that this instance accounts for.
