--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -170,7 +170,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--quick", action="store_true", help="under a minute")
+    parser.add_argument("--quick", action="store_true", help="shorter parts, for trials")
     parser.add_argument("--no-experiment", action="store_true",
                         help="leave out cassiahub-experiment")
     arguments = parser.parse_args()
