--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -1,3 +1,4 @@
+#include "ctl/document_diff.hpp"
 #include "ctl/operator_client.hpp"
 
 #include <cassiahub/config.hpp>
@@ -110,17 +111,6 @@
     return "/v1/config/sections/" + std::string(section);
 }
 
-/// \returns the member \p key of \p object as text.
-std::string member(json const & object, char const * key)
-{
-    auto const found = object.find(key);
-    if (found == object.end())
-    {
-        return {};
-    }
-    return found->is_string() ? found->get<std::string>() : found->dump();
-}
-
 /// Sends an edit and prints the version that it made. After a lost answer the section is
 /// read again: when it has the text that was sent, the edit was accepted.
 int send_edit(operator_target const & target, std::string const & section,
@@ -181,91 +171,6 @@
                                                       : "\n");
 }
 
-/// One difference between a file and the fleet.
-struct key_change
-{
-    std::string m_section;
-    std::string m_key; ///< empty: the whole section
-    std::string m_old; ///< empty: absent
-    std::string m_new; ///< empty: absent
-};
-
-void compare_sections(config::ini_section const & old_section,
-                      config::ini_section const & new_section,
-                      std::vector<key_change> & changes)
-{
-    for (config::ini_entry const & entry : new_section.m_entries)
-    {
-        config::ini_entry const * const old = find_entry(old_section, entry.m_key);
-        if (old == nullptr || old->m_value != entry.m_value)
-        {
-            changes.push_back({new_section.m_name, entry.m_key,
-                               old == nullptr ? "" : old->m_value, entry.m_value});
-        }
-    }
-    for (config::ini_entry const & entry : old_section.m_entries)
-    {
-        if (find_entry(new_section, entry.m_key) == nullptr)
-        {
-            changes.push_back({new_section.m_name, entry.m_key, entry.m_value, ""});
-        }
-    }
-}
-
-std::vector<key_change> compare_documents(json const & fleet,
-                                          config::ini_document const & file)
-{
-    std::vector<key_change> changes;
-    std::vector<config::config_fault> faults;
-    for (config::ini_section const & section : file.m_sections)
-    {
-        auto const found =
-            std::find_if(fleet["sections"].begin(), fleet["sections"].end(),
-                         [&section](json const & candidate)
-                         { return member(candidate, "name") == section.m_name; });
-        if (found == fleet["sections"].end())
-        {
-            changes.push_back({section.m_name, "", "absent", "added"});
-            continue;
-        }
-        config::ini_document const old =
-            config::parse_ini(member(*found, "text"), faults);
-        if (!old.m_sections.empty())
-        {
-            compare_sections(old.m_sections.front(), section, changes);
-        }
-    }
-    return changes;
-}
-
-void print_changes(std::span<key_change const> changes, output_format output)
-{
-    if (output == output_format::json)
-    {
-        json list = json::array();
-        for (key_change const & change : changes)
-        {
-            list.push_back({{"section", change.m_section},
-                            {"key", change.m_key},
-                            {"old", change.m_old},
-                            {"new", change.m_new}});
-        }
-        std::cout << dump({{"changes", std::move(list)}}) << '\n';
-        return;
-    }
-    for (key_change const & change : changes)
-    {
-        std::cout << fmt::format("[{}] {}: {} -> {}\n", change.m_section,
-                                 change.m_key.empty() ? "section" : change.m_key,
-                                 change.m_old.empty() ? "absent" : change.m_old,
-                                 change.m_new.empty() ? "absent" : change.m_new);
-    }
-    if (changes.empty())
-    {
-        std::cout << "no differences\n";
-    }
-}
-
 } // namespace internal
 
 int check_config(std::string const & path, output_format output)
