Forget tasks of a peer that is gone, so that a planned stop ends

Cause: decision kept a second list of the tasks that peers had forwarded. A task that still waited for a slot when its sender was lost left the dispatcher but not that list, so a draining instance was never idle. Ruled out: the release of shards (it ended) and the answers to callers (all sent). Change: the list is gone; the dispatcher says whether it serves peers. What runs for a lost peer is cancelled, because its callers submit elsewhere.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -79,8 +79,6 @@
     std::multimap<time_point, std::pair<job_key, caller_token>> m_early_deadlines;
     std::unordered_map<peer_request, forwarded_request> m_forwarded;
     peer_request m_next_request = 0;
-    std::unordered_set<attempt_id>
-        m_accepted; ///< tasks that run here for other instances
     bool m_draining = false;
 
     std::string m_document; ///< text of the configuration in force
--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -71,7 +71,7 @@
 void set_peer(dispatch_state & state, peer_capacity peer);
 
 /// Removes an instance that is not live any more. The outcome of every attempt that was
-/// forwarded to it is unknown.
+/// forwarded to it is unknown. What it has forwarded to this one is cancelled.
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
                  random_source & random, effects & out);
 
@@ -84,6 +84,9 @@
 void cancel_forwarded(dispatch_state & state, attempt_id const & attempt, time_point now,
                       effects & out);
 
+/// \returns true while a task of another instance waits or runs here.
+bool serves_peers(dispatch_state const & state) noexcept;
+
 /// \returns the room that this instance reports to the others.
 peer_load current_load(dispatch_state const & state);
 
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -172,7 +172,6 @@
     }
     for (dispatch::forward_result & result : effects.m_forward_results)
     {
-        context.m_state.m_accepted.erase(result.m_result.m_attempt);
         send(context, result.m_to, task_reported{std::move(result.m_result)});
     }
     for (dispatch::job_outcome & outcome : effects.m_finished)
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -89,7 +89,6 @@
                     forward_task & message)
 {
     membership::note_request(context.m_state.m_membership, from, context.m_now);
-    context.m_state.m_accepted.insert(message.m_start.m_attempt);
     dispatch::accept_forwarded(context.m_state.m_dispatch, from,
                                std::move(message.m_start), context.m_now);
 }
@@ -308,7 +307,7 @@
 bool is_idle(entry_state const & state) noexcept
 {
     return state.m_draining && state.m_open_jobs.empty() && state.m_forwarded.empty() &&
-           state.m_accepted.empty() &&
+           !dispatch::serves_peers(state.m_dispatch) &&
            ownership::is_released(state.m_ownership, state.m_now);
 }
 
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -126,6 +126,25 @@
         {task.m_from, {id, attempt_outcome::not_run, "", false}});
 }
 
+/// Cancels what runs here for \p instance, whose callers submit their jobs elsewhere.
+void cancel_attempts_from(dispatch_state & state, instance_id const & instance,
+                          effects & out)
+{
+    std::vector<attempt_id> running;
+    for (auto const & [id, attempt] : state.m_attempts)
+    {
+        if (attempt.m_from == instance)
+        {
+            running.push_back(id);
+        }
+    }
+    std::sort(running.begin(), running.end());
+    for (attempt_id const & id : running)
+    {
+        cancel_attempt(state, id, out);
+    }
+}
+
 void remember_forwarded(dispatch_state & state, attempt_id const & id, time_point until)
 {
     state.m_finished_forwarded.insert(id);
@@ -157,6 +176,7 @@
     {
         internal::take_forwarded(state, id);
     }
+    internal::cancel_attempts_from(state, instance, out);
     for (attempt_id const & id : gone.m_forwarded)
     {
         internal::settle_attempt(state, {id, attempt_outcome::unknown, "", false}, now,
@@ -208,6 +228,14 @@
     }
 }
 
+bool serves_peers(dispatch_state const & state) noexcept
+{
+    return !state.m_forwarded.empty() ||
+           std::any_of(state.m_attempts.begin(), state.m_attempts.end(),
+                       [](auto const & entry)
+                       { return !entry.second.m_from.m_value.empty(); });
+}
+
 peer_load current_load(dispatch_state const & state)
 {
     peer_load load;
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(request_to_lost_owner_is_answered_as_unknown);
     CPPUNIT_TEST(domain_cut_off_refuses_other_homes_and_serves_its_own);
     CPPUNIT_TEST(drained_instance_finishes_and_hands_shards_over_at_once);
+    CPPUNIT_TEST(drained_instance_forgets_tasks_of_killed_peer);
     CPPUNIT_TEST(restarted_instance_gets_its_share_of_shards_back);
     CPPUNIT_TEST(configuration_reaches_peers_and_never_goes_back);
     CPPUNIT_TEST(upstream_listed_as_leaving_gets_no_start);
@@ -346,6 +347,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), count_shards(0));
     }
 
+    // A planned stop waited for ever for a task that a peer had forwarded before it died.
+    void drained_instance_forgets_tasks_of_killed_peer()
+    {
+        decision::forward_task forwarded;
+        forwarded.m_start.m_attempt = {7, 1};
+        forwarded.m_start.m_job = {"t", "a", "k"};
+        forwarded.m_start.m_kind = "repeat";
+        forwarded.m_start.m_demand = {1'000'000, 1, 0};
+        forwarded.m_start.m_deadline = m_fleet.m_nodes[1].m_state.m_now + 60s;
+        forwarded.m_start.m_send_before = forwarded.m_start.m_deadline;
+        m_fleet.deliver(1, decision::peer_message_received{{"a1"}, forwarded});
+        m_fleet.kill(0);
+        m_fleet.deliver(1, decision::drain_requested{});
+        run_for(5s);
+        CPPUNIT_ASSERT(decision::is_idle(m_fleet.m_nodes[1].m_state));
+    }
+
     void restarted_instance_gets_its_share_of_shards_back()
     {
         m_fleet.kill(1);
