--- a/bench/codec_capacity_bench.cpp
+++ b/bench/codec_capacity_bench.cpp
@@ -284,6 +284,8 @@
                                                std::move(parsed.m_rows)});
 }
 
+void perform(simulation &, lease::upstream_call const &) {} // jobs are recorded here
+
 void handle(simulation & run, decision::event occurred)
 {
     std::vector<decision::action> actions;
--- a/include/cassiahub/config/fleet_configuration.hpp
+++ b/include/cassiahub/config/fleet_configuration.hpp
@@ -23,6 +23,20 @@
     bool m_repeatable = false;            ///< a task may be attempted again
     std::uint32_t m_queue_limit = 20'000; ///< queued tasks of the kind per instance
     duration m_expected_run_time = std::chrono::milliseconds(300);
+    /// A task may be attempted again once its last run is known to have ended.
+    bool m_restartable = false;
+    std::uint32_t m_max_failures = 0; ///< failed runs that end a job; 0: no limit
+    std::string m_service{};          ///< whose upstreams run it; empty: any
+};
+
+/// Requests that belong to a kind of work: those whose host is m_host and whose path
+/// begins with m_prefix. The longest prefix decides.
+struct caller_route
+{
+    std::string m_host;
+    std::string m_prefix;
+    std::string m_kind;
+    std::string m_tenant;
 };
 
 /// A customer with a weight inside each kind and a quota of tasks.
@@ -46,6 +60,9 @@
     std::uint32_t m_connections = 64;
     resources m_capacity{16'000, 32'768, 0};
     bool m_draining = false; ///< receives no new work; running tasks finish
+    std::string m_service{}; ///< pool to which it belongs
+    std::vector<std::string> m_labels{};
+    bool operator==(upstream const &) const = default;
 };
 
 /// A failure domain and the region that contains it.
@@ -79,6 +96,7 @@
     std::vector<tenant> m_tenants;
     std::vector<upstream> m_upstreams;
     dispatch_settings m_dispatch;
+    std::vector<caller_route> m_routes; ///< empty where callers name the kind themselves
 };
 
 /// \returns the kind called \p name, or nullptr. O(log n).
@@ -97,6 +115,10 @@
 team const * find_team(fleet_configuration const & configuration,
                        std::string_view name) noexcept;
 
+/// \returns the route of a request, or nullptr. O(routes).
+caller_route const * find_route(fleet_configuration const & configuration,
+                                std::string_view host, std::string_view path) noexcept;
+
 } // namespace cassiahub::config
 
 #endif
--- a/include/cassiahub/core/error.hpp
+++ b/include/cassiahub/core/error.hpp
@@ -34,7 +34,8 @@
     no_configuration = 21,
     overloaded = 22,
     retries_exhausted = 23,
-    in_progress = 24 ///< answer to a query; the job has not finished
+    in_progress = 24, ///< answer to a query; the job has not finished
+    unsupported = 25  ///< the job asks for a feature that is not there
 };
 
 std::error_category const & job_category() noexcept;
--- a/include/cassiahub/decision/action.hpp
+++ b/include/cassiahub/decision/action.hpp
@@ -24,12 +24,14 @@
     peer_message m_message;
 };
 
-/// Asks for a structured log line. Codes are stable; the text of details is free.
+/// Asks for a structured log line about a decision or a change of what is believed. Codes
+/// are stable; the text of details is free.
 struct log_event
 {
     std::string_view m_code; ///< a string literal
     std::string m_subject;   ///< job, instance, upstream or shard that it is about
     std::error_code m_error;
+    std::string m_detail{}; ///< inputs of the decision as "name=value" pairs
 };
 
 /// A sample for the metrics.
@@ -49,8 +51,8 @@
 };
 
 using action = std::variant<dispatch::attempt_start, dispatch::attempt_cancel,
-                            answer_caller, send_peer, write_store, read_store,
-                            check_document, observe_job, log_event>;
+                            lease::upstream_call, answer_caller, send_peer, write_store,
+                            read_store, check_document, observe_job, log_event>;
 
 } // namespace cassiahub::decision
 
--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/decision/event.hpp>
 #include <cassiahub/dispatch/state.hpp>
+#include <cassiahub/lease/state.hpp>
 #include <cassiahub/membership/state.hpp>
 #include <cassiahub/ownership/state.hpp>
 
@@ -25,6 +26,8 @@
     std::string m_domain;
     std::string m_peer_address;
     std::uint64_t m_incarnation = 0; ///< drawn at random when the process starts
+    /// Upstreams register themselves and run tasks under leases; jobs are not recorded.
+    bool m_leases_upstreams = false;
 };
 
 /// Where the answer to a job goes: a local caller, or the instance that forwarded it.
@@ -42,7 +45,10 @@
 struct open_job
 {
     std::string m_kind;
+    std::string m_request_id; ///< of the caller that submitted it first
     time_point m_submitted;
+    time_point m_first_start; ///< zero before the first start
+    std::uint32_t m_starts = 0;
     std::vector<answer_route> m_waiting;
     std::uint64_t m_job_hash = 0;
     time_point m_deadline;
@@ -64,6 +70,22 @@
     time_point m_retry_at;
 };
 
+/// Leases on upstreams that register themselves.
+struct leasing_state
+{
+    lease::lease_state m_sessions;
+    /// Configuration without upstreams.
+    std::shared_ptr<config::fleet_configuration const> m_base;
+    std::map<std::string, discovered_upstream, std::less<>> m_upstreams;
+    /// Upstreams that are registered no longer, since when.
+    std::map<std::string, time_point, std::less<>> m_missing;
+    std::vector<std::string> m_owned; ///< that this instance should own, sorted
+    time_point m_next_sharing;
+    std::int64_t m_fleet_clock_ms = 0; ///< at m_fleet_clock_at; 0: not known
+    time_point m_fleet_clock_at;
+    std::uint64_t m_last_generation = 0;
+};
+
 /// Everything that the decision thread owns.
 struct entry_state
 {
@@ -71,6 +93,7 @@
     dispatch::dispatch_state m_dispatch;
     membership::membership_state m_membership;
     ownership::ownership_state m_ownership;
+    leasing_state m_leasing;
     time_point m_now; ///< of the last step
 
     std::unordered_map<job_key, open_job> m_open_jobs;
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -21,7 +21,8 @@
 {
     submit,
     query,
-    cancel
+    cancel,
+    count ///< the jobs that wait; never sent to a peer
 };
 
 /// Forwards a caller's request to the owner of the key, or to its home domain. For
@@ -78,6 +79,8 @@
     bool m_store_contact = false; ///< the sender has reached the store recently
     std::vector<shard_holding> m_holdings;
     dispatch::peer_load m_load;
+    std::vector<std::string> m_held_upstreams; ///< whose runs the sender holds leases of
+    std::int64_t m_fleet_clock_ms = 0; ///< clock of the store at m_sent_at; 0: not known
 };
 
 /// Room that the sender has now. Sent between heartbeats when it has changed much.
--- a/include/cassiahub/decision/step.hpp
+++ b/include/cassiahub/decision/step.hpp
@@ -28,6 +28,10 @@
 /// with listed instances has a live one. O(shards * members).
 bool knows_every_owner(entry_state const & state);
 
+/// \returns true when a configuration is in force and some upstream can be reached, here
+/// or through a live instance.
+bool can_serve(entry_state const & state);
+
 /// \returns true when a draining instance has nothing left in progress.
 bool is_idle(entry_state const & state) noexcept;
 
--- a/include/cassiahub/dispatch/attempt.hpp
+++ b/include/cassiahub/dispatch/attempt.hpp
@@ -14,10 +14,11 @@
 /// What became of one attempt, as far as the system can prove it.
 enum class attempt_outcome
 {
-    succeeded, ///< the whole result arrived
-    failed,    ///< the task ran and reported failure
-    not_run,   ///< the attempt provably never started
-    unknown    ///< it may have run: connection lost, timeout, paused holder
+    succeeded,   ///< the whole result arrived
+    failed,      ///< the task ran and reported failure
+    not_run,     ///< the attempt provably never started
+    interrupted, ///< it ran, and is known to have ended without a result
+    unknown      ///< it may have run: connection lost, timeout, paused holder
 };
 
 /// Order to start one attempt on an upstream.
@@ -26,6 +27,8 @@
     attempt_id m_attempt;
     job_key m_job;
     std::uint32_t m_task = 0;
+    /// Grows with every start of the task by any instance; 0 where nothing reads it.
+    std::uint64_t m_generation = 0;
     std::string m_kind;
     std::string m_payload;
     resources m_demand;
--- a/include/cassiahub/dispatch/counters.hpp
+++ b/include/cassiahub/dispatch/counters.hpp
@@ -10,7 +10,7 @@
 {
 
 /// One more than the largest job_errc.
-constexpr std::size_t job_errc_count = 24;
+constexpr std::size_t job_errc_count = 26;
 
 /// What the dispatcher has done since the state was made.
 struct dispatch_counters
--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -40,6 +40,10 @@
 void set_upstream_leaving(dispatch_state & state, std::string_view upstream,
                           bool leaving);
 
+/// Sets whether an upstream can be reached. One that cannot gets no new attempt.
+void set_upstream_available(dispatch_state & state, std::string_view upstream,
+                            bool available);
+
 /// Early check of a submission before anything is recorded or started.
 /// \returns the error with which to refuse \p spec as not run, or no error.
 std::error_code check_admission(dispatch_state const & state, job_spec const & spec,
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -35,6 +35,7 @@
 {
     std::uint32_t m_attempts = 0;
     std::uint32_t m_not_run = 0;  ///< attempts that provably never started
+    std::uint32_t m_failures = 0; ///< attempts that ran and failed
     std::uint32_t m_declined = 0; ///< forwards that came back not run; no attempts
     std::uint32_t m_last_upstream = no_upstream;
     /// Running attempts, the hedge among them; a serial of 0 means none.
@@ -106,6 +107,7 @@
     resources m_used;
     bool m_owned = true;
     bool m_leaving = false;
+    bool m_available = true; ///< false while it does not reply
     upstream_health m_health;
     std::deque<std::pair<std::uint64_t, std::uint32_t>>
         m_bound; ///< baseline: (job, task)
--- /dev/null
+++ b/include/cassiahub/gateway/daemon.hpp
@@ -0,0 +1,20 @@
+#ifndef CASSIAHUB_GATEWAY_DAEMON_HPP
+#define CASSIAHUB_GATEWAY_DAEMON_HPP
+
+#include <cassiahub/config/gateway_settings.hpp>
+#include <cassiahub/gateway/wire_format.hpp>
+
+#include <stop_token>
+#include <system_error>
+
+namespace cassiahub::gateway
+{
+
+/// Runs the daemon until \p stop is requested, then lets what is in progress end.
+/// \returns no error after a requested stop, otherwise the cause.
+std::error_code run_daemon(config::gateway_settings const & settings,
+                           wire_format const & wire, std::stop_token const & stop);
+
+} // namespace cassiahub::gateway
+
+#endif
--- /dev/null
+++ b/include/cassiahub/lease/call.hpp
@@ -0,0 +1,84 @@
+#ifndef CASSIAHUB_LEASE_CALL_HPP
+#define CASSIAHUB_LEASE_CALL_HPP
+
+#include <cassiahub/core/time.hpp>
+#include <cassiahub/lease/run.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cassiahub::lease
+{
+
+/// Number that a call and its reply share.
+using call_number = std::uint64_t;
+
+/// Milliseconds on the clock of one incarnation of an upstream.
+using upstream_clock = std::int64_t;
+
+/// Starts a run and extends the lease of everything that runs on the upstream.
+struct start_call
+{
+    run_name m_run;
+    std::string m_payload;
+    upstream_clock m_lease_until = 0;
+};
+
+/// Stops a run. A run that has not arrived yet is refused from then on.
+struct stop_call
+{
+    run_name m_run;
+};
+
+/// Reads what runs and what has ended, and extends the lease of everything that runs.
+struct renew_call
+{
+    std::optional<upstream_clock> m_lease_until; ///< empty: the lease is not extended
+    std::uint64_t m_acknowledged = 0;            ///< ends up to this number are forgotten
+    duration m_wait{0};                          ///< longest wait for an end
+};
+
+/// A call to one upstream.
+struct upstream_call
+{
+    call_number m_number = 0;
+    std::string m_upstream;
+    std::string m_address; ///< "ip:port"
+    std::uint64_t m_token = 0;
+    duration m_timeout{0};
+    std::variant<start_call, stop_call, renew_call> m_body;
+};
+
+/// What became of a call.
+enum class call_outcome
+{
+    accepted,
+    fenced,            ///< the upstream has seen a higher token
+    superseded,        ///< the run was stopped or overtaken before it arrived
+    expired,           ///< the call arrived after its lease time
+    no_room,           ///< the upstream is full
+    unhealthy,         ///< the upstream takes no work; nothing was done
+    other_incarnation, ///< the address belongs to another upstream now
+    malformed,         ///< the upstream cannot read the call
+    unreachable,       ///< the upstream refuses connections; nothing was done
+    lost               ///< no reply; the call may still be carried out
+};
+
+/// Reply to an upstream_call.
+struct upstream_reply
+{
+    call_number m_number = 0;
+    std::string m_upstream;
+    call_outcome m_outcome = call_outcome::lost;
+    std::optional<upstream_clock> m_clock;
+    std::uint64_t m_incarnation = 0;   ///< start time of the upstream; 0: not reported
+    std::vector<listed_run> m_running; ///< of a renew_call
+    std::vector<listed_end> m_ended;   ///< of a renew_call
+};
+
+} // namespace cassiahub::lease
+
+#endif
--- /dev/null
+++ b/include/cassiahub/lease/effects.hpp
@@ -0,0 +1,41 @@
+#ifndef CASSIAHUB_LEASE_EFFECTS_HPP
+#define CASSIAHUB_LEASE_EFFECTS_HPP
+
+#include <cassiahub/dispatch/attempt.hpp>
+#include <cassiahub/lease/call.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cassiahub::lease
+{
+
+/// An upstream may take new work, or may not.
+struct availability
+{
+    std::string m_upstream;
+    bool m_available = false;
+};
+
+/// A change of what is believed of an upstream or a run, for the log.
+struct session_event
+{
+    std::string_view m_code; ///< a string literal
+    std::string m_upstream;
+    std::string m_job; ///< empty when it concerns the whole upstream
+    std::string m_detail;
+};
+
+/// What the sessions want done after one event, in order within each list.
+struct effects
+{
+    std::vector<upstream_call> m_calls;
+    std::vector<dispatch::attempt_result> m_results;
+    std::vector<availability> m_availability;
+    std::vector<session_event> m_events;
+};
+
+} // namespace cassiahub::lease
+
+#endif
--- a/include/cassiahub/membership/members.hpp
+++ b/include/cassiahub/membership/members.hpp
@@ -25,7 +25,8 @@
 
 /// Takes in the platform's list. It adds candidates and addresses; whether a member is
 /// live is decided by heartbeats only.
-void merge_list(membership_state & state, std::span<listed_member const> listed);
+void merge_list(membership_state & state, std::span<listed_member const> listed,
+                time_point now);
 
 /// Takes in a heartbeat that arrived at \p now.
 report_effect receive_report(membership_state & state, instance_id const & from,
@@ -54,6 +55,18 @@
 std::vector<instance_id> live_members(membership_state const & state,
                                       std::string_view domain);
 
+/// \returns true when \p entry shares its work with this instance.
+bool is_near(membership_state const & state, member const & entry) noexcept;
+
+/// \returns the near members that are live and not leaving, without this instance,
+/// sorted.
+std::vector<instance_id> near_members(membership_state const & state);
+
+/// \returns true when \p entry may still hold leases although it is not heard: its
+/// registration is fresh, or the store cannot tell and this instance reaches only a
+/// minority.
+bool may_be_alive(membership_state const & state, member const & entry, time_point now);
+
 /// \returns the epoch under which \p entry reports to own \p shard; 0 when it does not.
 std::uint64_t held_epoch(member const & entry, std::uint32_t shard) noexcept;
 
--- a/include/cassiahub/membership/rendezvous.hpp
+++ b/include/cassiahub/membership/rendezvous.hpp
@@ -22,6 +22,19 @@
 std::vector<std::size_t> assign_shards(std::span<std::string const> names,
                                        std::uint32_t count);
 
+/// Something with a name in a failure domain.
+struct placed_name
+{
+    std::string m_name;
+    std::string m_domain;
+};
+
+/// Distributes \p items so that no owner of a domain gets more than its share rounded up.
+/// An item goes to an owner in its own domain while there is one.
+/// \returns for each item an index into \p owners; empty when \p owners is empty.
+std::vector<std::size_t> assign_in_domains(std::span<placed_name const> owners,
+                                           std::span<placed_name const> items);
+
 } // namespace cassiahub::membership
 
 #endif
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -35,6 +35,11 @@
 constexpr duration retired_incarnation_time = std::chrono::seconds(10);
 /// Time after which a failed member that the platform does not list is forgotten.
 constexpr duration forget_time = std::chrono::seconds(60);
+/// A member whose registration in the store has not changed for this long has failed. It
+/// is three times the period in which a member renews it.
+constexpr duration registration_timeout = std::chrono::milliseconds(3000);
+/// Age of the list from which on it no longer tells which registrations are fresh.
+constexpr duration list_validity = std::chrono::milliseconds(2500);
 /// Gap between two calls after which this instance was itself suspended. Silence of the
 /// others during the gap is not held against them.
 constexpr duration suspension_gap = std::chrono::milliseconds(500);
@@ -60,6 +65,7 @@
     bool m_leaving = false;
     bool m_store_contact = false;
     std::vector<held_shard> m_holdings;
+    std::vector<std::string> m_held_upstreams;
 };
 
 /// An entry instance in the platform's list.
@@ -69,6 +75,7 @@
     std::string m_domain;
     std::string m_address;
     bool m_leaving = false;
+    std::uint64_t m_row_version = 0; ///< of its registration; 0 where there is none
 };
 
 /// An incarnation that was replaced by another one of the same name.
@@ -86,8 +93,10 @@
     member_report m_report;       ///< of the last heartbeat
     bool m_live = false;
     bool m_listed = false;
-    time_point m_heard_at;  ///< moved on by the length of own suspensions
-    time_point m_report_at; ///< arrival of the last heartbeat, for clock bounds
+    std::uint64_t m_row_version = 0;
+    time_point m_row_changed_at; ///< when its registration was last seen to change
+    time_point m_heard_at;       ///< moved on by the length of own suspensions
+    time_point m_report_at;      ///< arrival of the last heartbeat, for clock bounds
     time_point m_interest_until;
     std::vector<retired_incarnation> m_retired;
 };
@@ -97,7 +106,11 @@
 {
     instance_id m_self;
     std::string m_domain;
-    std::map<instance_id, member> m_members; ///< without m_self
+    /// The instances of every domain share their work, so all are treated as near.
+    bool m_spans_domains = false;
+    duration m_failure_timeout = domain_failure_timeout; ///< of near members
+    time_point m_listed_at;                              ///< when the list was last read
+    std::map<instance_id, member> m_members;             ///< without m_self
     time_point m_started_at;
     time_point m_last_call;
     time_point m_next_domain_heartbeat;
--- a/include/cassiahub/platform/client.hpp
+++ b/include/cassiahub/store/client.hpp
@@ -1,17 +1,17 @@
-#ifndef CASSIAHUB_PLATFORM_CLIENT_HPP
-#define CASSIAHUB_PLATFORM_CLIENT_HPP
+#ifndef CASSIAHUB_STORE_CLIENT_HPP
+#define CASSIAHUB_STORE_CLIENT_HPP
 
 #include <cassiahub/codec/platform_json.hpp>
 #include <cassiahub/decision/store_message.hpp>
 #include <cassiahub/http/client.hpp>
-#include <cassiahub/platform/error.hpp>
+#include <cassiahub/store/error.hpp>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace cassiahub::platform
+namespace cassiahub::store
 {
 
 /// A connection to the platform's service. Used by one duty.
@@ -41,6 +41,6 @@
 std::error_code list_instances(client & used,
                                std::vector<decision::listed_instance> & instances);
 
-} // namespace cassiahub::platform
+} // namespace cassiahub::store
 
 #endif
--- a/include/cassiahub/platform/configuration_edit.hpp
+++ b/include/cassiahub/store/configuration_edit.hpp
@@ -1,17 +1,17 @@
-#ifndef CASSIAHUB_PLATFORM_CONFIGURATION_EDIT_HPP
-#define CASSIAHUB_PLATFORM_CONFIGURATION_EDIT_HPP
+#ifndef CASSIAHUB_STORE_CONFIGURATION_EDIT_HPP
+#define CASSIAHUB_STORE_CONFIGURATION_EDIT_HPP
 
 #include <cassiahub/config/section_edit.hpp>
 #include <cassiahub/core/random.hpp>
-#include <cassiahub/platform/client.hpp>
-#include <cassiahub/platform/configuration_feed.hpp>
+#include <cassiahub/store/client.hpp>
+#include <cassiahub/store/configuration_feed.hpp>
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace cassiahub::platform
+namespace cassiahub::store
 {
 
 /// A connection over which operators read and edit the fleet document, with the sections
@@ -75,6 +75,6 @@
 /// \returns store_unavailable when the table cannot be read.
 std::error_code read_history(client & used, std::vector<history_entry> & history);
 
-} // namespace cassiahub::platform
+} // namespace cassiahub::store
 
 #endif
--- a/include/cassiahub/platform/configuration_feed.hpp
+++ b/include/cassiahub/store/configuration_feed.hpp
@@ -1,5 +1,5 @@
-#ifndef CASSIAHUB_PLATFORM_CONFIGURATION_FEED_HPP
-#define CASSIAHUB_PLATFORM_CONFIGURATION_FEED_HPP
+#ifndef CASSIAHUB_STORE_CONFIGURATION_FEED_HPP
+#define CASSIAHUB_STORE_CONFIGURATION_FEED_HPP
 
 #include <cassiahub/codec/platform_json.hpp>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace cassiahub::platform
+namespace cassiahub::store
 {
 
 /// Rows of the table that a daemon reads for its configuration.
@@ -43,6 +43,6 @@
 /// as well, or the highest version of a section when no row counts the edits.
 std::uint64_t document_version(configuration_feed const & feed) noexcept;
 
-} // namespace cassiahub::platform
+} // namespace cassiahub::store
 
 #endif
--- a/include/cassiahub/telemetry/log.hpp
+++ b/include/cassiahub/telemetry/log.hpp
@@ -26,7 +26,7 @@
     std::string_view m_value;
 };
 
-/// Directs easylogging++ to standard error, one JSON object a line, and to no file.
+/// Directs easylogging++ to standard output, one JSON object a line, and to no file.
 /// \pre called once, before the first write_log().
 void configure_logging();
 
--- /dev/null
+++ b/programs/cassiahub-gateway.cpp
@@ -0,0 +1,67 @@
+/// \file The gateway daemon: serves callers of the platform on its upstreams.
+
+#include "platform/wire_format.hpp"
+
+#include <cassiahub/config/gateway_settings.hpp>
+#include <cassiahub/config/process_settings.hpp>
+#include <cassiahub/gateway.hpp>
+#include <cassiahub/runtime/program.hpp>
+#include <cassiahub/telemetry/log.hpp>
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace
+{
+
+std::optional<cassiahub::config::gateway_settings> load_settings(std::string const & path)
+{
+    std::string text;
+    if (std::error_code const error = cassiahub::config::read_file(path, text))
+    {
+        std::cerr << path << ": " << error.message() << '\n';
+        return std::nullopt;
+    }
+    std::vector<cassiahub::config::config_fault> faults;
+    auto settings = cassiahub::config::parse_gateway_settings(text, faults);
+    for (cassiahub::config::config_fault const & fault : faults)
+    {
+        std::cerr << path << ": " << to_string(fault) << '\n';
+    }
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char ** argv)
+{
+    CLI::App app("cassiahub-gateway: serves callers of the platform on its upstreams.\n"
+                 "Exit codes: 0 stopped as asked, 2 bad settings, 3 failed.");
+    std::string settings_path;
+    bool check_only = false;
+    app.add_option("-s,--settings", settings_path, "INI file with the section [gateway]")
+        ->required();
+    app.add_flag("--check", check_only, "check the settings and exit");
+    app.set_version_flag("--version", CASSIAHUB_VERSION);
+    CLI11_PARSE(app, argc, argv);
+    auto const settings = load_settings(settings_path);
+    if (!settings)
+    {
+        return cassiahub::runtime::exit_usage;
+    }
+    if (check_only)
+    {
+        return cassiahub::runtime::exit_success;
+    }
+    cassiahub::telemetry::configure_logging();
+    return cassiahub::runtime::run_until_signal(
+        "cassiahub-gateway",
+        [&settings](std::stop_token const & stop)
+        {
+            return cassiahub::gateway::run_daemon(
+                *settings, cassiahub::platform::make_wire_format(), stop);
+        });
+}
--- a/src/codec/job_json.cpp
+++ b/src/codec/job_json.cpp
@@ -203,6 +203,8 @@
     }
     switch (static_cast<job_errc>(error.value()))
     {
+    case job_errc::unsupported:
+        return 501;
     case job_errc::in_progress:
         return 202;
     case job_errc::malformed_request:
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -195,6 +195,7 @@
     dispatch::attempt_start & start = target.m_start;
     start.m_attempt = to_attempt_id(source.getAttempt());
     start.m_task = source.getTask();
+    start.m_generation = source.getGeneration();
     start.m_payload = to_string(source.getPayload());
     start.m_demand = to_resources(source.getDemand());
     start.m_token.m_epoch = source.getToken().getEpoch();
@@ -229,20 +230,27 @@
     target.m_leaving = source.getLeaving();
     target.m_store_contact = source.getStoreContact();
     target.m_load = to_peer_load(source.getLoad());
+    target.m_fleet_clock_ms = source.getFleetClockMs();
     if (source.getPeerAddress().size() > max_address_length)
     {
         return peer_codec_errc::bad_name;
     }
     target.m_peer_address = to_string(source.getPeerAddress());
-    std::error_code const error =
+    auto const held = source.getHeldUpstreams();
+    std::error_code error =
         first_error({decode_name(source.getDomain(), false, target.m_domain),
                      decode_time(source.getSentAtNs(), target.m_sent_at),
-                     check_count(holdings.size(), max_listed_items)});
+                     check_count(holdings.size(), max_listed_items),
+                     check_count(held.size(), max_listed_items)});
     for (unsigned index = 0; !error && index < holdings.size(); ++index)
     {
         target.m_holdings.push_back(
             {holdings[index].getShard(), holdings[index].getEpoch()});
     }
+    for (unsigned index = 0; !error && index < held.size(); ++index)
+    {
+        error = decode_name(held[index], false, target.m_held_upstreams.emplace_back());
+    }
     return error;
 }
 
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -133,6 +133,7 @@
     token.setEpoch(start.m_token.m_epoch);
     part.setDeadlineNs(to_nanoseconds(start.m_deadline));
     part.setSendBeforeNs(to_nanoseconds(start.m_send_before));
+    part.setGeneration(start.m_generation);
 }
 
 void encode(decision::task_reported const & message, protocol::Message::Builder target)
@@ -165,6 +166,12 @@
         holdings[index].setEpoch(message.m_holdings[index].m_epoch);
     }
     encode(message.m_load, part.initLoad());
+    auto held = part.initHeldUpstreams(to_count(message.m_held_upstreams.size()));
+    for (unsigned index = 0; index < held.size(); ++index)
+    {
+        held.set(index, to_text(message.m_held_upstreams[index]));
+    }
+    part.setFleetClockMs(message.m_fleet_clock_ms);
 }
 
 void encode(decision::load_report const & message, protocol::Message::Builder target)
--- a/src/config/fleet_configuration.cpp
+++ b/src/config/fleet_configuration.cpp
@@ -45,4 +45,19 @@
     return internal::find_by_name<team>(configuration.m_teams, name);
 }
 
+caller_route const * find_route(fleet_configuration const & configuration,
+                                std::string_view host, std::string_view path) noexcept
+{
+    caller_route const * best = nullptr;
+    for (caller_route const & route : configuration.m_routes)
+    {
+        bool const matches = route.m_host == host && path.starts_with(route.m_prefix);
+        if (matches && (best == nullptr || best->m_prefix.size() < route.m_prefix.size()))
+        {
+            best = &route;
+        }
+    }
+    return best;
+}
+
 } // namespace cassiahub::config
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -70,6 +70,8 @@
         return "retries_exhausted";
     case job_errc::in_progress:
         return "in_progress";
+    case job_errc::unsupported:
+        return "unsupported";
     }
     return "unknown_error";
 }
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -4,7 +4,7 @@
 #include <cassiahub/config.hpp>
 #include <cassiahub/ctl/config_commands.hpp>
 #include <cassiahub/ctl/exit_code.hpp>
-#include <cassiahub/platform.hpp>
+#include <cassiahub/store.hpp>
 
 #include <fmt/format.h>
 
@@ -209,14 +209,14 @@
         texts.push_back(internal::format_section(section));
         sections.push_back({section.m_name, 0, texts.back()});
     }
-    platform::client client;
+    store::client client;
     client.m_address = platform_address;
     client.m_caller = "cassiahubctl";
     client.m_timeout = std::chrono::seconds(5);
-    platform::configuration_session session{
+    store::configuration_session session{
         std::move(client), {}, internal::make_random_source()};
-    std::error_code const error = platform::write_first_document(
-        session, sections, std::chrono::system_clock::now());
+    std::error_code const error =
+        store::write_first_document(session, sections, std::chrono::system_clock::now());
     if (!error)
     {
         std::cout << sections.size() << " sections written\n";
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -45,6 +45,9 @@
 /// Answers callers that joined a job and whose own deadline has passed before the job's.
 void expire_callers(step_context & context);
 
+/// Ends the unrecorded job of a caller that has left, unless others wait for it too.
+void abandon_unrecorded(step_context & context, caller_token caller);
+
 /// Ends an open job for a reason of this instance's own. What was not started is
 /// answered as not run with \p error, everything else as outcome_unknown.
 void abort_job(step_context & context, job_key const & key, std::error_code error);
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -1,4 +1,5 @@
 #include "decision/context.hpp"
+#include "decision/leasing.hpp"
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -48,6 +49,10 @@
     context.m_state.m_open_jobs.erase(found);
     context.m_actions.emplace_back(observe_job{
         key.m_tenant, job.m_kind, context.m_now - job.m_submitted, result.m_error});
+    if (context.m_state.m_identity.m_leases_upstreams)
+    {
+        log_end(context, key, job, result);
+    }
     for (answer_route const & route : job.m_waiting)
     {
         answer(context, route, result);
@@ -69,8 +74,11 @@
                 : job_answer{
                       found->second.m_abort, run_state::no, refusal_retry_after, {}};
     }
-    ownership::finish_job(context.m_state.m_ownership, outcome.m_key, outcome.m_answer,
-                          context.m_now);
+    if (!context.m_state.m_identity.m_leases_upstreams)
+    {
+        ownership::finish_job(context.m_state.m_ownership, outcome.m_key,
+                              outcome.m_answer, context.m_now);
+    }
     close_job(context, outcome.m_key, outcome.m_answer);
 }
 
@@ -96,6 +104,17 @@
     {
         return false;
     }
+    if (context.m_state.m_identity.m_leases_upstreams)
+    {
+        start.m_generation = next_generation(context);
+        found->second.m_started = true;
+        ++found->second.m_starts;
+        if (found->second.m_first_start == time_point())
+        {
+            found->second.m_first_start = context.m_now;
+        }
+        return true;
+    }
     std::optional<time_point> const limit = ownership::start_limit(
         context.m_state.m_ownership, start.m_job, start.m_token, context.m_now);
     if (!limit)
@@ -138,9 +157,17 @@
 void apply(step_context & context, dispatch::effects effects)
 {
     // A start follows the cancellations that make room for it.
+    bool const leased = context.m_state.m_identity.m_leases_upstreams;
     for (dispatch::attempt_cancel & cancel : effects.m_cancels)
     {
-        context.m_actions.emplace_back(std::move(cancel));
+        if (leased)
+        {
+            stop_run(context, cancel.m_attempt);
+        }
+        else
+        {
+            context.m_actions.emplace_back(std::move(cancel));
+        }
     }
     for (dispatch::forward_cancel const & cancel : effects.m_forward_cancels)
     {
@@ -150,13 +177,17 @@
     for (dispatch::attempt_start & start : effects.m_starts)
     {
         // The lease of a task that another instance sent is bounded by its limit.
-        if (start.m_attempt.m_incarnation != incarnation || permit_start(context, start))
+        if (start.m_attempt.m_incarnation == incarnation && !permit_start(context, start))
         {
-            context.m_actions.emplace_back(std::move(start));
+            withdraw_attempt(context, start.m_attempt);
+        }
+        else if (leased)
+        {
+            start_run(context, std::move(start));
         }
         else
         {
-            withdraw_attempt(context, start.m_attempt);
+            context.m_actions.emplace_back(std::move(start));
         }
     }
     for (dispatch::task_forward & task : effects.m_forwards)
@@ -341,6 +372,7 @@
                 deadline, std::pair(spec.m_key, route.m_caller));
         }
         break;
+    case key_operation::count:
     case key_operation::query:
         answer(context, route,
                {job_errc::in_progress, run_state::unknown, refusal_retry_after, {}});
@@ -387,6 +419,26 @@
     }
 }
 
+void abandon_unrecorded(step_context & context, caller_token caller)
+{
+    entry_state & state = context.m_state;
+    if (!state.m_identity.m_leases_upstreams)
+    {
+        return;
+    }
+    for (auto & [key, job] : state.m_open_jobs)
+    {
+        std::erase_if(job.m_waiting, [caller](answer_route const & route)
+                      { return route.m_caller == caller; });
+        if (job.m_waiting.empty())
+        {
+            job_key const abandoned = key;
+            abort_job(context, abandoned, job_errc::cancelled);
+            return;
+        }
+    }
+}
+
 bool handle_own_key(step_context & context, answer_route const & route,
                     key_operation operation, job_spec & spec, time_point deadline)
 {
@@ -398,6 +450,18 @@
         return true;
     }
     bool const submit = operation == key_operation::submit;
+    if (state.m_identity.m_leases_upstreams)
+    {
+        if (submit)
+        {
+            submit_unrecorded(context, route, spec, deadline);
+        }
+        else
+        {
+            refuse(context, route, job_errc::not_found);
+        }
+        return true;
+    }
     std::uint64_t const job_hash = submit ? ownership::hash_job(spec) : 0;
     ownership::key_lookup lookup =
         ownership::find_key(state.m_ownership, spec.m_key, job_hash);
--- /dev/null
+++ b/src/decision/leasing.cpp
@@ -0,0 +1,440 @@
+#include "decision/leasing.hpp"
+
+#include <cassiahub/core/error.hpp>
+#include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/lease/sessions.hpp>
+#include <cassiahub/membership/members.hpp>
+#include <cassiahub/membership/rendezvous.hpp>
+#include <cassiahub/ownership/owner.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace cassiahub::decision::internal
+{
+
+namespace
+{
+
+/// Time between two looks at who should own which upstream when nothing has changed.
+constexpr duration sharing_period = std::chrono::milliseconds(250);
+/// An upstream that is registered no longer is used for this long while it replies: its
+/// registration may have expired while the store was away.
+constexpr duration missing_grace = std::chrono::milliseconds(3000);
+/// Tokens of two instances that claim in the same millisecond differ by this many values.
+constexpr std::uint64_t token_variants = 4096;
+
+/// Fencing token for claims made now; 0 while the store's clock is not known.
+std::uint64_t current_token(step_context const & context)
+{
+    std::int64_t const clock = fleet_clock(context.m_state.m_leasing, context.m_now);
+    return clock == 0 ? 0
+                      : static_cast<std::uint64_t>(clock) * token_variants +
+                            context.m_state.m_identity.m_incarnation % token_variants;
+}
+
+void apply(step_context & context, lease::effects effects)
+{
+    entry_state & state = context.m_state;
+    for (lease::availability const & change : effects.m_availability)
+    {
+        dispatch::set_upstream_available(state.m_dispatch, change.m_upstream,
+                                         change.m_available);
+    }
+    for (lease::session_event & event : effects.m_events)
+    {
+        std::string detail = "upstream=" + event.m_upstream;
+        if (!event.m_detail.empty())
+        {
+            detail += " value=" + event.m_detail;
+        }
+        std::string subject = event.m_job.empty() ? event.m_upstream : event.m_job;
+        context.m_actions.emplace_back(
+            log_event{event.m_code, std::move(subject), {}, std::move(detail)});
+    }
+    for (lease::upstream_call & call : effects.m_calls)
+    {
+        context.m_actions.emplace_back(std::move(call));
+    }
+    for (dispatch::attempt_result & result : effects.m_results)
+    {
+        dispatch::effects finished;
+        dispatch::finish_attempt(state.m_dispatch, std::move(result), context.m_now,
+                                 context.m_random, finished);
+        internal::apply(context, std::move(finished));
+    }
+}
+
+/// Puts the base configuration with the registered upstreams in force.
+void compose_configuration(step_context & context)
+{
+    entry_state & state = context.m_state;
+    if (!state.m_leasing.m_base)
+    {
+        return;
+    }
+    auto composed =
+        std::make_shared<config::fleet_configuration>(*state.m_leasing.m_base);
+    for (auto const & [name, upstream] : state.m_leasing.m_upstreams)
+    {
+        composed->m_upstreams.push_back(upstream.m_definition);
+    }
+    dispatch::apply_configuration(state.m_dispatch, std::move(composed));
+    share_upstreams_soon(context);
+}
+
+/// Instances among which the upstreams are shared out, this one included.
+std::vector<membership::placed_name> list_owners(step_context const & context)
+{
+    entry_state const & state = context.m_state;
+    std::vector<membership::placed_name> owners;
+    for (auto const & [id, entry] : state.m_membership.m_members)
+    {
+        if (!entry.m_report.m_leaving &&
+            membership::may_be_alive(state.m_membership, entry, context.m_now))
+        {
+            owners.push_back({id.m_value, entry.m_domain});
+        }
+    }
+    if (!state.m_draining)
+    {
+        owners.push_back(
+            {state.m_identity.m_instance.m_value, state.m_identity.m_domain});
+    }
+    std::sort(owners.begin(), owners.end(),
+              [](auto const & left, auto const & right)
+              { return left.m_name < right.m_name; });
+    return owners;
+}
+
+/// \returns true when another live instance has not released \p upstream.
+bool is_held_elsewhere(entry_state const & state, std::string const & upstream)
+{
+    return std::any_of(
+        state.m_membership.m_members.begin(), state.m_membership.m_members.end(),
+        [&upstream](auto const & item)
+        {
+            auto const & held = item.second.m_report.m_held_upstreams;
+            return item.second.m_live &&
+                   std::find(held.begin(), held.end(), upstream) != held.end();
+        });
+}
+
+/// Drops upstreams that have been missing from the registrations for too long.
+void forget_missing(step_context & context)
+{
+    leasing_state & leasing = context.m_state.m_leasing;
+    std::size_t const before = leasing.m_upstreams.size();
+    std::erase_if(leasing.m_missing,
+                  [&](auto const & item)
+                  {
+                      if (context.m_now - item.second < missing_grace)
+                      {
+                          return false;
+                      }
+                      leasing.m_upstreams.erase(item.first);
+                      context.m_actions.emplace_back(
+                          log_event{"upstream_gone", item.first, {}, {}});
+                      return true;
+                  });
+    if (leasing.m_upstreams.size() != before)
+    {
+        compose_configuration(context);
+    }
+}
+
+/// \returns the number of open jobs of \p kind without a start.
+std::size_t count_waiting_jobs(entry_state const & state, std::string const & kind)
+{
+    return static_cast<std::size_t>(std::count_if(
+        state.m_open_jobs.begin(), state.m_open_jobs.end(),
+        [&kind](auto const & entry)
+        { return entry.second.m_kind == kind && !entry.second.m_started; }));
+}
+
+/// Logs a refusal with the load that decided it.
+void log_refusal(step_context & context, std::string subject, std::string const & label,
+                 std::error_code error)
+{
+    entry_state const & state = context.m_state;
+    dispatch::peer_load const load = dispatch::current_load(state.m_dispatch);
+    context.m_actions.emplace_back(log_event{
+        "job_refused", std::move(subject), error,
+        fmt::format("request={} free_slots={} queued_tasks={} configuration={}", label,
+                    load.m_free_slots, load.m_queued_tasks,
+                    state.m_leasing.m_base ? state.m_leasing.m_base->m_version : 0)});
+}
+
+std::vector<lease::owned_upstream> choose_owned(step_context const & context)
+{
+    entry_state const & state = context.m_state;
+    std::vector<membership::placed_name> const owners = list_owners(context);
+    std::vector<membership::placed_name> items;
+    for (auto const & [name, upstream] : state.m_leasing.m_upstreams)
+    {
+        items.push_back({name, upstream.m_definition.m_domain});
+    }
+    std::vector<std::size_t> const assigned =
+        membership::assign_in_domains(owners, items);
+    std::vector<lease::owned_upstream> owned;
+    for (std::size_t index = 0; index < assigned.size(); ++index)
+    {
+        std::string const & name = items[index].m_name;
+        bool const held = state.m_leasing.m_sessions.m_sessions.contains(name);
+        if (owners[assigned[index]].m_name == state.m_identity.m_instance.m_value &&
+            (held || !is_held_elsewhere(state, name)))
+        {
+            discovered_upstream const & upstream = state.m_leasing.m_upstreams.at(name);
+            owned.push_back(
+                {name, upstream.m_definition.m_address, upstream.m_incarnation});
+        }
+    }
+    return owned;
+}
+
+void share_upstreams(step_context & context)
+{
+    entry_state & state = context.m_state;
+    std::uint64_t const token = current_token(context);
+    if (token == 0 || !state.m_dispatch.m_configuration)
+    {
+        return;
+    }
+    forget_missing(context);
+    std::vector<lease::owned_upstream> const owned = choose_owned(context);
+    std::vector<std::string> names;
+    for (lease::owned_upstream const & item : owned)
+    {
+        names.push_back(item.m_name);
+    }
+    if (names != state.m_leasing.m_owned)
+    {
+        dispatch::set_owned_upstreams(state.m_dispatch, names);
+        for (std::string const & name : names)
+        {
+            auto const session = state.m_leasing.m_sessions.m_sessions.find(name);
+            bool const serving = session != state.m_leasing.m_sessions.m_sessions.end() &&
+                                 session->second.m_phase == lease::session_phase::serving;
+            dispatch::set_upstream_available(state.m_dispatch, name, serving);
+        }
+        state.m_leasing.m_owned = std::move(names);
+    }
+    lease::effects effects;
+    lease::set_owned(state.m_leasing.m_sessions, owned, token, context.m_now, effects);
+    apply(context, std::move(effects));
+}
+
+} // namespace
+
+std::int64_t fleet_clock(leasing_state const & leasing, time_point now) noexcept
+{
+    return leasing.m_fleet_clock_ms == 0
+               ? 0
+               : leasing.m_fleet_clock_ms +
+                     to_milliseconds(now - leasing.m_fleet_clock_at);
+}
+
+std::uint64_t next_generation(step_context & context)
+{
+    leasing_state & leasing = context.m_state.m_leasing;
+    auto const clock = static_cast<std::uint64_t>(fleet_clock(leasing, context.m_now));
+    leasing.m_last_generation = std::max(leasing.m_last_generation + 1, clock);
+    return leasing.m_last_generation;
+}
+
+void handle_routed(step_context & context, routed_request & request)
+{
+    entry_state & state = context.m_state;
+    answer_route const caller{request.m_caller, {}, 0, false};
+    if (!state.m_leasing.m_base)
+    {
+        refuse(context, caller, job_errc::no_configuration);
+        return;
+    }
+    config::caller_route const * const route =
+        config::find_route(*state.m_leasing.m_base, request.m_host, request.m_path);
+    if (route == nullptr)
+    {
+        log_refusal(context, request.m_path, request.m_request_id,
+                    job_errc::unknown_kind);
+        refuse(context, caller, job_errc::unknown_kind);
+        return;
+    }
+    job_spec & spec = request.m_spec;
+    spec.m_key = {route->m_tenant, state.m_identity.m_domain,
+                  request.m_path.substr(route->m_prefix.size())};
+    spec.m_kind = route->m_kind;
+    if (request.m_operation == key_operation::count)
+    {
+        std::size_t const waiting = count_waiting_jobs(state, route->m_kind);
+        answer(context, caller, {{}, run_state::no, {}, {std::to_string(waiting)}});
+        return;
+    }
+    job_key const key = spec.m_key;
+    handle_request(context, caller, request.m_operation, std::move(spec));
+    auto const job = state.m_open_jobs.find(key);
+    if (job != state.m_open_jobs.end() && job->second.m_request_id.empty())
+    {
+        job->second.m_request_id = std::move(request.m_request_id);
+    }
+}
+
+void submit_unrecorded(step_context & context, answer_route const & route,
+                       job_spec & spec, time_point deadline)
+{
+    entry_state & state = context.m_state;
+    if (state.m_leasing.m_upstreams.empty())
+    {
+        refuse(context, route, job_errc::store_unavailable);
+        return;
+    }
+    if (std::error_code const error =
+            dispatch::check_admission(state.m_dispatch, spec, context.m_now))
+    {
+        dispatch::record_refusal(state.m_dispatch, error);
+        log_refusal(context, spec.m_key.m_key, spec.m_kind, error);
+        refuse(context, route, error);
+        return;
+    }
+    open_job job;
+    job.m_kind = spec.m_kind;
+    job.m_submitted = context.m_now;
+    job.m_waiting.push_back(route);
+    job.m_job_hash = ownership::hash_job(spec);
+    job.m_deadline = deadline;
+    job.m_queued = true;
+    state.m_open_jobs.emplace(spec.m_key, std::move(job));
+    dispatch::enqueue_job(state.m_dispatch, {std::move(spec), {}, deadline, deadline},
+                          context.m_now);
+}
+
+void log_end(step_context & context, job_key const & key, open_job const & job,
+             job_answer const & result)
+{
+    bool const started = job.m_first_start != time_point();
+    time_point const waited_until = started ? job.m_first_start : context.m_now;
+    context.m_actions.emplace_back(log_event{
+        "job_ended", key.m_key, result.m_error,
+        fmt::format("request={} kind={} waited_ms={} total_ms={} starts={}",
+                    job.m_request_id, job.m_kind,
+                    to_milliseconds(waited_until - job.m_submitted),
+                    to_milliseconds(context.m_now - job.m_submitted), job.m_starts)});
+}
+
+void start_run(step_context & context, dispatch::attempt_start start)
+{
+    lease::start_order order;
+    order.m_attempt = start.m_attempt;
+    order.m_upstream = std::move(start.m_upstream);
+    order.m_run.m_task.m_job = std::move(start.m_job.m_key);
+    order.m_run.m_task.m_index = start.m_task;
+    order.m_run.m_generation = start.m_generation;
+    order.m_payload = std::move(start.m_payload);
+    lease::effects effects;
+    lease::start(context.m_state.m_leasing.m_sessions, std::move(order), context.m_now,
+                 effects);
+    apply(context, std::move(effects));
+}
+
+void stop_run(step_context & context, attempt_id const & attempt)
+{
+    lease::effects effects;
+    lease::stop(context.m_state.m_leasing.m_sessions, attempt, context.m_now, effects);
+    apply(context, std::move(effects));
+}
+
+void receive_upstreams(step_context & context, upstreams_discovered & discovered)
+{
+    leasing_state & leasing = context.m_state.m_leasing;
+    std::set<std::string_view> listed;
+    for (discovered_upstream & upstream : discovered.m_upstreams)
+    {
+        listed.insert(upstream.m_definition.m_name);
+        leasing.m_missing.erase(upstream.m_definition.m_name);
+    }
+    for (auto const & [name, upstream] : leasing.m_upstreams)
+    {
+        if (!listed.contains(name))
+        {
+            leasing.m_missing.try_emplace(name, context.m_now);
+        }
+    }
+    bool changed = false;
+    for (discovered_upstream & upstream : discovered.m_upstreams)
+    {
+        discovered_upstream & known = leasing.m_upstreams[upstream.m_definition.m_name];
+        if (known != upstream)
+        {
+            known = std::move(upstream);
+            changed = true;
+        }
+    }
+    if (changed)
+    {
+        compose_configuration(context);
+    }
+}
+
+void receive_clock(step_context & context, std::int64_t milliseconds)
+{
+    leasing_state & leasing = context.m_state.m_leasing;
+    // A reading is never ahead of the clock, so the highest is the most exact.
+    if (milliseconds > fleet_clock(leasing, context.m_now))
+    {
+        leasing.m_fleet_clock_ms = milliseconds;
+        leasing.m_fleet_clock_at = context.m_now;
+    }
+}
+
+void receive_reply(step_context & context, lease::upstream_reply reply)
+{
+    lease::effects effects;
+    lease::receive(context.m_state.m_leasing.m_sessions, std::move(reply), context.m_now,
+                   effects);
+    apply(context, std::move(effects));
+}
+
+void change_base_configuration(step_context & context, configuration_changed & changed)
+{
+    entry_state & state = context.m_state;
+    bool const newer =
+        changed.m_configuration &&
+        (!state.m_leasing.m_base ||
+         state.m_leasing.m_base->m_version < changed.m_configuration->m_version);
+    if (!newer)
+    {
+        return;
+    }
+    context.m_actions.emplace_back(
+        log_event{"configuration_in_force",
+                  std::to_string(changed.m_configuration->m_version),
+                  {},
+                  {}});
+    state.m_leasing.m_base = std::move(changed.m_configuration);
+    state.m_document = std::move(changed.m_document);
+    compose_configuration(context);
+}
+
+void share_upstreams_soon(step_context & context)
+{
+    context.m_state.m_leasing.m_next_sharing = context.m_now;
+}
+
+void advance_leases(step_context & context)
+{
+    entry_state & state = context.m_state;
+    if (context.m_now >= state.m_leasing.m_next_sharing)
+    {
+        state.m_leasing.m_next_sharing = context.m_now + sharing_period;
+        share_upstreams(context);
+    }
+    lease::effects effects;
+    lease::advance(state.m_leasing.m_sessions, current_token(context), context.m_now,
+                   effects);
+    apply(context, std::move(effects));
+}
+
+} // namespace cassiahub::decision::internal
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -1,7 +1,9 @@
 #include "decision/context.hpp"
+#include "decision/leasing.hpp"
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/lease/sessions.hpp>
 #include <cassiahub/membership/members.hpp>
 #include <cassiahub/membership/rendezvous.hpp>
 #include <cassiahub/ownership/owner.hpp>
@@ -17,6 +19,8 @@
 /// Time that a peer in contact with the store has to read a new configuration itself.
 /// With the time of a notice it stays below the 7 s within which a change is in force.
 constexpr duration configuration_poll_allowance = std::chrono::seconds(3);
+/// The same for a peer that is told of changes by the store at once.
+constexpr duration configuration_feed_allowance = std::chrono::milliseconds(300);
 /// Shortest time between two load reports; each peer in the domain beyond the second
 /// makes it longer, so that reports stay below 48 messages a second.
 constexpr duration shortest_report_period = std::chrono::milliseconds(50);
@@ -70,8 +74,10 @@
         state.m_next_notice.erase(peer);
         return;
     }
-    duration const wait =
-        report.m_store_contact ? configuration_poll_allowance : duration::zero();
+    duration const allowance = state.m_identity.m_leases_upstreams
+                                   ? configuration_feed_allowance
+                                   : configuration_poll_allowance;
+    duration const wait = report.m_store_contact ? allowance : duration::zero();
     auto const next = state.m_next_notice.try_emplace(peer, context.m_now + wait).first;
     if (context.m_now < next->second)
     {
@@ -92,6 +98,13 @@
     apply(context, std::move(effects));
 }
 
+bool is_leaving(entry_state const & state, instance_id const & peer)
+{
+    auto const found = state.m_membership.m_members.find(peer);
+    return found != state.m_membership.m_members.end() &&
+           found->second.m_report.m_leaving;
+}
+
 void receive_heartbeat(step_context & context, instance_id const & from,
                        heartbeat message)
 {
@@ -103,11 +116,17 @@
                                      message.m_configuration_version,
                                      message.m_leaving,
                                      message.m_store_contact,
-                                     {}};
+                                     {},
+                                     std::move(message.m_held_upstreams)};
     for (shard_holding const & holding : message.m_holdings)
     {
         report.m_holdings.push_back({holding.m_shard, holding.m_epoch});
     }
+    if (message.m_fleet_clock_ms > 0)
+    {
+        receive_clock(context, message.m_fleet_clock_ms);
+    }
+    bool const was_leaving = is_leaving(state, from);
     membership::report_effect const effect = membership::receive_report(
         state.m_membership, from, std::move(report), context.m_now);
     if (effect == membership::report_effect::ignored)
@@ -118,9 +137,15 @@
     {
         remove_peer(context, from);
     }
+    if (effect != membership::report_effect::refreshed ||
+        was_leaving != is_leaving(state, from))
+    {
+        share_upstreams_soon(context);
+    }
     membership::member const & entry = state.m_membership.m_members.at(from);
     set_load(context, from, entry, message.m_load);
-    if (entry.m_domain == state.m_identity.m_domain)
+    if (entry.m_domain == state.m_identity.m_domain &&
+        !state.m_identity.m_leases_upstreams)
     {
         if (effect != membership::report_effect::refreshed)
         {
@@ -172,8 +197,11 @@
     {
         if (item.m_is_entry)
         {
-            entries.push_back(
-                {{item.m_name}, item.m_domain, item.m_address, item.m_leaving});
+            entries.push_back({{item.m_name},
+                               item.m_domain,
+                               item.m_address,
+                               item.m_leaving,
+                               item.m_row_version});
             continue;
         }
         upstreams.insert(item.m_name);
@@ -193,7 +221,7 @@
         }
     }
     state.m_listed_upstreams = std::move(upstreams);
-    membership::merge_list(state.m_membership, entries);
+    membership::merge_list(state.m_membership, entries, context.m_now);
 }
 
 /// Sets the upstreams that this instance accounts for.
@@ -288,7 +316,8 @@
     {
         started = context.m_now;
     }
-    bool const discovering = context.m_now - started < membership::discovery_time;
+    bool const discovering = state.m_identity.m_leases_upstreams ||
+                             context.m_now - started < membership::discovery_time;
     if (discovering || !state.m_dispatch.m_configuration)
     {
         return;
@@ -345,6 +374,13 @@
         check_document{notice.m_version, std::move(notice.m_document)});
 }
 
+bool has_store_contact(entry_state const & state, time_point now)
+{
+    return state.m_identity.m_leases_upstreams
+               ? now - state.m_membership.m_listed_at < membership::list_validity
+               : ownership::has_store_contact(state.m_ownership, now);
+}
+
 heartbeat make_heartbeat(step_context const & context)
 {
     entry_state const & state = context.m_state;
@@ -355,8 +391,9 @@
     message.m_sent_at = context.m_now;
     message.m_configuration_version = configuration_version(state);
     message.m_leaving = state.m_draining;
-    message.m_store_contact =
-        ownership::has_store_contact(state.m_ownership, context.m_now);
+    message.m_store_contact = has_store_contact(state, context.m_now);
+    message.m_held_upstreams = lease::held_upstreams(state.m_leasing.m_sessions);
+    message.m_fleet_clock_ms = fleet_clock(state.m_leasing, context.m_now);
     auto const & shards = state.m_ownership.m_shards;
     for (std::uint32_t index = 0; index < shards.size(); ++index)
     {
@@ -378,8 +415,7 @@
     {
         return;
     }
-    std::vector<instance_id> const peers =
-        membership::live_members(state.m_membership, state.m_identity.m_domain);
+    std::vector<instance_id> const peers = membership::near_members(state.m_membership);
     duration const spread = std::chrono::milliseconds(21) * peers.size();
     state.m_next_load_report =
         context.m_now + std::max<duration>(shortest_report_period, spread);
@@ -402,6 +438,7 @@
     {
         context.m_actions.emplace_back(log_event{"peer_failed", failed.m_value, {}});
         remove_peer(context, failed);
+        share_upstreams_soon(context);
     }
     refresh_view(context);
     std::vector<instance_id> const due = membership::take_due_heartbeats(
--- a/src/decision/readiness.cpp
+++ b/src/decision/readiness.cpp
@@ -59,4 +59,15 @@
            !internal::lacks_contact(state);
 }
 
+bool can_serve(entry_state const & state)
+{
+    auto const & sessions = state.m_leasing.m_sessions.m_sessions;
+    bool const serves =
+        std::any_of(sessions.begin(), sessions.end(),
+                    [](auto const & entry)
+                    { return entry.second.m_phase == lease::session_phase::serving; });
+    return state.m_dispatch.m_configuration != nullptr &&
+           (serves || !membership::near_members(state.m_membership).empty());
+}
+
 } // namespace cassiahub::decision
--- a/src/decision/routing.cpp
+++ b/src/decision/routing.cpp
@@ -126,6 +126,12 @@
                     key_operation operation, job_spec spec)
 {
     entry_state & state = context.m_state;
+    if (state.m_identity.m_leases_upstreams)
+    {
+        handle_own_key(context, route, operation, spec,
+                       context.m_now + spec.m_time_limit);
+        return;
+    }
     if (std::error_code const error = complete_key(state, spec.m_key))
     {
         refuse(context, route, error);
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -1,8 +1,10 @@
 #include "decision/context.hpp"
+#include "decision/leasing.hpp"
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision/step.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/lease/sessions.hpp>
 #include <cassiahub/membership/members.hpp>
 #include <cassiahub/ownership/owner.hpp>
 
@@ -52,10 +54,19 @@
                    std::move(request.m_spec));
 }
 
+void handle(step_context & context, routed_request & request)
+{
+    context.m_state.m_callers.insert(request.m_caller);
+    handle_routed(context, request);
+}
+
 void handle(step_context & context, caller_gone & gone)
 {
-    // The job goes on: the caller may submit it again to get the answer.
-    context.m_state.m_callers.erase(gone.m_caller);
+    if (context.m_state.m_callers.erase(gone.m_caller) > 0)
+    {
+        // A recorded job goes on: the caller may submit it again to get the answer.
+        abandon_unrecorded(context, gone.m_caller);
+    }
 }
 
 void finish_attempt(step_context & context, dispatch::attempt_result result)
@@ -181,7 +192,29 @@
 
 void handle(step_context & context, configuration_changed & changed)
 {
-    change_configuration(context, changed);
+    if (context.m_state.m_identity.m_leases_upstreams)
+    {
+        change_base_configuration(context, changed);
+    }
+    else
+    {
+        change_configuration(context, changed);
+    }
+}
+
+void handle(step_context & context, upstreams_discovered & discovered)
+{
+    receive_upstreams(context, discovered);
+}
+
+void handle(step_context & context, fleet_clock_read & reading)
+{
+    receive_clock(context, reading.m_milliseconds);
+}
+
+void handle(step_context & context, upstream_replied & replied)
+{
+    receive_reply(context, std::move(replied.m_reply));
 }
 
 void handle(step_context &, tick &) {}
@@ -205,9 +238,16 @@
         advance_requests(context);
         expire_callers(context);
     }
-    ownership::effects ownership_effects;
-    ownership::advance(state.m_ownership, context.m_now, ownership_effects);
-    apply(context, std::move(ownership_effects));
+    if (state.m_identity.m_leases_upstreams)
+    {
+        advance_leases(context);
+    }
+    else
+    {
+        ownership::effects ownership_effects;
+        ownership::advance(state.m_ownership, context.m_now, ownership_effects);
+        apply(context, std::move(ownership_effects));
+    }
     dispatch::effects dispatch_effects;
     dispatch::advance(state.m_dispatch, context.m_now, context.m_random,
                       dispatch_effects);
@@ -271,6 +311,7 @@
     state.m_ownership.m_self = identity.m_instance;
     state.m_ownership.m_incarnation = identity.m_incarnation;
     state.m_ownership.m_domain = identity.m_domain;
+    state.m_membership.m_spans_domains = identity.m_leases_upstreams;
     // An answer to a request of an earlier incarnation must not match a new request.
     state.m_next_request = identity.m_incarnation;
     state.m_identity = std::move(identity);
@@ -299,6 +340,11 @@
     {
         broken.push_back(name);
     }
+    for (std::string_view const name :
+         lease::check_invariants(state.m_leasing.m_sessions))
+    {
+        broken.push_back(name);
+    }
     internal::check_routes(state, broken);
     internal::check_open_records(state, broken);
     return broken;
@@ -308,6 +354,7 @@
 {
     return state.m_draining && state.m_open_jobs.empty() && state.m_forwarded.empty() &&
            !dispatch::serves_peers(state.m_dispatch) &&
+           state.m_leasing.m_sessions.m_sessions.empty() &&
            ownership::is_released(state.m_ownership, state.m_now);
 }
 
--- a/src/dispatch/retry.cpp
+++ b/src/dispatch/retry.cpp
@@ -21,7 +21,9 @@
         return;
     }
     ++state.m_counters.m_failed_results;
-    job.m_ran |= outcome == attempt_outcome::failed;
+    task.m_failures += outcome == attempt_outcome::failed ? 1 : 0;
+    job.m_ran |=
+        outcome == attempt_outcome::failed || outcome == attempt_outcome::interrupted;
     job.m_may_have_run |= outcome == attempt_outcome::unknown;
 }
 
@@ -30,6 +32,7 @@
     switch (outcome)
     {
     case attempt_outcome::failed:
+    case attempt_outcome::interrupted:
         return job_errc::task_failed;
     case attempt_outcome::unknown:
         return job_errc::outcome_unknown;
@@ -38,14 +41,24 @@
     }
 }
 
-/// A task of a non-repeatable kind is attempted again only when no attempt may have run.
+/// A task of a kind that is neither repeatable nor restartable is attempted again only
+/// when no attempt may have run.
 bool may_repeat(dispatch_state const & state, job_state const & job,
-                task_state const & task)
+                task_state const & task, attempt_outcome outcome)
 {
-    return state.m_kinds[job.m_kind].m_definition.m_repeatable ||
+    config::work_kind const & kind = state.m_kinds[job.m_kind].m_definition;
+    bool const ended = outcome != attempt_outcome::unknown;
+    return kind.m_repeatable || (kind.m_restartable && ended) ||
            task.m_not_run == task.m_attempts;
 }
 
+bool has_failed_for_good(dispatch_state const & state, job_state const & job,
+                         task_state const & task)
+{
+    std::uint32_t const limit = state.m_kinds[job.m_kind].m_definition.m_max_failures;
+    return limit > 0 && task.m_failures >= limit;
+}
+
 /// The second attempt follows at once; later ones wait, twice as long each time, and
 /// jittered so that tasks refused together do not come back together.
 duration delay_of(dispatch_state const & state, task_state const & task,
@@ -96,7 +109,7 @@
     {
         return; // a hedge of the same task may still succeed
     }
-    if (!may_repeat(state, job, task))
+    if (!may_repeat(state, job, task, outcome) || has_failed_for_good(state, job, task))
     {
         finish_job(state, job, failed_answer(job, error_of(outcome)), out);
     }
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -16,7 +16,8 @@
 /// platform and itself are concerned.
 bool takes_new_work(upstream_state const & upstream) noexcept
 {
-    return upstream.m_owned && !upstream.m_leaving && !upstream.m_definition.m_draining;
+    return upstream.m_owned && upstream.m_available && !upstream.m_leaving &&
+           !upstream.m_definition.m_draining;
 }
 
 bool is_usable(upstream_state const & upstream) noexcept
@@ -308,4 +309,15 @@
     }
 }
 
+void set_upstream_available(dispatch_state & state, std::string_view upstream,
+                            bool available)
+{
+    auto const found = state.m_upstream_index.find(upstream);
+    if (found != state.m_upstream_index.end())
+    {
+        state.m_upstreams[found->second].m_available = available;
+        internal::refresh_room(state, found->second);
+    }
+}
+
 } // namespace cassiahub::dispatch
--- a/src/entry/context.cpp
+++ b/src/entry/context.cpp
@@ -54,10 +54,13 @@
     }
 }
 
-daemon_context::daemon_context(config::entry_settings const & settings)
+daemon_context::daemon_context(config::entry_settings const & settings,
+                               bool leases_upstreams)
     : m_settings(settings), m_events(internal::event_ring_capacity),
       m_attempts(internal::command_ring_capacity),
       m_cancellations(internal::command_ring_capacity),
+      m_upstream_calls(internal::command_ring_capacity, m_call_wake.get()),
+      m_answers(internal::command_ring_capacity, m_answer_wake.get()),
       m_peer_messages(internal::command_ring_capacity, m_peer_wake.get()),
       m_store_commands(internal::store_ring_capacity),
       m_documents(internal::document_ring_capacity),
@@ -74,7 +77,8 @@
     m_state = decision::make_entry_state({{settings.m_instance},
                                           settings.m_domain,
                                           settings.m_peer_address,
-                                          m_incarnation});
+                                          m_incarnation,
+                                          leases_upstreams});
 }
 
 } // namespace cassiahub::entry
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -80,7 +80,8 @@
 /// duty gets it by reference. Apart from the rings each member belongs to one duty.
 struct daemon_context
 {
-    explicit daemon_context(config::entry_settings const & settings);
+    explicit daemon_context(config::entry_settings const & settings,
+                            bool leases_upstreams = false);
 
     config::entry_settings const & m_settings;
     std::uint64_t m_incarnation = 0; ///< constant
@@ -93,6 +94,14 @@
     // Decision duty to the cancelling duties. Full: the cancellation is dropped, and the
     // upstream's answer is dropped as superseded.
     runtime::bounded_ring<dispatch::attempt_cancel> m_cancellations;
+    // Decision duty to the duty that calls upstreams under leases. Full: the call is
+    // handed back as lost.
+    wake_descriptor m_call_wake;
+    runtime::bounded_ring<lease::upstream_call> m_upstream_calls;
+    // Decision duty to the duty that serves callers on one thread. Full: dropped; the
+    // caller's connection ends without an answer.
+    wake_descriptor m_answer_wake;
+    runtime::bounded_ring<caller_answer> m_answers;
     // Decision duty to the peer duty. Full: a report is dropped, anything else is handed
     // back as peer_disconnected.
     wake_descriptor m_peer_wake;
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -39,8 +39,25 @@
     context.m_daemon.m_cancellations.try_push(std::move(cancel));
 }
 
+void perform(action_context & context, lease::upstream_call & call)
+{
+    lease::upstream_reply reply;
+    reply.m_number = call.m_number;
+    reply.m_upstream = call.m_upstream;
+    if (!context.m_daemon.m_upstream_calls.try_push(std::move(call)))
+    {
+        context.m_returned.emplace_back(decision::upstream_replied{std::move(reply)});
+    }
+}
+
 void perform(action_context & context, decision::answer_caller & answer)
 {
+    if (context.m_daemon.m_state.m_identity.m_leases_upstreams)
+    {
+        context.m_daemon.m_answers.try_push(
+            {answer.m_caller, std::move(answer.m_answer)});
+        return;
+    }
     std::size_t const index = answer.m_caller & 0xffff'ffff;
     context.m_daemon.m_replies[index].try_push(
         {answer.m_caller, std::move(answer.m_answer)});
@@ -143,7 +160,9 @@
         return;
     }
     bool const waited = runtime::read_boot_clock() - started >= longest_start;
-    context.m_ready = waited || decision::knows_every_owner(context.m_state);
+    context.m_ready = context.m_state.m_identity.m_leases_upstreams
+                          ? decision::can_serve(context.m_state)
+                          : waited || decision::knows_every_owner(context.m_state);
 }
 
 /// Time between two samples of the state for the metrics.
@@ -156,8 +175,7 @@
     sample.m_counters = state.m_dispatch.m_counters;
     sample.m_load = dispatch::current_load(state.m_dispatch);
     sample.m_open_jobs = state.m_open_jobs.size();
-    sample.m_live_members =
-        membership::live_members(state.m_membership, state.m_identity.m_domain).size();
+    sample.m_live_members = membership::near_members(state.m_membership).size();
     for (ownership::shard_state const & shard : state.m_ownership.m_shards)
     {
         sample.m_served_shards +=
--- a/src/entry/operator_endpoints.cpp
+++ b/src/entry/operator_endpoints.cpp
@@ -65,7 +65,7 @@
     }
 
     /// \returns the session, or nullptr when all were in use.
-    platform::configuration_session * get() noexcept
+    store::configuration_session * get() noexcept
     {
         return m_session ? &*m_session : nullptr;
     }
@@ -73,7 +73,7 @@
 private:
     operator_state & m_state;
     std::optional<operator_ticket> m_ticket;
-    std::optional<platform::configuration_session> m_session;
+    std::optional<store::configuration_session> m_session;
 };
 
 int http_status(std::error_code error) noexcept
@@ -155,28 +155,28 @@
 
 /// Reads the newest document. Without the store the one that the session read last is
 /// served and \p stale is set. \returns an error when there is none.
-std::error_code read_document(platform::configuration_session & session, bool & stale)
+std::error_code read_document(store::configuration_session & session, bool & stale)
 {
-    std::error_code const error = platform::refresh(session);
+    std::error_code const error = store::refresh(session);
     stale = static_cast<bool>(error);
     return session.m_feed.m_sections.empty() ? error : std::error_code();
 }
 
-http::response serve_document(platform::configuration_session & session)
+http::response serve_document(store::configuration_session & session)
 {
     bool stale = false;
     if (std::error_code const error = read_document(session, stale))
     {
         return refuse(error);
     }
-    std::uint64_t const version = platform::document_version(session.m_feed);
+    std::uint64_t const version = store::document_version(session.m_feed);
     return {200,
             "application/json",
             {make_etag(version)},
-            format_document(version, stale, platform::list_sections(session.m_feed))};
+            format_document(version, stale, store::list_sections(session.m_feed))};
 }
 
-http::response serve_section(platform::configuration_session & session,
+http::response serve_section(store::configuration_session & session,
                              std::string_view name)
 {
     bool stale = false;
@@ -184,7 +184,7 @@
     {
         return refuse(error);
     }
-    auto const sections = platform::list_sections(session.m_feed);
+    auto const sections = store::list_sections(session.m_feed);
     config::section_state const * const found = config::find_state(sections, name);
     if (found == nullptr)
     {
@@ -196,10 +196,10 @@
             format_section(*found, stale)};
 }
 
-http::response serve_history(platform::configuration_session & session)
+http::response serve_history(store::configuration_session & session)
 {
-    std::vector<platform::history_entry> history;
-    if (std::error_code const error = platform::read_history(session.m_client, history))
+    std::vector<store::history_entry> history;
+    if (std::error_code const error = store::read_history(session.m_client, history))
     {
         return refuse(error);
     }
@@ -244,7 +244,7 @@
 }
 
 http::response answer_edit(config::section_edit const & edit,
-                           platform::edit_result const & result)
+                           store::edit_result const & result)
 {
     if (result.m_check.m_error)
     {
@@ -255,8 +255,8 @@
 }
 
 /// Serves PUT and DELETE of a section.
-http::response edit_section(platform::configuration_session & session,
-                            std::string_view name, http::request const & received)
+http::response edit_section(store::configuration_session & session, std::string_view name,
+                            http::request const & received)
 {
     config::section_edit edit;
     edit.m_section = name;
@@ -270,10 +270,10 @@
         edit.m_text = received.m_body;
     }
     return answer_edit(
-        edit, platform::apply_edit(session, edit, std::chrono::system_clock::now()));
+        edit, store::apply_edit(session, edit, std::chrono::system_clock::now()));
 }
 
-http::response drain_upstream(platform::configuration_session & session,
+http::response drain_upstream(store::configuration_session & session,
                               std::string_view draining, http::request const & received)
 {
     config::section_edit edit;
@@ -284,7 +284,7 @@
     }
     edit.m_section = "upstream." + upstream;
     read_credentials(received, edit);
-    platform::edit_result const result = platform::apply_key(
+    store::edit_result const result = store::apply_key(
         session, edit, "draining", draining, std::chrono::system_clock::now());
     if (result.m_check.m_error)
     {
@@ -320,7 +320,7 @@
 }
 
 /// Serves what needs the platform.
-http::response serve_with_session(platform::configuration_session & session,
+http::response serve_with_session(store::configuration_session & session,
                                   http::request const & received)
 {
     std::string_view const path = received.m_path;
@@ -357,7 +357,7 @@
     for (std::size_t index = 0; index < internal::session_count; ++index)
     {
         std::seed_seq seed{device(), device(), device(), device()};
-        platform::configuration_session session;
+        store::configuration_session session;
         session.m_client.m_address = context.m_settings.m_platform_address;
         session.m_client.m_caller = context.m_settings.m_instance;
         session.m_random = random_source(seed);
@@ -388,7 +388,7 @@
         return internal::serve_status(state, stopping);
     }
     internal::session_lease lease(state);
-    platform::configuration_session * const session = lease.get();
+    store::configuration_session * const session = lease.get();
     return session == nullptr ? internal::refuse(config::config_errc::overloaded)
                               : internal::serve_with_session(*session, received);
 }
--- a/src/entry/operator_endpoints.hpp
+++ b/src/entry/operator_endpoints.hpp
@@ -4,7 +4,7 @@
 #include "entry/context.hpp"
 
 #include <cassiahub/http/message.hpp>
-#include <cassiahub/platform/configuration_edit.hpp>
+#include <cassiahub/store/configuration_edit.hpp>
 
 #include <string_view>
 
@@ -26,7 +26,7 @@
     // operators occupy while the store is slow.
     runtime::bounded_ring<operator_ticket> m_tickets;
     // Empty: a request with a ticket waits a short time and is then refused.
-    runtime::bounded_ring<platform::configuration_session> m_sessions;
+    runtime::bounded_ring<store::configuration_session> m_sessions;
 };
 
 /// \returns true for the paths that serve_operator() serves.
--- a/src/entry/operator_json.cpp
+++ b/src/entry/operator_json.cpp
@@ -63,10 +63,10 @@
     return internal::dump(object);
 }
 
-std::string format_history(std::span<platform::history_entry const> history)
+std::string format_history(std::span<store::history_entry const> history)
 {
     internal::json list = internal::json::array();
-    for (platform::history_entry const & entry : history)
+    for (store::history_entry const & entry : history)
     {
         list.push_back({{"edit", entry.m_edit},
                         {"version", entry.m_version},
--- a/src/entry/operator_json.hpp
+++ b/src/entry/operator_json.hpp
@@ -2,7 +2,7 @@
 #define CASSIAHUB_ENTRY_OPERATOR_JSON_HPP
 
 #include <cassiahub/config/section_edit.hpp>
-#include <cassiahub/platform/configuration_edit.hpp>
+#include <cassiahub/store/configuration_edit.hpp>
 
 #include <cstdint>
 #include <span>
@@ -31,7 +31,7 @@
 
 std::string format_section(config::section_state const & section, bool stale);
 
-std::string format_history(std::span<platform::history_entry const> history);
+std::string format_history(std::span<store::history_entry const> history);
 
 std::string format_accepted(std::string_view section, std::uint64_t version);
 
--- a/src/entry/platform_duty.cpp
+++ b/src/entry/store_duty.cpp
@@ -1,7 +1,7 @@
 #include "entry/duties.hpp"
 
 #include <cassiahub/config.hpp>
-#include <cassiahub/platform.hpp>
+#include <cassiahub/store.hpp>
 
 #include <optional>
 #include <string>
@@ -14,9 +14,9 @@
 namespace internal
 {
 
-platform::client make_client(daemon_context const & context)
+store::client make_client(daemon_context const & context)
 {
-    platform::client client;
+    store::client client;
     client.m_address = context.m_settings.m_platform_address;
     client.m_caller = context.m_settings.m_instance;
     return client;
@@ -45,43 +45,43 @@
         stop);
 }
 
-void poll_configuration(daemon_context & context, platform::client & client,
-                        platform::configuration_feed & feed, std::stop_token const & stop)
+void poll_configuration(daemon_context & context, store::client & client,
+                        store::configuration_feed & feed, std::stop_token const & stop)
 {
     codec::table_rows rows;
-    if (!platform::read_rows(client, platform::configuration_row_prefix, feed.m_sequence,
-                             rows) &&
-        platform::merge_sections(feed, rows))
+    if (!store::read_rows(client, store::configuration_row_prefix, feed.m_sequence,
+                          rows) &&
+        store::merge_sections(feed, rows))
     {
-        submit_document(context, platform::document_version(feed),
-                        platform::assemble_document(feed), stop);
+        submit_document(context, store::document_version(feed),
+                        store::assemble_document(feed), stop);
     }
 }
 
 /// \param listed the list that was read last; it is handed over again when it has not
 /// changed, because a member that is listed no longer is forgotten after a time.
-void poll_instances(daemon_context & context, platform::client & client,
+void poll_instances(daemon_context & context, store::client & client,
                     decision::instances_listed & listed, std::stop_token const & stop)
 {
-    if (!platform::list_instances(client, listed.m_instances))
+    if (!store::list_instances(client, listed.m_instances))
     {
         context.m_events.push(decision::instances_listed(listed), stop);
     }
 }
 
-decision::store_answered perform(platform::client & client,
+decision::store_answered perform(store::client & client,
                                  decision::write_store const & write)
 {
     decision::store_answered answer{write.m_request, {}, {}};
-    answer.m_outcome = platform::write_rows(client, write, answer.m_rows);
+    answer.m_outcome = store::write_rows(client, write, answer.m_rows);
     return answer;
 }
 
-decision::store_answered perform(platform::client & client,
+decision::store_answered perform(store::client & client,
                                  decision::read_store const & read)
 {
     codec::table_rows rows;
-    if (platform::read_rows(client, read.m_prefix, 0, rows))
+    if (store::read_rows(client, read.m_prefix, 0, rows))
     {
         return {read.m_request, decision::store_outcome::unavailable, {}};
     }
@@ -98,8 +98,8 @@
 std::error_code run_platform_poller(daemon_context & context,
                                     std::stop_token const & stop)
 {
-    platform::client client = internal::make_client(context);
-    platform::configuration_feed feed;
+    store::client client = internal::make_client(context);
+    store::configuration_feed feed;
     decision::instances_listed listed;
     while (!stop.stop_requested())
     {
@@ -114,7 +114,7 @@
 {
     constexpr duration wait_period = std::chrono::seconds(60);
 
-    platform::client client = internal::make_client(context);
+    store::client client = internal::make_client(context);
     while (!stop.stop_requested())
     {
         std::optional<store_command> const command =
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -25,7 +25,8 @@
 };
 
 void write_event(telemetry_context & context, telemetry::log_level level,
-                 std::string_view code, std::string_view subject, std::error_code error)
+                 std::string_view code, std::string_view subject, std::error_code error,
+                 std::string_view detail = {})
 {
     telemetry::log_permission const permission =
         telemetry::admit_line(context.m_limiter, code, runtime::read_boot_clock());
@@ -35,8 +36,11 @@
     }
     std::string const message = error ? error.message() : std::string();
     std::string const suppressed = std::to_string(permission.m_suppressed_before);
-    std::array<telemetry::log_field, 3> const fields = {
-        {{"subject", subject}, {"error", message}, {"suppressed_before", suppressed}}};
+    std::array<telemetry::log_field, 4> const fields = {
+        {{"subject", subject},
+         {"error", message},
+         {"detail", detail},
+         {"suppressed_before", suppressed}}};
     telemetry::write_log(level, context.m_daemon.m_settings.m_instance, code, fields);
 }
 
@@ -45,7 +49,7 @@
     write_event(context,
                 event.m_error ? telemetry::log_level::warning
                               : telemetry::log_level::info,
-                event.m_code, event.m_subject, event.m_error);
+                event.m_code, event.m_subject, event.m_error, event.m_detail);
 }
 
 void take(telemetry_context & context, decision::observe_job & job)
--- /dev/null
+++ b/src/gateway/daemon.cpp
@@ -0,0 +1,96 @@
+#include "entry/duties.hpp"
+#include "gateway/context.hpp"
+
+#include <cassiahub/gateway/daemon.hpp>
+#include <cassiahub/runtime/supervisor.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::gateway
+{
+
+namespace internal
+{
+
+using runtime::child_spec;
+using runtime::restart_policy;
+using runtime::supervisor_spec;
+
+/// \param body run_... function of the gateway or of the entry module.
+template <typename Context>
+child_spec make_duty(std::string name, Context & context,
+                     std::error_code (*body)(Context &, std::stop_token const &))
+{
+    return {std::move(name),
+            [&context, body](std::stop_token const & stop)
+            { return body(context, stop); },
+            restart_policy::permanent};
+}
+
+/// \returns the child that supervises \p children. Failures of duties are recorded.
+child_spec make_group(std::string name, entry::daemon_context & daemon,
+                      std::vector<child_spec> children)
+{
+    supervisor_spec spec;
+    spec.m_name = std::move(name);
+    spec.m_children = std::move(children);
+    spec.m_observer = [&daemon](std::string_view child, runtime::child_event event,
+                                std::error_code cause)
+    {
+        if (event == runtime::child_event::failed)
+        {
+            record(daemon, decision::log_event{"duty_failed", std::string(child), cause});
+        }
+    };
+    return runtime::as_child(std::move(spec));
+}
+
+/// Start order: what others feed comes first. Stopping in reverse order lets the callers
+/// get their answers while everything behind them still runs.
+supervisor_spec make_root_supervisor(entry::daemon_context & daemon,
+                                     gateway_context & context)
+{
+    supervisor_spec spec;
+    spec.m_name = "gateway";
+    spec.m_children = {
+        make_group("telemetry", daemon,
+                   {make_duty("telemetry", daemon, entry::run_telemetry)}),
+        make_group("decision", daemon,
+                   {make_duty("decision", daemon, entry::run_decision)}),
+        make_group("peer", daemon, {make_duty("peer-exchange", daemon, entry::run_peer)}),
+        make_group("store", daemon,
+                   {make_duty("registry", context, run_registry),
+                    make_duty("document-checker", context, run_document_checker)}),
+        make_group("upstream", daemon,
+                   {make_duty("upstream-calls", context, run_upstream_calls)}),
+        make_group("caller", daemon, {make_duty("callers", context, run_callers)})};
+    return spec;
+}
+
+config::entry_settings to_entry_settings(config::gateway_settings const & settings)
+{
+    config::entry_settings entry;
+    entry.m_instance = settings.m_instance;
+    entry.m_domain = settings.m_domain;
+    entry.m_caller_address = settings.m_caller_address;
+    entry.m_peer_address = settings.m_peer_address;
+    entry.m_platform_address = settings.m_store_address;
+    entry.m_peer_secret = settings.m_peer_secret;
+    entry.m_caller_threads = 1; // callers are served by one duty
+    return entry;
+}
+
+} // namespace internal
+
+std::error_code run_daemon(config::gateway_settings const & settings,
+                           wire_format const & wire, std::stop_token const & stop)
+{
+    config::entry_settings const entry_settings = internal::to_entry_settings(settings);
+    entry::daemon_context daemon(entry_settings, true);
+    gateway_context context{daemon, settings, wire};
+    return runtime::supervise(internal::make_root_supervisor(daemon, context), stop);
+}
+
+} // namespace cassiahub::gateway
--- /dev/null
+++ b/src/gateway/dispatch_policy.cpp
@@ -0,0 +1,35 @@
+#include "gateway/dispatch_policy.hpp"
+
+namespace cassiahub::gateway
+{
+
+namespace internal
+{
+
+/// Attempts of one task, refused ones included. Failed runs are limited by the kind.
+constexpr std::uint32_t max_attempts = 10;
+/// Runs are only started again after their end, so retries add no parallel load.
+constexpr std::uint32_t retry_budget_percent = 100;
+constexpr std::uint32_t retry_reserve = 1000;
+constexpr duration retry_delay = std::chrono::milliseconds(4);
+/// Time that a forwarded task may wait at the peer: the age of a load report.
+constexpr duration forward_wait = std::chrono::milliseconds(60);
+/// Time after its deadline at which an attempt without a result frees its slot; longer
+/// than any lease.
+constexpr duration attempt_timeout_margin = std::chrono::seconds(2);
+
+} // namespace internal
+
+void apply_policy(config::fleet_configuration & configuration)
+{
+    config::dispatch_settings & settings = configuration.m_dispatch;
+    settings.m_max_attempts = internal::max_attempts;
+    settings.m_retry_budget_percent = internal::retry_budget_percent;
+    settings.m_retry_reserve = internal::retry_reserve;
+    settings.m_retry_delay = internal::retry_delay;
+    settings.m_hedge_budget_percent = 0; // two runs of a task must never overlap
+    settings.m_forward_wait = internal::forward_wait;
+    settings.m_attempt_timeout_margin = internal::attempt_timeout_margin;
+}
+
+} // namespace cassiahub::gateway
--- /dev/null
+++ b/src/gateway/registration.cpp
@@ -0,0 +1,30 @@
+#include "gateway/registration.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cassiahub::gateway
+{
+
+std::string format_registration(registration const & entry)
+{
+    return nlohmann::json{{"domain", entry.m_domain},
+                          {"peer_address", entry.m_peer_address}}
+        .dump();
+}
+
+std::optional<registration> parse_registration(std::string_view text)
+{
+    nlohmann::json const parsed = nlohmann::json::parse(text, nullptr, false);
+    bool const complete = parsed.is_object() && parsed.contains("domain") &&
+                          parsed.contains("peer_address") &&
+                          parsed["domain"].is_string() &&
+                          parsed["peer_address"].is_string();
+    if (!complete)
+    {
+        return std::nullopt;
+    }
+    return registration{parsed["domain"].get<std::string>(),
+                        parsed["peer_address"].get<std::string>()};
+}
+
+} // namespace cassiahub::gateway
--- /dev/null
+++ b/src/gateway/registry.cpp
@@ -0,0 +1,345 @@
+#include "gateway/context.hpp"
+#include "gateway/event_loop.hpp"
+#include "gateway/registration.hpp"
+
+#include <cassiahub/http/async_client.hpp>
+#include <cassiahub/http/error.hpp>
+#include <cassiahub/store/error.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::gateway
+{
+
+namespace internal
+{
+
+/// Time that the store is asked to wait for a change. Shorter than the time in which a
+/// configuration has to be in force, since a silent connection shows only at its end.
+constexpr duration watch_wait = std::chrono::milliseconds(1000);
+/// Time for a reply beyond the wait. A slow store takes some hundred milliseconds.
+constexpr duration reply_timeout = std::chrono::milliseconds(900);
+/// Pause between two watches of a table whose rows change all the time. Changes meanwhile
+/// come with the next watch; an upstream that drains is noticed well within 2 s.
+constexpr duration upstream_watch_pause = std::chrono::milliseconds(700);
+/// Period in which this instance renews its registration; a third of
+/// membership::registration_timeout.
+constexpr duration registration_period = std::chrono::milliseconds(1000);
+/// Period in which the registrations of the others are read.
+constexpr duration listing_period = std::chrono::milliseconds(1000);
+/// The same while no other instance has been found.
+constexpr duration first_listing_period = std::chrono::milliseconds(150);
+/// Pause after a failed request; it doubles with each failure up to the last one.
+constexpr duration first_pause = std::chrono::milliseconds(60);
+constexpr duration last_pause = std::chrono::milliseconds(500);
+/// Two watches, a listing and a renewal may be open at the same time.
+constexpr std::size_t store_connections = 6;
+
+/// A table that is followed by watches.
+struct followed_table
+{
+    store_table m_table = store_table::configuration;
+    std::map<std::string, std::string> m_rows;
+    std::uint64_t m_version = 0;
+    bool m_read = false; ///< a whole read has succeeded since the last loss of history
+    std::uint32_t m_failures = 0;
+    duration m_pause{0};                        ///< between two watches
+    std::map<std::string, std::string> m_pages; ///< of the read in progress
+    std::unique_ptr<boost::asio::steady_timer> m_timer;
+};
+
+struct registry_state
+{
+    gateway_context & m_context;
+    std::stop_token m_stop;
+    boost::asio::io_context m_loop{1};
+    http::async_client m_client{};
+    followed_table m_configuration{};
+    followed_table m_upstreams{};
+    boost::asio::steady_timer m_registration_timer{m_loop};
+    boost::asio::steady_timer m_listing_timer{m_loop};
+    bool m_in_contact = true;
+    std::size_t m_listed = 0;
+};
+
+using rows_handler = std::function<void(store_status, store_rows)>;
+
+void push(registry_state & state, decision::event occurred)
+{
+    state.m_context.m_daemon.m_events.push(std::move(occurred), state.m_stop);
+}
+
+/// Logs a lost or regained store.
+void note_contact(registry_state & state, bool reached, std::error_code error)
+{
+    if (std::exchange(state.m_in_contact, reached) != reached)
+    {
+        record(state.m_context.m_daemon,
+               decision::log_event{reached ? "store_regained" : "store_lost",
+                                   state.m_context.m_settings.m_store_address, error});
+    }
+}
+
+void send(registry_state & state, http::request sent, duration wait, rows_handler handler)
+{
+    http::send_request(
+        *state.m_client, state.m_context.m_settings.m_store_address, std::move(sent),
+        wait + reply_timeout,
+        [&state, handler = std::move(handler)](std::error_code error,
+                                               http::response received)
+        {
+            store_rows rows;
+            store_status const status =
+                error ? store_status::refused
+                      : state.m_context.m_wire.read_rows(received, rows);
+            note_contact(state, status == store_status::done,
+                         error ? error : std::error_code(store::store_errc::unavailable));
+            if (status == store_status::done && rows.m_clock_ms > 0)
+            {
+                push(state, decision::fleet_clock_read{rows.m_clock_ms});
+            }
+            handler(status, std::move(rows));
+        });
+}
+
+void publish_configuration(registry_state & state)
+{
+    std::string const key(state.m_context.m_wire.configuration_key());
+    auto const found = state.m_configuration.m_rows.find(key);
+    if (found != state.m_configuration.m_rows.end())
+    {
+        submit_document(state.m_context, found->second, state.m_stop);
+    }
+}
+
+void publish_upstreams(registry_state & state)
+{
+    decision::upstreams_discovered discovered;
+    for (auto const & [key, value] : state.m_upstreams.m_rows)
+    {
+        if (auto upstream = state.m_context.m_wire.read_upstream(key, value))
+        {
+            discovered.m_upstreams.push_back(std::move(*upstream));
+        }
+    }
+    push(state, std::move(discovered));
+}
+
+void publish(registry_state & state, followed_table const & table)
+{
+    if (table.m_table == store_table::configuration)
+    {
+        publish_configuration(state);
+    }
+    else
+    {
+        publish_upstreams(state);
+    }
+}
+
+void call_after(boost::asio::steady_timer & timer, duration pause,
+                std::function<void()> call)
+{
+    timer.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(pause));
+    timer.async_wait(
+        [call = std::move(call)](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                call();
+            }
+        });
+}
+
+void follow(registry_state & state, followed_table & table);
+
+void follow_after_pause(registry_state & state, followed_table & table)
+{
+    duration const pause = std::min<duration>(
+        first_pause * (1 << std::min<std::uint32_t>(table.m_failures, 6)), last_pause);
+    ++table.m_failures;
+    call_after(*table.m_timer, pause, [&state, &table] { follow(state, table); });
+}
+
+void read_table(registry_state & state, followed_table & table, std::string from)
+{
+    auto on_rows = [&state, &table](store_status status, store_rows rows)
+    {
+        if (status != store_status::done)
+        {
+            follow_after_pause(state, table);
+            return;
+        }
+        for (store_row & row : rows.m_rows)
+        {
+            table.m_pages[row.m_key] = std::move(row.m_value);
+        }
+        if (rows.m_more && !rows.m_rows.empty())
+        {
+            // The next key in byte order after the last one.
+            read_table(state, table, rows.m_rows.back().m_key + '!');
+            return;
+        }
+        table.m_rows = std::exchange(table.m_pages, {});
+        // Pages are read one after the other, so the first one bounds what is known.
+        table.m_version = rows.m_version;
+        table.m_read = true;
+        table.m_failures = 0;
+        publish(state, table);
+        follow(state, table);
+    };
+    send(state, state.m_context.m_wire.write_read(table.m_table, from), duration::zero(),
+         std::move(on_rows));
+}
+
+void apply_changes(registry_state & state, followed_table & table, store_rows rows)
+{
+    table.m_failures = 0;
+    table.m_version = std::max(table.m_version, rows.m_version);
+    for (store_row & row : rows.m_rows)
+    {
+        if (row.m_removed)
+        {
+            table.m_rows.erase(row.m_key);
+        }
+        else
+        {
+            table.m_rows[row.m_key] = std::move(row.m_value);
+        }
+    }
+    if (!rows.m_rows.empty())
+    {
+        publish(state, table);
+    }
+}
+
+void watch_table(registry_state & state, followed_table & table)
+{
+    auto on_rows = [&state, &table](store_status status, store_rows rows)
+    {
+        if (status == store_status::done)
+        {
+            apply_changes(state, table, std::move(rows));
+            call_after(*table.m_timer, table.m_pause,
+                       [&state, &table] { follow(state, table); });
+            return;
+        }
+        table.m_read = table.m_read && status != store_status::history_lost;
+        follow_after_pause(state, table);
+    };
+    send(state,
+         state.m_context.m_wire.write_watch(table.m_table, table.m_version, watch_wait),
+         watch_wait, std::move(on_rows));
+}
+
+void follow(registry_state & state, followed_table & table)
+{
+    if (table.m_read)
+    {
+        watch_table(state, table);
+    }
+    else
+    {
+        table.m_pages.clear();
+        read_table(state, table, {});
+    }
+}
+
+void renew_registration(registry_state & state)
+{
+    config::gateway_settings const & settings = state.m_context.m_settings;
+    std::string const value =
+        format_registration({settings.m_domain, settings.m_peer_address});
+    send(state,
+         state.m_context.m_wire.write_row(store_table::instances, settings.m_instance,
+                                          value),
+         duration::zero(),
+         [&state](store_status status, store_rows const &)
+         {
+             bool const done = status == store_status::done;
+             call_after(state.m_registration_timer,
+                        done ? registration_period : last_pause,
+                        [&state] { renew_registration(state); });
+         });
+}
+
+void publish_instances(registry_state & state, store_rows const & rows)
+{
+    decision::instances_listed listed;
+    for (store_row const & row : rows.m_rows)
+    {
+        if (auto entry = parse_registration(row.m_value))
+        {
+            listed.m_instances.push_back({row.m_key, std::move(entry->m_domain),
+                                          std::move(entry->m_peer_address), true, false,
+                                          row.m_version});
+        }
+    }
+    state.m_listed = listed.m_instances.size();
+    push(state, std::move(listed));
+}
+
+void list_instances(registry_state & state)
+{
+    send(state, state.m_context.m_wire.write_read(store_table::instances, {}),
+         duration::zero(),
+         [&state](store_status status, store_rows const & rows)
+         {
+             if (status == store_status::done)
+             {
+                 publish_instances(state, rows);
+             }
+             call_after(state.m_listing_timer,
+                        state.m_listed > 1 ? listing_period : first_listing_period,
+                        [&state] { list_instances(state); });
+         });
+}
+
+/// Removes the registration, so that the others need not wait for it to expire.
+void remove_registration(registry_state & state)
+{
+    bool answered = false;
+    send(state,
+         state.m_context.m_wire.write_row(store_table::instances,
+                                          state.m_context.m_settings.m_instance, {}),
+         duration::zero(),
+         [&answered](store_status, store_rows const &) { answered = true; });
+    state.m_loop.restart();
+    auto const limit = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+    while (!answered && std::chrono::steady_clock::now() < limit)
+    {
+        state.m_loop.run_one_until(limit);
+    }
+}
+
+} // namespace internal
+
+std::error_code run_registry(gateway_context & context, std::stop_token const & stop)
+{
+    using namespace internal;
+    registry_state state{context, stop};
+    http::async_client_options options;
+    options.m_connections = store_connections;
+    options.m_connect_timeout = reply_timeout;
+    state.m_client = http::make_async_client(state.m_loop, options);
+    state.m_upstreams.m_table = store_table::upstreams;
+    state.m_upstreams.m_pause = upstream_watch_pause;
+    for (followed_table * const table : {&state.m_configuration, &state.m_upstreams})
+    {
+        table->m_timer = std::make_unique<boost::asio::steady_timer>(state.m_loop);
+        follow(state, *table);
+    }
+    renew_registration(state);
+    list_instances(state);
+    run_until_stopped(state.m_loop, stop);
+    remove_registration(state);
+    return {};
+}
+
+} // namespace cassiahub::gateway
--- /dev/null
+++ b/src/lease/runs.cpp
@@ -0,0 +1,209 @@
+#include "lease/runs.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cassiahub::lease::internal
+{
+
+using dispatch::attempt_outcome;
+
+namespace
+{
+
+attempt_outcome outcome_of(end_cause cause) noexcept
+{
+    switch (cause)
+    {
+    case end_cause::succeeded:
+        return attempt_outcome::succeeded;
+    case end_cause::failed:
+        return attempt_outcome::failed;
+    case end_cause::stopped:
+    case end_cause::lapsed:
+    case end_cause::broken:
+        return attempt_outcome::interrupted;
+    }
+    return attempt_outcome::interrupted;
+}
+
+ordered_run * find_run(upstream_session & session, task_name const & task,
+                       std::uint64_t generation)
+{
+    auto const found = session.m_runs.find(task);
+    return found != session.m_runs.end() && found->second.m_generation == generation
+               ? &found->second
+               : nullptr;
+}
+
+void receive_start_reply(session_context & context, task_name const & task,
+                         ordered_run & run, call_outcome outcome)
+{
+    switch (outcome)
+    {
+    case call_outcome::accepted:
+        run.m_uncertain = false;
+        run.m_progress_at = context.m_now;
+        if (run.m_phase == run_phase::starting)
+        {
+            run.m_phase = run_phase::running;
+        }
+        break;
+    case call_outcome::lost:
+        if (run.m_uncertain && run.m_phase == run_phase::starting)
+        {
+            ++context.m_state.m_uncertain;
+            log_session(context, "start_without_reply", task.m_job);
+            stop_run(context, task, run);
+        }
+        break;
+    default:
+        finish_run(context, task, attempt_outcome::not_run);
+    }
+}
+
+void note_listed(session_context & context, listed_run const & listed, ordered_run & run)
+{
+    run.m_uncertain = false;
+    if (run.m_phase == run_phase::starting)
+    {
+        run.m_phase = run_phase::running;
+    }
+    if (run.m_percent != listed.m_percent || run.m_progress_at == time_point())
+    {
+        run.m_percent = listed.m_percent;
+        run.m_progress_at = context.m_now;
+    }
+    else if (run.m_phase == run_phase::running &&
+             context.m_now - run.m_progress_at > stall_timeout)
+    {
+        ++context.m_state.m_stalled;
+        log_session(context, "run_stalled", listed.m_run.m_task.m_job,
+                    std::to_string(listed.m_percent) + "%");
+        stop_run(context, listed.m_run.m_task, run);
+    }
+}
+
+bool is_listed(upstream_reply const & reply, task_name const & task,
+               std::uint64_t generation)
+{
+    return std::any_of(reply.m_running.begin(), reply.m_running.end(),
+                       [&](listed_run const & listed) {
+                           return listed.m_run.m_generation == generation &&
+                                  listed.m_run.m_task == task;
+                       });
+}
+
+/// Settles runs that the upstream should list and does not.
+void settle_absent(session_context & context, upstream_reply const & reply,
+                   time_point sent_at)
+{
+    std::vector<std::pair<task_name, attempt_outcome>> absent;
+    for (auto const & [task, run] : context.m_session.m_runs)
+    {
+        // A reply that was asked for earlier says nothing of a later order.
+        bool const known =
+            run.m_phase == run_phase::stopping
+                ? run.m_stop_accepted && run.m_stop_sent_at < sent_at
+                : run.m_phase == run_phase::running && run.m_progress_at < sent_at;
+        if (known && !is_listed(reply, task, run.m_generation))
+        {
+            absent.emplace_back(task, run.m_uncertain ? attempt_outcome::not_run
+                                                      : attempt_outcome::interrupted);
+        }
+    }
+    for (auto const & [task, outcome] : absent)
+    {
+        finish_run(context, task, outcome);
+    }
+}
+
+} // namespace
+
+void finish_run(session_context & context, task_name const & task,
+                attempt_outcome outcome)
+{
+    auto const found = context.m_session.m_runs.find(task);
+    if (found == context.m_session.m_runs.end())
+    {
+        return;
+    }
+    attempt_id const attempt = found->second.m_attempt;
+    context.m_session.m_runs.erase(found);
+    context.m_state.m_attempts.erase(attempt);
+    context.m_out.m_results.push_back({attempt, outcome, {}, false});
+}
+
+void finish_all_runs(session_context & context, attempt_outcome outcome)
+{
+    while (!context.m_session.m_runs.empty())
+    {
+        task_name const task = context.m_session.m_runs.begin()->first;
+        finish_run(context, task, outcome);
+    }
+}
+
+void stop_run(session_context & context, task_name const & task, ordered_run & run)
+{
+    run.m_phase = run_phase::stopping;
+    run.m_stop_sent_at = context.m_now;
+    run.m_stop_accepted = false;
+    send_stop(context, {task, run.m_generation});
+}
+
+void receive_order_reply(session_context & context, pending_call const & call,
+                         call_outcome outcome)
+{
+    ordered_run * const run = find_run(context.m_session, call.m_task, call.m_generation);
+    if (run == nullptr)
+    {
+        return;
+    }
+    if (call.m_is_start)
+    {
+        receive_start_reply(context, call.m_task, *run, outcome);
+    }
+    else if (outcome == call_outcome::accepted)
+    {
+        run->m_stop_accepted = true;
+        if (run->m_uncertain)
+        {
+            // The renewal in flight may have been asked for before the stop.
+            send_renewal(context, duration::zero(), true);
+        }
+    }
+}
+
+std::size_t receive_lists(session_context & context, upstream_reply const & reply,
+                          time_point sent_at)
+{
+    upstream_session & session = context.m_session;
+    for (listed_end const & end : reply.m_ended)
+    {
+        session.m_acknowledged = std::max(session.m_acknowledged, end.m_number);
+        if (find_run(session, end.m_run.m_task, end.m_run.m_generation) != nullptr)
+        {
+            finish_run(context, end.m_run.m_task, outcome_of(end.m_cause));
+        }
+    }
+    std::size_t foreign = 0;
+    for (listed_run const & listed : reply.m_running)
+    {
+        ordered_run * const run =
+            find_run(session, listed.m_run.m_task, listed.m_run.m_generation);
+        if (run != nullptr)
+        {
+            note_listed(context, listed, *run);
+        }
+        else
+        {
+            ++foreign;
+            send_stop(context, listed.m_run);
+        }
+    }
+    settle_absent(context, reply, sent_at);
+    return foreign;
+}
+
+} // namespace cassiahub::lease::internal
--- /dev/null
+++ b/src/lease/session_calls.cpp
@@ -0,0 +1,89 @@
+#include "lease/session_calls.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::lease::internal
+{
+
+namespace
+{
+
+call_number send_call(session_context & context, duration timeout, pending_call pending,
+                      std::variant<start_call, stop_call, renew_call> body)
+{
+    upstream_session const & session = context.m_session;
+    call_number const number = context.m_state.m_next_call++;
+    pending.m_upstream = session.m_name;
+    pending.m_token = session.m_token;
+    pending.m_sent_at = context.m_now;
+    context.m_state.m_pending.emplace(number, std::move(pending));
+    context.m_out.m_calls.push_back({number, session.m_name, session.m_address,
+                                     session.m_token, timeout, std::move(body)});
+    return number;
+}
+
+upstream_clock extend_lease(session_context & context)
+{
+    upstream_session & session = context.m_session;
+    session.m_lease_until = std::max(
+        session.m_lease_until, current_clock(session, context.m_now) + lease_length_ms);
+    return session.m_lease_until;
+}
+
+} // namespace
+
+upstream_clock current_clock(upstream_session const & session, time_point now) noexcept
+{
+    return session.m_clock + to_milliseconds(now - session.m_clock_at);
+}
+
+time_point lapse_time(upstream_session const & session) noexcept
+{
+    double const remaining = static_cast<double>(session.m_lease_until - session.m_clock);
+    auto const longest = std::chrono::duration<double, std::milli>(
+        std::max(0.0, remaining) * (1 + 2 * clock_rate_error));
+    return session.m_clock_at + std::chrono::duration_cast<duration>(longest) +
+           lapse_margin;
+}
+
+void send_start(session_context & context, run_name run, std::string payload)
+{
+    pending_call pending;
+    pending.m_task = run.m_task;
+    pending.m_generation = run.m_generation;
+    pending.m_is_start = true;
+    upstream_clock const until = extend_lease(context);
+    send_call(context, order_timeout, std::move(pending),
+              start_call{std::move(run), std::move(payload), until});
+}
+
+void send_stop(session_context & context, run_name run)
+{
+    pending_call pending;
+    pending.m_task = run.m_task;
+    pending.m_generation = run.m_generation;
+    send_call(context, order_timeout, std::move(pending), stop_call{std::move(run)});
+}
+
+void send_renewal(session_context & context, duration wait, bool extend)
+{
+    upstream_session & session = context.m_session;
+    renew_call call;
+    call.m_acknowledged = session.m_acknowledged;
+    call.m_wait = wait;
+    if (extend)
+    {
+        call.m_lease_until = extend_lease(context);
+    }
+    session.m_renewal = send_call(context, wait + renewal_slack, {}, call);
+}
+
+void log_session(session_context & context, std::string_view code, std::string job,
+                 std::string detail)
+{
+    context.m_out.m_events.push_back(
+        {code, context.m_session.m_name, std::move(job), std::move(detail)});
+}
+
+} // namespace cassiahub::lease::internal
--- /dev/null
+++ b/src/lease/session_calls.hpp
@@ -0,0 +1,58 @@
+#ifndef CASSIAHUB_SRC_LEASE_SESSION_CALLS_HPP
+#define CASSIAHUB_SRC_LEASE_SESSION_CALLS_HPP
+
+#include <cassiahub/lease/effects.hpp>
+#include <cassiahub/lease/state.hpp>
+
+namespace cassiahub::lease::internal
+{
+
+/// Longest lease that an upstream grants.
+constexpr std::int64_t lease_length_ms = 1000;
+/// An upstream's clock may be this much slower than this instance's.
+constexpr double clock_rate_error = 0.02;
+/// Added to a lease before its runs count as ended: scheduling of both processes.
+constexpr duration lapse_margin = std::chrono::milliseconds(30);
+/// A renewal waits this long for an end when nothing runs.
+constexpr duration idle_renewal_wait = std::chrono::milliseconds(500);
+/// A renewal waits this long for an end while something runs. It leaves time for two
+/// more attempts within the lease.
+constexpr duration busy_renewal_wait = std::chrono::milliseconds(250);
+/// Time for a reply beyond the wait that the upstream was asked for.
+constexpr duration renewal_slack = std::chrono::milliseconds(250);
+/// A start or a stop without a reply for this long counts as lost.
+constexpr duration order_timeout = std::chrono::milliseconds(150);
+/// Time between two stops of the same run.
+constexpr duration stop_period = std::chrono::milliseconds(100);
+/// Time between two claims of an upstream that does not accept them.
+constexpr duration claim_period = std::chrono::milliseconds(250);
+/// Time between two looks while runs of an earlier owner are being stopped.
+constexpr duration eviction_period = std::chrono::milliseconds(20);
+
+/// Arguments that every function of a session needs.
+struct session_context
+{
+    lease_state & m_state;
+    upstream_session & m_session;
+    time_point m_now;
+    effects & m_out;
+};
+
+/// \returns the earliest time that the upstream's clock may show now.
+upstream_clock current_clock(upstream_session const & session, time_point now) noexcept;
+
+/// \returns the time after which no run of the session can have a lease.
+time_point lapse_time(upstream_session const & session) noexcept;
+
+void send_start(session_context & context, run_name run, std::string payload);
+void send_stop(session_context & context, run_name run);
+
+/// \param extend whether the lease of everything that runs there is extended.
+void send_renewal(session_context & context, duration wait, bool extend);
+
+void log_session(session_context & context, std::string_view code, std::string job = {},
+                 std::string detail = {});
+
+} // namespace cassiahub::lease::internal
+
+#endif
--- /dev/null
+++ b/src/lease/sessions.cpp
@@ -0,0 +1,398 @@
+#include "lease/runs.hpp"
+
+#include <cassiahub/lease/sessions.hpp>
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiahub::lease
+{
+
+namespace internal
+{
+
+using dispatch::attempt_outcome;
+
+/// Shortest time between two looks at every session.
+constexpr duration scan_period = std::chrono::milliseconds(10);
+
+void set_available(session_context & context, bool available)
+{
+    context.m_out.m_availability.push_back({context.m_session.m_name, available});
+}
+
+void leave_service(session_context & context, session_phase phase)
+{
+    if (context.m_session.m_phase == session_phase::serving)
+    {
+        set_available(context, false);
+    }
+    context.m_session.m_phase = phase;
+}
+
+/// Claims the upstream under \p token. Nothing of this instance runs there.
+void claim(session_context & context, std::uint64_t token)
+{
+    upstream_session & session = context.m_session;
+    BOOST_ASSERT(session.m_runs.empty());
+    leave_service(context, session_phase::claiming);
+    session.m_token = std::max(session.m_token, token);
+    session.m_acknowledged = 0;
+    session.m_lease_until = 0;
+    session.m_next_renewal = context.m_now + claim_period;
+    send_renewal(context, duration::zero(), false);
+}
+
+/// Gives up the session after its runs have ended for a cause of the upstream.
+void lose_upstream(session_context & context, attempt_outcome outcome,
+                   std::string_view code)
+{
+    upstream_session & session = context.m_session;
+    log_session(context, code, {}, std::to_string(session.m_runs.size()) + " runs");
+    finish_all_runs(context, outcome);
+    leave_service(context, session_phase::claiming);
+    session.m_renewal = 0;
+    session.m_next_renewal = context.m_now + claim_period;
+}
+
+/// The upstream was started again: it holds nothing of before.
+void adopt_incarnation(session_context & context, std::uint64_t incarnation)
+{
+    upstream_session & session = context.m_session;
+    if (session.m_incarnation != 0)
+    {
+        lose_upstream(context, attempt_outcome::interrupted, "upstream_restarted");
+        session.m_next_renewal = context.m_now;
+    }
+    session.m_incarnation = incarnation;
+    session.m_clock_at = {};
+}
+
+void note_clock(upstream_session & session, upstream_reply const & reply, time_point now)
+{
+    if (reply.m_clock &&
+        (session.m_clock_at == time_point() || *reply.m_clock >= session.m_clock))
+    {
+        session.m_clock = *reply.m_clock;
+        session.m_clock_at = now;
+    }
+}
+
+void continue_renewal(session_context & context)
+{
+    upstream_session & session = context.m_session;
+    if (session.m_wanted || !session.m_runs.empty())
+    {
+        send_renewal(context,
+                     session.m_runs.empty() ? idle_renewal_wait : busy_renewal_wait,
+                     true);
+    }
+}
+
+void receive_renewal(session_context & context, upstream_reply const & reply,
+                     time_point sent_at, bool current)
+{
+    upstream_session & session = context.m_session;
+    bool const claiming = session.m_phase == session_phase::claiming;
+    std::size_t const foreign = receive_lists(context, reply, sent_at);
+    session.m_failures = 0;
+    if (!current)
+    {
+        return;
+    }
+    session.m_renewal = 0;
+    if (claiming && foreign > 0)
+    {
+        session.m_next_renewal = context.m_now + eviction_period;
+        return;
+    }
+    if (session.m_phase != session_phase::serving && session.m_wanted)
+    {
+        log_session(context, claiming ? "upstream_claimed" : "upstream_regained", {},
+                    std::to_string(session.m_token));
+        session.m_phase = session_phase::serving;
+        set_available(context, true);
+    }
+    continue_renewal(context);
+}
+
+void receive_lost_renewal(session_context & context)
+{
+    upstream_session & session = context.m_session;
+    session.m_renewal = 0;
+    ++session.m_failures;
+    if (session.m_phase == session_phase::serving)
+    {
+        log_session(context, "upstream_silent");
+        leave_service(context, session_phase::silent);
+    }
+    session.m_next_renewal =
+        session.m_failures == 1 ? context.m_now : context.m_now + claim_period;
+}
+
+/// Handles outcomes that concern the whole session.
+/// \returns false when there is none and the reply itself is to be taken in.
+bool receive_session_failure(session_context & context, call_outcome outcome)
+{
+    switch (outcome)
+    {
+    case call_outcome::fenced:
+        // The new owner stops what runs there.
+        lose_upstream(context, attempt_outcome::unknown, "upstream_fenced");
+        return true;
+    case call_outcome::other_incarnation:
+        lose_upstream(context, attempt_outcome::interrupted, "upstream_replaced");
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool is_released(upstream_session const & session) noexcept
+{
+    return !session.m_wanted && session.m_runs.empty();
+}
+
+/// Repeats stops that had no effect.
+void repeat_stops(session_context & context)
+{
+    for (auto & [task, run] : context.m_session.m_runs)
+    {
+        if (run.m_phase == run_phase::stopping &&
+            context.m_now - run.m_stop_sent_at >= stop_period)
+        {
+            stop_run(context, task, run);
+        }
+    }
+}
+
+void scan_session(session_context & context, std::uint64_t token)
+{
+    upstream_session & session = context.m_session;
+    if (!session.m_runs.empty() && context.m_now >= lapse_time(session))
+    {
+        context.m_state.m_lapsed += session.m_runs.size();
+        lose_upstream(context, attempt_outcome::interrupted, "lease_lapsed");
+    }
+    if (session.m_phase != session_phase::claiming)
+    {
+        repeat_stops(context);
+    }
+    if (session.m_renewal != 0 || context.m_now < session.m_next_renewal ||
+        is_released(session))
+    {
+        return;
+    }
+    if (session.m_phase == session_phase::claiming)
+    {
+        claim(context, token);
+    }
+    else
+    {
+        send_renewal(context, duration::zero(), true);
+    }
+}
+
+/// Ends sessions that are released.
+void drop_released(lease_state & state, effects & out)
+{
+    std::erase_if(state.m_sessions,
+                  [&out](auto const & entry)
+                  {
+                      if (!is_released(entry.second))
+                      {
+                          return false;
+                      }
+                      out.m_availability.push_back({entry.first, false});
+                      out.m_events.push_back({"upstream_released", entry.first, {}, {}});
+                      return true;
+                  });
+}
+
+void open_session(lease_state & state, owned_upstream const & owned, std::uint64_t token,
+                  time_point now, effects & out)
+{
+    upstream_session & session = state.m_sessions[owned.m_name];
+    session_context context{state, session, now, out};
+    if (session.m_name.empty())
+    {
+        session.m_name = owned.m_name;
+        session.m_address = owned.m_address;
+        session.m_incarnation = owned.m_incarnation;
+        claim(context, token);
+        return;
+    }
+    bool const replaced = session.m_address != owned.m_address ||
+                          (owned.m_incarnation != 0 && session.m_incarnation != 0 &&
+                           owned.m_incarnation > session.m_incarnation);
+    if (replaced)
+    {
+        lose_upstream(context, attempt_outcome::interrupted, "upstream_replaced");
+        session.m_address = owned.m_address;
+        session.m_incarnation = owned.m_incarnation;
+        session.m_clock_at = {};
+        session.m_next_renewal = now;
+    }
+    session.m_wanted = true;
+    if (session.m_phase == session_phase::releasing)
+    {
+        session.m_phase = session_phase::serving;
+        set_available(context, true);
+    }
+}
+
+} // namespace internal
+
+void set_owned(lease_state & state, std::span<owned_upstream const> owned,
+               std::uint64_t token, time_point now, effects & out)
+{
+    for (auto & [name, session] : state.m_sessions)
+    {
+        bool const wanted = std::any_of(owned.begin(), owned.end(),
+                                        [&name = name](owned_upstream const & item)
+                                        { return item.m_name == name; });
+        if (!wanted && session.m_wanted)
+        {
+            internal::session_context context{state, session, now, out};
+            session.m_wanted = false;
+            if (session.m_phase == session_phase::serving)
+            {
+                internal::leave_service(context, session_phase::releasing);
+            }
+        }
+    }
+    for (owned_upstream const & item : owned)
+    {
+        internal::open_session(state, item, token, now, out);
+    }
+    internal::drop_released(state, out);
+}
+
+void start(lease_state & state, start_order order, time_point now, effects & out)
+{
+    auto const found = state.m_sessions.find(order.m_upstream);
+    if (found == state.m_sessions.end() ||
+        found->second.m_phase != session_phase::serving ||
+        found->second.m_runs.contains(order.m_run.m_task))
+    {
+        out.m_results.push_back(
+            {order.m_attempt, dispatch::attempt_outcome::not_run, {}, false});
+        return;
+    }
+    upstream_session & session = found->second;
+    ordered_run run;
+    run.m_attempt = order.m_attempt;
+    run.m_generation = order.m_run.m_generation;
+    run.m_ordered_at = now;
+    state.m_attempts[order.m_attempt] = {session.m_name, order.m_run.m_task};
+    session.m_runs.emplace(order.m_run.m_task, run);
+    internal::session_context context{state, session, now, out};
+    internal::send_start(context, std::move(order.m_run), std::move(order.m_payload));
+}
+
+void stop(lease_state & state, attempt_id const & attempt, time_point now, effects & out)
+{
+    auto const known = state.m_attempts.find(attempt);
+    if (known == state.m_attempts.end())
+    {
+        return;
+    }
+    auto const & [upstream, task] = known->second;
+    upstream_session & session = state.m_sessions.find(upstream)->second;
+    ordered_run & run = session.m_runs.at(task);
+    if (run.m_phase != run_phase::stopping)
+    {
+        internal::session_context context{state, session, now, out};
+        internal::stop_run(context, task, run);
+    }
+}
+
+void receive(lease_state & state, upstream_reply reply, time_point now, effects & out)
+{
+    auto const pending = state.m_pending.extract(reply.m_number);
+    if (!pending)
+    {
+        return;
+    }
+    pending_call const & call = pending.mapped();
+    auto const found = state.m_sessions.find(call.m_upstream);
+    if (found == state.m_sessions.end() || found->second.m_token != call.m_token)
+    {
+        return; // of an earlier session
+    }
+    upstream_session & session = found->second;
+    internal::session_context context{state, session, now, out};
+    bool const is_order = call.m_generation != 0;
+    bool const current = session.m_renewal == reply.m_number;
+    if (reply.m_incarnation != 0 && reply.m_incarnation != session.m_incarnation)
+    {
+        internal::adopt_incarnation(context, reply.m_incarnation);
+    }
+    internal::note_clock(session, reply, now);
+    if (internal::receive_session_failure(context, reply.m_outcome))
+    {
+        internal::drop_released(state, out);
+        return;
+    }
+    if (is_order)
+    {
+        internal::receive_order_reply(context, call, reply.m_outcome);
+    }
+    else if (reply.m_outcome == call_outcome::accepted)
+    {
+        internal::receive_renewal(context, reply, call.m_sent_at, current);
+    }
+    else if (current)
+    {
+        internal::receive_lost_renewal(context);
+    }
+    internal::drop_released(state, out);
+}
+
+void advance(lease_state & state, std::uint64_t token, time_point now, effects & out)
+{
+    if (now < state.m_next_scan)
+    {
+        return;
+    }
+    state.m_next_scan = now + internal::scan_period;
+    for (auto & [name, session] : state.m_sessions)
+    {
+        internal::session_context context{state, session, now, out};
+        internal::scan_session(context, token);
+    }
+    internal::drop_released(state, out);
+}
+
+std::vector<std::string> held_upstreams(lease_state const & state)
+{
+    std::vector<std::string> names;
+    for (auto const & [name, session] : state.m_sessions)
+    {
+        names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string_view> check_invariants(lease_state const & state)
+{
+    std::vector<std::string_view> broken;
+    std::size_t runs = 0;
+    for (auto const & [name, session] : state.m_sessions)
+    {
+        runs += session.m_runs.size();
+        if (session.m_phase == session_phase::claiming && !session.m_runs.empty())
+        {
+            broken.emplace_back("run_on_unclaimed_upstream");
+        }
+    }
+    if (runs != state.m_attempts.size())
+    {
+        broken.emplace_back("run_without_attempt");
+    }
+    return broken;
+}
+
+} // namespace cassiahub::lease
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -45,7 +45,7 @@
 {
     auto const peers = std::count_if(state.m_members.begin(), state.m_members.end(),
                                      [&state](auto const & item)
-                                     { return item.second.m_domain == state.m_domain; });
+                                     { return is_near(state, item.second); });
     duration const spread = std::chrono::nanoseconds(std::chrono::seconds(1)) * peers /
                             domain_heartbeats_per_second;
     return std::clamp<duration>(spread, domain_heartbeat_period,
@@ -65,7 +65,7 @@
     std::map<std::string_view, std::vector<instance_id>> others;
     for (auto const & [id, entry] : state.m_members)
     {
-        if (entry.m_domain == state.m_domain || !is_target(entry, now))
+        if (is_near(state, entry) || !is_target(entry, now))
         {
             continue;
         }
@@ -88,8 +88,10 @@
 
 } // namespace internal
 
-void merge_list(membership_state & state, std::span<listed_member const> listed)
+void merge_list(membership_state & state, std::span<listed_member const> listed,
+                time_point now)
 {
+    state.m_listed_at = now;
     for (auto & [id, entry] : state.m_members)
     {
         entry.m_listed = false;
@@ -107,6 +109,11 @@
             entry.m_domain = item.m_domain;
         }
         entry.m_listed = true;
+        if (entry.m_row_version != item.m_row_version)
+        {
+            entry.m_row_version = item.m_row_version;
+            entry.m_row_changed_at = now;
+        }
         entry.m_listed_address = item.m_address;
     }
 }
@@ -159,9 +166,8 @@
     std::vector<instance_id> failed;
     for (auto & [id, entry] : state.m_members)
     {
-        duration const timeout = entry.m_domain == state.m_domain
-                                     ? domain_failure_timeout
-                                     : remote_failure_timeout;
+        duration const timeout =
+            is_near(state, entry) ? state.m_failure_timeout : remote_failure_timeout;
         if (entry.m_live && now - entry.m_heard_at >= timeout)
         {
             entry.m_live = false;
@@ -187,7 +193,7 @@
         state.m_next_domain_heartbeat = now + internal::domain_period(state);
         for (auto const & [id, entry] : state.m_members)
         {
-            if (entry.m_domain == state.m_domain && internal::is_target(entry, now))
+            if (is_near(state, entry) && internal::is_target(entry, now))
             {
                 targets.push_back(id);
             }
@@ -228,6 +234,42 @@
     return live;
 }
 
+bool is_near(membership_state const & state, member const & entry) noexcept
+{
+    return state.m_spans_domains || entry.m_domain == state.m_domain;
+}
+
+std::vector<instance_id> near_members(membership_state const & state)
+{
+    std::vector<instance_id> live;
+    for (auto const & [id, entry] : state.m_members)
+    {
+        if (entry.m_live && is_near(state, entry) && !entry.m_report.m_leaving)
+        {
+            live.push_back(id);
+        }
+    }
+    return live;
+}
+
+bool may_be_alive(membership_state const & state, member const & entry, time_point now)
+{
+    if (entry.m_live)
+    {
+        return true;
+    }
+    if (now - state.m_listed_at < list_validity)
+    {
+        return entry.m_listed && now - entry.m_row_changed_at < registration_timeout;
+    }
+    std::size_t const known = state.m_members.size() + 1;
+    std::size_t const reached =
+        1 + static_cast<std::size_t>(
+                std::count_if(state.m_members.begin(), state.m_members.end(),
+                              [](auto const & item) { return item.second.m_live; }));
+    return reached * 2 <= known;
+}
+
 std::uint64_t held_epoch(member const & entry, std::uint32_t shard) noexcept
 {
     for (held_shard const & holding : entry.m_report.m_holdings)
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 
 namespace cassiahub::membership
@@ -20,6 +21,49 @@
                                 XXH3_64bits(item.data(), item.size()));
 }
 
+/// \returns the candidates from the highest rank for \p item down.
+std::vector<std::size_t> rank_candidates(std::span<placed_name const> owners,
+                                         std::vector<std::size_t> candidates,
+                                         std::string_view item)
+{
+    std::sort(
+        candidates.begin(), candidates.end(),
+        [&](std::size_t left, std::size_t right)
+        { return rank(owners[left].m_name, item) > rank(owners[right].m_name, item); });
+    return candidates;
+}
+
+/// Owners that may get the items of one domain, and how many each of them.
+struct domain_share
+{
+    std::vector<std::size_t> m_candidates;
+    std::size_t m_room = 0;
+};
+
+domain_share share_of(std::span<placed_name const> owners,
+                      std::span<placed_name const> items, std::string_view domain)
+{
+    domain_share share;
+    std::vector<std::size_t> everyone;
+    for (std::size_t index = 0; index < owners.size(); ++index)
+    {
+        everyone.push_back(index);
+        if (owners[index].m_domain == domain)
+        {
+            share.m_candidates.push_back(index);
+        }
+    }
+    if (share.m_candidates.empty())
+    {
+        share.m_candidates = std::move(everyone);
+    }
+    auto const count = static_cast<std::size_t>(std::count_if(
+        items.begin(), items.end(),
+        [domain](placed_name const & item) { return item.m_domain == domain; }));
+    share.m_room = (count + share.m_candidates.size() - 1) / share.m_candidates.size();
+    return share;
+}
+
 } // namespace internal
 
 std::size_t rendezvous_choice(std::span<std::string const> names, std::string_view item)
@@ -65,4 +109,34 @@
     return owners;
 }
 
+std::vector<std::size_t> assign_in_domains(std::span<placed_name const> owners,
+                                           std::span<placed_name const> items)
+{
+    std::vector<std::size_t> result;
+    if (owners.empty())
+    {
+        return result;
+    }
+    std::map<std::string_view, internal::domain_share> shares;
+    std::map<std::string_view, std::vector<std::size_t>> taken;
+    for (placed_name const & item : items)
+    {
+        auto const [share, added] = shares.try_emplace(item.m_domain);
+        if (added)
+        {
+            share->second = internal::share_of(owners, items, item.m_domain);
+            taken[item.m_domain].assign(owners.size(), 0);
+        }
+        std::vector<std::size_t> & counts = taken[item.m_domain];
+        std::vector<std::size_t> const ranked =
+            internal::rank_candidates(owners, share->second.m_candidates, item.m_name);
+        std::size_t const owner = *std::find_if(
+            ranked.begin(), ranked.end(),
+            [&](std::size_t index) { return counts[index] < share->second.m_room; });
+        ++counts[owner];
+        result.push_back(owner);
+    }
+    return result;
+}
+
 } // namespace cassiahub::membership
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -67,6 +67,7 @@
   token @6 :FencingToken;
   deadlineNs @7 :Int64;     # on the receiver's boot clock
   sendBeforeNs @8 :Int64;   # on the receiver's boot clock
+  generation @9 :UInt64;
 }
 
 struct TaskReported {
@@ -96,6 +97,8 @@
   storeContact @6 :Bool;
   holdings @7 :List(ShardHolding);
   load @8 :PeerLoad;
+  heldUpstreams @9 :List(Text);
+  fleetClockMs @10 :Int64;  # 0: not known
 }
 
 struct KeyNotice {
--- a/src/platform/client.cpp
+++ b/src/store/client.cpp
@@ -1,11 +1,11 @@
-#include <cassiahub/platform/client.hpp>
+#include <cassiahub/store/client.hpp>
 
 #include <fmt/format.h>
 
 #include <optional>
 #include <utility>
 
-namespace cassiahub::platform
+namespace cassiahub::store
 {
 
 namespace internal
@@ -44,7 +44,7 @@
     }
     if (error || received.m_status >= 500)
     {
-        return platform_errc::unavailable;
+        return store_errc::unavailable;
     }
     return {};
 }
@@ -126,7 +126,7 @@
     }
     return received.m_status == 200 && codec::parse_table_rows(received.m_body, rows)
                ? std::error_code()
-               : make_error_code(platform_errc::malformed_response);
+               : make_error_code(store_errc::malformed_response);
 }
 
 decision::store_outcome write_rows(client & used, decision::write_store const & write,
@@ -182,10 +182,10 @@
     }
     if (received.m_status != 200 || !codec::parse_instances(received.m_body, instances))
     {
-        return platform_errc::malformed_response;
+        return store_errc::malformed_response;
     }
     used.m_list_tag = http::find_header(received.m_headers, "ETag");
     return {};
 }
 
-} // namespace cassiahub::platform
+} // namespace cassiahub::store
--- a/src/platform/configuration_edit.cpp
+++ b/src/store/configuration_edit.cpp
@@ -1,4 +1,4 @@
-#include <cassiahub/platform/configuration_edit.hpp>
+#include <cassiahub/store/configuration_edit.hpp>
 
 #include <fmt/format.h>
 
@@ -8,7 +8,7 @@
 #include <thread>
 #include <utility>
 
-namespace cassiahub::platform
+namespace cassiahub::store
 {
 
 namespace internal
@@ -235,4 +235,4 @@
     return {};
 }
 
-} // namespace cassiahub::platform
+} // namespace cassiahub::store
--- a/src/platform/configuration_feed.cpp
+++ b/src/store/configuration_feed.cpp
@@ -1,8 +1,8 @@
-#include <cassiahub/platform/configuration_feed.hpp>
+#include <cassiahub/store/configuration_feed.hpp>
 
 #include <algorithm>
 
-namespace cassiahub::platform
+namespace cassiahub::store
 {
 
 bool merge_sections(configuration_feed & feed, codec::table_rows const & rows)
@@ -62,4 +62,4 @@
     return version;
 }
 
-} // namespace cassiahub::platform
+} // namespace cassiahub::store
--- a/tests/decision_fleet.hpp
+++ b/tests/decision_fleet.hpp
@@ -491,6 +491,11 @@
               });
     }
 
+    void perform(std::size_t, lease::upstream_call &)
+    {
+        m_broken.emplace_back("call under a lease by an instance that records jobs");
+    }
+
     void perform(std::size_t index, dispatch::attempt_start & start)
     {
         std::uint64_t const incarnation = m_nodes[index].m_incarnation;
