Refuse jobs that can no longer be on time while others still can

Change: a kind may have an objective (stretch and slack). A job that has not started by the last start for it is refused when others wait that can still be on time, else it waits behind them for one objective more. Room is reported to peers in tasks of typical demand instead of slots.

--- a/include/cassiahub/config/fleet_configuration.hpp
+++ b/include/cassiahub/config/fleet_configuration.hpp
@@ -26,7 +26,10 @@
     /// A task may be attempted again once its last run is known to have ended.
     bool m_restartable = false;
     std::uint32_t m_max_failures = 0; ///< failed runs that end a job; 0: no limit
-    std::string m_service{};          ///< whose upstreams run it; empty: any
+    /// A job should be answered within this many of its run times and m_objective_slack.
+    double m_objective_stretch = 0; ///< 0: no objective
+    duration m_objective_slack{0};
+    std::string m_service{}; ///< whose upstreams run it; empty: any
 };
 
 /// Requests that belong to a kind of work: those whose host is m_host and whose path
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -67,6 +67,9 @@
     std::deque<std::uint32_t> m_retries; ///< tasks that are ready for another attempt
     std::map<std::uint32_t, time_point> m_delayed; ///< tasks that wait before another
     std::uint32_t m_running_count = 0;             ///< running attempts of every task
+    time_point m_on_time_until;  ///< last start for an answer on time, or zero
+    time_point m_late_until;     ///< last start for an answer that is still of use
+    bool m_late = false;         ///< waits although m_on_time_until has passed
     time_point m_blocked_since;  ///< when its next task first found no room, or zero
     bool m_ran = false;          ///< some attempt is known to have run
     bool m_may_have_run = false; ///< the outcome of some attempt is unknown
@@ -107,7 +110,9 @@
     resources m_used;
     bool m_owned = true;
     bool m_leaving = false;
-    bool m_available = true; ///< false while it does not reply
+    std::uint32_t m_fitting = 0; ///< part of m_fitting_tasks
+    std::uint32_t m_whole = 0;   ///< part of m_whole_tasks
+    bool m_available = true;     ///< false while it does not reply
     upstream_health m_health;
     std::deque<std::pair<std::uint64_t, std::uint32_t>>
         m_bound; ///< baseline: (job, task)
@@ -165,6 +170,15 @@
     std::size_t m_queued_tasks = 0; ///< local and forwarded tasks that wait
 };
 
+/// Demand of the tasks that arrive, averaged.
+struct typical_demand
+{
+    double m_millicores = 0;
+    double m_memory_mib = 0;
+    double m_accelerators = 0;
+    double m_counted_millicores = 0; ///< with which the room was counted last
+};
+
 /// Settings and use of one tenant.
 struct tenant_state
 {
@@ -200,7 +214,11 @@
     capacity_index m_room;
     capacity_index m_whole_room; ///< room that usable upstreams would have when empty
     reservation m_reservation;
-    std::uint32_t m_offered_slots = 0; ///< sum of the slots in m_room
+    typical_demand m_typical_demand;
+    std::uint32_t m_fitting_tasks = 0; ///< of typical demand that fit into m_room
+    std::uint32_t m_whole_tasks = 0; ///< that would fit into usable upstreams when empty
+    std::set<std::uint64_t> m_late_jobs; ///< serials of jobs with m_late
+    std::uint32_t m_offered_slots = 0;   ///< sum of the slots in m_room
     std::uint32_t m_owned_slots = 0;
     std::uint32_t m_owned_count = 0;
     std::uint32_t m_ejected_count = 0;       ///< ejected or probing
--- a/include/cassiahub/dispatch/timer.hpp
+++ b/include/cassiahub/dispatch/timer.hpp
@@ -15,6 +15,7 @@
 enum class timer_kind
 {
     job_deadline,     ///< m_subject.m_serial is a job
+    objective_due,    ///< m_subject.m_serial is a job
     retry_due,        ///< m_subject is {task, job}
     attempt_timeout,  ///< m_subject is an attempt
     forwarded_expiry, ///< m_subject is a queued attempt of a peer
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -12,6 +12,9 @@
 namespace internal
 {
 
+/// Multiple of a kind's objective beyond which an answer is of no use.
+constexpr int objective_multiple = 2;
+
 bool fits_some_worker(dispatch_state const & state, task_spec const & task)
 {
     return std::any_of(
@@ -56,7 +59,7 @@
     double const share = queue.m_share;
     double const active = static_cast<double>(state.m_queue.m_active_share) +
                           (queue.m_item_count == 0 ? share : 0);
-    return std::max(1.0, state.m_owned_slots * share / active);
+    return std::max(1.0, state.m_whole_tasks * share / active);
 }
 
 /// Time until the last waiting task of the kind starts, at the mean observed run time.
@@ -85,6 +88,19 @@
     {
         return {};
     }
+    config::work_kind const & definition = kind.m_definition;
+    if (definition.m_objective_stretch > 0)
+    {
+        double const mean = mean_seconds(kind.m_run_time, definition.m_expected_run_time);
+        duration const useful =
+            objective_multiple *
+            (std::chrono::duration_cast<duration>(
+                 std::chrono::duration<double>(mean * definition.m_objective_stretch)) +
+             definition.m_objective_slack);
+        return expected_wait(state, kind_id, spec.m_tasks.size()) >= useful
+                   ? job_errc::deadline_unreachable
+                   : std::error_code();
+    }
     duration const needed = expected_wait(state, kind_id, spec.m_tasks.size()) +
                             reserved_run_time(kind, spec.m_time_limit, now);
     return needed >= spec.m_time_limit ? job_errc::deadline_unreachable
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/forwarding.hpp"
 #include "dispatch/hedging.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/objective.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
 #include "dispatch/retry.hpp"
@@ -51,6 +52,9 @@
     case timer_kind::job_deadline:
         expire_job(context, subject.m_serial);
         break;
+    case timer_kind::objective_due:
+        miss_objective(state, subject.m_serial, context.m_now, context.m_out);
+        break;
     case timer_kind::retry_due:
         end_retry_delay(state, subject.m_serial,
                         static_cast<std::uint32_t>(subject.m_incarnation),
@@ -109,6 +113,10 @@
     {
         return head_result::removed;
     }
+    if (yields_to_others(state, job))
+    {
+        return head_result::no_room;
+    }
     attempt_target target;
     placement_request const request = request_of(state, job);
     if (auto const reserved = reserved_room(state, job, request.m_demand))
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -240,7 +240,7 @@
 {
     peer_load load;
     auto const queued = static_cast<std::uint32_t>(state.m_queued_tasks);
-    load.m_free_slots = state.m_offered_slots - std::min(state.m_offered_slots, queued);
+    load.m_free_slots = state.m_fitting_tasks - std::min(state.m_fitting_tasks, queued);
     load.m_queued_tasks = queued;
     if (state.m_room.m_leaves > 0)
     {
--- a/src/dispatch/jobs.cpp
+++ b/src/dispatch/jobs.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/attempts.hpp"
 #include "dispatch/baseline.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/objective.hpp"
 #include "dispatch/reservation.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -120,6 +121,7 @@
     {
         cancel_attempts_of(state, job, task, out);
     }
+    drop_objective(state, job);
     state.m_timers.erase({job.m_deadline, timer_kind::job_deadline, {0, job.m_serial}});
     state.m_tenants[job.m_tenant].m_open_tasks -= job.m_tasks.size() - job.m_done_count;
     if (answer.m_error)
@@ -174,7 +176,7 @@
 
 } // namespace internal
 
-void enqueue_job(dispatch_state & state, admitted_job admitted, time_point)
+void enqueue_job(dispatch_state & state, admitted_job admitted, time_point now)
 {
     BOOST_ASSERT(!state.m_job_index.contains(admitted.m_spec.m_key));
     BOOST_ASSERT(!admitted.m_spec.m_tasks.empty());
@@ -183,6 +185,8 @@
     job_state & job = state.m_jobs.emplace(serial, std::move(made)).first->second;
     state.m_job_index.emplace(job.m_spec.m_key, serial);
     state.m_timers.insert({job.m_deadline, timer_kind::job_deadline, {0, job.m_serial}});
+    internal::set_objective(state, job, now);
+    internal::observe_demand(state, job.m_spec);
     state.m_tenants[job.m_tenant].m_open_tasks += job.m_tasks.size();
     if (internal::is_baseline(state))
     {
--- /dev/null
+++ b/src/dispatch/objective.cpp
@@ -0,0 +1,156 @@
+#include "dispatch/jobs.hpp"
+#include "dispatch/objective.hpp"
+#include "dispatch/upstreams.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cassiahub::dispatch::internal
+{
+
+namespace
+{
+
+/// The longest of several tasks runs this many times as long as their mean.
+constexpr double longest_of_many = 1.15;
+/// Weight of one job in the typical demand.
+constexpr double demand_weight = 0.05;
+/// Change of the typical demand after which the room of every upstream is counted again.
+constexpr double noticeable_change = 0.1;
+
+/// Expected run time of the job's longest task: the mean of what its caller declares and
+/// of what was observed of the kind.
+double expected_seconds(dispatch_state const & state, job_state const & job)
+{
+    kind_state const & kind = state.m_kinds[job.m_kind];
+    double const observed =
+        mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
+    duration longest{0};
+    for (task_spec const & task : job.m_spec.m_tasks)
+    {
+        longest = std::max(longest, task.m_declared_run_time);
+    }
+    double const declared = std::chrono::duration<double>(longest).count();
+    double const usual = declared > 0 ? (observed + declared) / 2 : observed;
+    return job.m_spec.m_tasks.size() > 1 ? usual * longest_of_many : usual;
+}
+
+duration to_duration(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+timer objective_timer(job_state const & job, time_point at)
+{
+    return {at, timer_kind::objective_due, {0, job.m_serial}};
+}
+
+std::size_t late_waiting_tasks(dispatch_state const & state)
+{
+    std::size_t waiting = 0;
+    for (std::uint64_t const serial : state.m_late_jobs)
+    {
+        waiting += waiting_tasks(state.m_jobs.at(serial));
+    }
+    return waiting;
+}
+
+bool has_started(job_state const & job)
+{
+    return job.m_next_task > 0;
+}
+
+void refuse_late(dispatch_state & state, job_state & job, effects & out)
+{
+    ++state.m_counters.m_shed_jobs;
+    finish_job(state, job, failed_answer(job, job_errc::deadline_unreachable), out);
+}
+
+std::uint32_t part_of(std::uint32_t free, double typical)
+{
+    return typical < 1 ? ~std::uint32_t(0)
+                       : static_cast<std::uint32_t>(static_cast<double>(free) / typical);
+}
+
+} // namespace
+
+void set_objective(dispatch_state & state, job_state & job, time_point now)
+{
+    config::work_kind const & kind = state.m_kinds[job.m_kind].m_definition;
+    if (kind.m_objective_stretch <= 0)
+    {
+        return;
+    }
+    double const run = expected_seconds(state, job);
+    double const slack = std::chrono::duration<double>(kind.m_objective_slack).count();
+    double const objective = run * kind.m_objective_stretch + slack;
+    job.m_on_time_until = now + to_duration(std::max(0.0, objective - run));
+    job.m_late_until = job.m_on_time_until + to_duration(objective);
+    state.m_timers.insert(objective_timer(job, job.m_on_time_until));
+}
+
+void miss_objective(dispatch_state & state, std::uint64_t serial, time_point now,
+                    effects & out)
+{
+    job_state & job = state.m_jobs.at(serial);
+    if (has_started(job))
+    {
+        return;
+    }
+    bool const others_wait =
+        state.m_queued_tasks - late_waiting_tasks(state) > waiting_tasks(job);
+    if (now >= job.m_late_until || (!job.m_late && others_wait))
+    {
+        refuse_late(state, job, out);
+        return;
+    }
+    job.m_late = true;
+    state.m_late_jobs.insert(serial);
+    state.m_timers.insert(objective_timer(job, job.m_late_until));
+}
+
+void drop_objective(dispatch_state & state, job_state const & job)
+{
+    if (job.m_on_time_until != time_point())
+    {
+        state.m_timers.erase(objective_timer(job, job.m_on_time_until));
+        state.m_timers.erase(objective_timer(job, job.m_late_until));
+        state.m_late_jobs.erase(job.m_serial);
+    }
+}
+
+bool yields_to_others(dispatch_state const & state, job_state const & job)
+{
+    return job.m_late && !has_started(job) &&
+           state.m_queued_tasks > late_waiting_tasks(state);
+}
+
+void observe_demand(dispatch_state & state, job_spec const & spec)
+{
+    typical_demand & typical = state.m_typical_demand;
+    double const weight = typical.m_millicores == 0 ? 1 : demand_weight;
+    resources const & demand = spec.m_tasks.front().m_demand;
+    typical.m_millicores += weight * (demand.m_millicores - typical.m_millicores);
+    typical.m_memory_mib += weight * (demand.m_memory_mib - typical.m_memory_mib);
+    typical.m_accelerators += weight * (demand.m_accelerators - typical.m_accelerators);
+    double const change = typical.m_millicores - typical.m_counted_millicores;
+    if (std::abs(change) > noticeable_change * typical.m_counted_millicores)
+    {
+        typical.m_counted_millicores = typical.m_millicores;
+        for (std::uint32_t id = 0; id < state.m_upstreams.size(); ++id)
+        {
+            refresh_room(state, id);
+        }
+    }
+}
+
+std::uint32_t count_fitting(dispatch_state const & state, resources const & free,
+                            std::uint32_t slots)
+{
+    typical_demand const & typical = state.m_typical_demand;
+    return std::min({slots, part_of(free.m_millicores, typical.m_counted_millicores),
+                     part_of(free.m_memory_mib, typical.m_memory_mib),
+                     part_of(free.m_accelerators, typical.m_accelerators)});
+}
+
+} // namespace cassiahub::dispatch::internal
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/objective.hpp"
 #include "dispatch/upstreams.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -65,7 +66,7 @@
 
 void refresh_room(dispatch_state & state, std::uint32_t id)
 {
-    upstream_state const & upstream = state.m_upstreams[id];
+    upstream_state & upstream = state.m_upstreams[id];
     bool const reserved =
         state.m_reservation.m_job != 0 && state.m_reservation.m_upstream == id;
     offered_room const room = reserved ? offered_room{} : room_of(upstream);
@@ -74,6 +75,15 @@
                                  : offered_room{});
     state.m_offered_slots -= state.m_room.m_nodes[state.m_room.m_leaves + id].m_slots;
     state.m_offered_slots += room.m_slots;
+    state.m_fitting_tasks -= upstream.m_fitting;
+    upstream.m_fitting = count_fitting(state, room.m_free, room.m_slots);
+    state.m_fitting_tasks += upstream.m_fitting;
+    state.m_whole_tasks -= upstream.m_whole;
+    upstream.m_whole = is_usable(upstream)
+                           ? count_fitting(state, upstream.m_definition.m_capacity,
+                                           upstream.m_definition.m_slots)
+                           : 0;
+    state.m_whole_tasks += upstream.m_whole;
     set_room(state.m_room, id, room);
     if (takes_probe(upstream))
     {
