Read the settings again on SIGHUP instead of stopping

Change: run_until_signal takes a function for SIGHUP; the gateway checks the settings again and logs whether they changed.

--- a/include/cassiahub/config/gateway_settings.hpp
+++ b/include/cassiahub/config/gateway_settings.hpp
@@ -27,6 +27,7 @@
     duration m_grace = std::chrono::seconds(6);
     /// Longest lease that an upstream grants.
     duration m_longest_lease = std::chrono::milliseconds(1000);
+    bool operator==(gateway_settings const &) const = default;
 };
 
 /// Checks the settings file \p text.
--- a/include/cassiahub/runtime/program.hpp
+++ b/include/cassiahub/runtime/program.hpp
@@ -16,11 +16,14 @@
 
 /// Runs the body of a daemon until SIGINT, SIGTERM or SIGHUP requests a stop, or until
 /// it returns by itself.
+/// \param on_hangup called on a thread of its own for each SIGHUP, which then requests no
+/// stop; may be empty.
 /// \pre called from main() before any thread is started.
 /// \returns exit_success, or exit_failed after printing the error.
 int run_until_signal(
     std::string_view program,
-    std::function<std::error_code(std::stop_token const &)> const & body);
+    std::function<std::error_code(std::stop_token const &)> const & body,
+    std::function<void()> const & on_hangup = {});
 
 } // namespace cassiahub::runtime
 
--- a/programs/cassiahub-gateway.cpp
+++ b/programs/cassiahub-gateway.cpp
@@ -10,6 +10,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <array>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -34,6 +35,22 @@
     return settings;
 }
 
+/// Checks the settings again. The addresses of a running process do not change.
+void reload_settings(std::string const & path,
+                     cassiahub::config::gateway_settings const & in_force)
+{
+    using namespace cassiahub;
+    auto const settings = load_settings(path);
+    std::string_view const outcome = !settings               ? "invalid"
+                                     : *settings == in_force ? "unchanged"
+                                                             : "changed";
+    std::array<telemetry::log_field, 2> const fields = {
+        {{"subject", path}, {"detail", outcome}}};
+    telemetry::write_log(settings ? telemetry::log_level::info
+                                  : telemetry::log_level::warning,
+                         in_force.m_instance, "settings_read", fields);
+}
+
 } // namespace
 
 int main(int argc, char ** argv)
@@ -63,5 +80,6 @@
         {
             return cassiahub::gateway::run_daemon(
                 *settings, cassiahub::platform::make_wire_format(), stop);
-        });
+        },
+        [&settings, &settings_path] { reload_settings(settings_path, *settings); });
 }
