--- a/include/cassiahub/runtime/program.hpp
+++ b/include/cassiahub/runtime/program.hpp
@@ -20,10 +20,9 @@
 /// stop; may be empty.
 /// \pre called from main() before any thread is started.
 /// \returns exit_success, or exit_failed after printing the error.
-int run_until_signal(
-    std::string_view program,
-    std::function<std::error_code(std::stop_token const &)> const & body,
-    std::function<void()> const & on_hangup = {});
+int run_until_signal(std::string_view program,
+                     std::function<std::error_code(std::stop_token const &)> const & body,
+                     std::function<void()> const & on_hangup = {});
 
 } // namespace cassiahub::runtime
 
--- /dev/null
+++ b/tests/platform_wire_test.cpp
@@ -0,0 +1,410 @@
+/// \file The adapter against bytes of the platform's wire.
+
+#include "platform/json_values.hpp"
+#include "platform/wire_format.hpp"
+
+#include <cassiahub/core/error.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+using namespace cassiahub;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+class platform_fixture : public CppUnit::TestFixture
+{
+protected:
+    gateway::wire_format m_wire = platform::make_wire_format();
+
+    static http::response received(int status, std::string body)
+    {
+        http::response response;
+        response.m_status = status;
+        response.m_body = std::move(body);
+        return response;
+    }
+
+    static http::request call(std::string method, std::string path, std::string body = {})
+    {
+        return {std::move(method),
+                std::move(path),
+                {},
+                {{"Host", "nony24.example"},
+                 {"Cassiahub-Deadline-Ms", "1500"},
+                 {"Request-Id", "r1"}},
+                std::move(body)};
+    }
+};
+
+// Guards against a request that is taken for another, or for one that can be served.
+class platform_caller_test : public platform_fixture
+{
+    CPPUNIT_TEST_SUITE(platform_caller_test);
+    CPPUNIT_TEST(submission_best_effort_is_read);
+    CPPUNIT_TEST(submission_that_must_be_kept_is_unsupported);
+    CPPUNIT_TEST(submission_with_dependent_step_is_unsupported);
+    CPPUNIT_TEST(submission_malformed_is_refused);
+    CPPUNIT_TEST(submission_of_231_tasks_is_refused);
+    CPPUNIT_TEST(submission_random_bytes_never_throws);
+    CPPUNIT_TEST(query_and_cancellation_and_count_are_told_apart);
+    CPPUNIT_TEST(answer_of_complete_job_is_completed);
+    CPPUNIT_TEST(answer_of_failed_job_is_failed);
+    CPPUNIT_TEST(refusal_not_run_says_when_to_come_back);
+    CPPUNIT_TEST(failure_that_may_have_run_is_no_refusal);
+    CPPUNIT_TEST(unknown_route_is_not_found_and_unknown_job_is_gone);
+    CPPUNIT_TEST_SUITE_END();
+
+    decision::routed_request m_request;
+
+    std::error_code read(std::string const & body)
+    {
+        m_request = {};
+        return m_wire.read_request(call("POST", "/lohu930/5c0e7a21d94b36f8", body),
+                                   m_request);
+    }
+
+    int status_of(job_answer const & answer)
+    {
+        return m_wire.write_answer(decision::key_operation::submit, answer).m_status;
+    }
+
+public:
+    void submission_best_effort_is_read()
+    {
+        CPPUNIT_ASSERT(!read(R"({"spec":"text","best-effort":true,"steps":[{"count":4,)"
+                             R"("cpu":500,"mem-mb":256,"estimate-ms":900}]})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("nony24.example"), m_request.m_host);
+        CPPUNIT_ASSERT_EQUAL(std::string("/lohu930/5c0e7a21d94b36f8"), m_request.m_path);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), m_request.m_request_id);
+        CPPUNIT_ASSERT(m_request.m_spec.m_time_limit == 1500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), m_request.m_spec.m_tasks.size());
+        task_spec const & task = m_request.m_spec.m_tasks.front();
+        CPPUNIT_ASSERT(task.m_demand == (resources{500, 256, 0}));
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), task.m_payload);
+        CPPUNIT_ASSERT(task.m_declared_run_time == 900ms);
+    }
+
+    void submission_that_must_be_kept_is_unsupported()
+    {
+        CPPUNIT_ASSERT(read(R"({"spec":"t","steps":[{"count":1}]})") ==
+                       job_errc::unsupported);
+    }
+
+    void submission_with_dependent_step_is_unsupported()
+    {
+        CPPUNIT_ASSERT(read(R"({"spec":"t","best-effort":true,"steps":)"
+                            R"([{"count":1},{"count":1,"after":[0]}]})") ==
+                       job_errc::unsupported);
+        CPPUNIT_ASSERT(read(R"({"spec":"t","best-effort":true,"steps":)"
+                            R"([{"count":1,"gang":true}]})") == job_errc::unsupported);
+    }
+
+    void submission_malformed_is_refused()
+    {
+        for (
+            char const * const body :
+            {"", "{", "[]", "{}", R"({"spec":1,"steps":[{"count":1}]})",
+             R"({"spec":"t","best-effort":true,"steps":[]})",
+             R"({"spec":"t","best-effort":true,"steps":[1]})",
+             R"({"spec":"t","best-effort":true,"steps":[{"count":-1}]})",
+             R"({"spec":"t","best-effort":true,"steps":[{"count":1,"cpu":"x"}]})",
+             R"({"spec":"t","best-effort":true,"steps":[{"count":1,"cpu":5000000000}]})"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(body, read(body) == job_errc::malformed_request);
+        }
+    }
+
+    void submission_of_231_tasks_is_refused()
+    {
+        CPPUNIT_ASSERT(read(R"({"spec":"t","best-effort":true,)"
+                            R"("steps":[{"count":231}]})") == job_errc::too_many_tasks);
+    }
+
+    void submission_random_bytes_never_throws()
+    {
+        bool const held = rc::check("any bytes give a typed answer",
+                                    [this](std::string const & body) { read(body); });
+        CPPUNIT_ASSERT(held);
+    }
+
+    void query_and_cancellation_and_count_are_told_apart()
+    {
+        using decision::key_operation;
+        decision::routed_request request;
+        CPPUNIT_ASSERT(!m_wire.read_request(call("GET", "/q/1"), request));
+        CPPUNIT_ASSERT(request.m_operation == key_operation::query);
+        CPPUNIT_ASSERT(!m_wire.read_request(call("DELETE", "/q/1"), request));
+        CPPUNIT_ASSERT(request.m_operation == key_operation::cancel);
+        CPPUNIT_ASSERT(!m_wire.read_request(call("GET", "/q/"), request));
+        CPPUNIT_ASSERT(request.m_operation == key_operation::count);
+        CPPUNIT_ASSERT(m_wire.read_request(call("PATCH", "/q/1"), request) ==
+                       job_errc::malformed_request);
+    }
+
+    void answer_of_complete_job_is_completed()
+    {
+        http::response const made = m_wire.write_answer(
+            decision::key_operation::submit, {{}, run_state::yes, 0s, {"", ""}});
+        CPPUNIT_ASSERT_EQUAL(200, made.m_status);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"completed"})"), made.m_body);
+    }
+
+    void answer_of_failed_job_is_failed()
+    {
+        http::response const made =
+            m_wire.write_answer(decision::key_operation::submit,
+                                {job_errc::task_failed, run_state::yes, 0s, {}});
+        CPPUNIT_ASSERT_EQUAL(200, made.m_status);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"failed"})"), made.m_body);
+    }
+
+    void refusal_not_run_says_when_to_come_back()
+    {
+        http::response const made =
+            m_wire.write_answer(decision::key_operation::submit,
+                                {job_errc::deadline_unreachable, run_state::no, 1s, {}});
+        CPPUNIT_ASSERT_EQUAL(503, made.m_status);
+        CPPUNIT_ASSERT(http::find_header(made.m_headers, "Retry-After") == "1");
+    }
+
+    void failure_that_may_have_run_is_no_refusal()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            502, status_of({job_errc::outcome_unknown, run_state::unknown, 0s, {}}));
+        CPPUNIT_ASSERT_EQUAL(
+            504, status_of({job_errc::deadline_exceeded, run_state::yes, 0s, {}}));
+    }
+
+    void unknown_route_is_not_found_and_unknown_job_is_gone()
+    {
+        CPPUNIT_ASSERT_EQUAL(404,
+                             status_of({job_errc::unknown_kind, run_state::no, 0s, {}}));
+        CPPUNIT_ASSERT_EQUAL(410,
+                             status_of({job_errc::not_found, run_state::no, 0s, {}}));
+    }
+};
+
+// Guards against replies of upstreams and the store that are read as something else.
+class platform_reply_test : public platform_fixture
+{
+    CPPUNIT_TEST_SUITE(platform_reply_test);
+    CPPUNIT_TEST(start_call_is_written_as_run_start);
+    CPPUNIT_TEST(renewal_is_written_as_hold);
+    CPPUNIT_TEST(reply_with_lists_is_read);
+    CPPUNIT_TEST(reply_refused_names_its_reason);
+    CPPUNIT_TEST(reply_rows_of_other_shape_are_left_out);
+    CPPUNIT_TEST(reply_random_bytes_never_throws);
+    CPPUNIT_TEST(upstream_registration_is_read);
+    CPPUNIT_TEST(upstream_registration_of_another_writer_names_none);
+    CPPUNIT_TEST(configuration_is_read);
+    CPPUNIT_TEST(configuration_without_version_is_refused);
+    CPPUNIT_TEST(store_rows_are_read);
+    CPPUNIT_TEST(store_status_tells_lost_history_from_refusal);
+    CPPUNIT_TEST(store_row_is_written_in_base64);
+    CPPUNIT_TEST(base64_round_trip_keeps_bytes);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr char const * registration =
+        R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"palermo",)"
+        R"("version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,)"
+        R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1-3"],)"
+        R"("clock-ms":482113,"seq":4,"born":1700000000000})";
+
+    static lease::run_name run()
+    {
+        return {{"5c0e7a21d94b36f8", 0, 1, 17}, 2};
+    }
+
+    lease::upstream_reply read(int status, std::string body)
+    {
+        return m_wire.read_reply(received(status, std::move(body)));
+    }
+
+public:
+    void start_call_is_written_as_run_start()
+    {
+        lease::upstream_call call{
+            1, "i-7f3a91c2", "10.0.0.1:1",
+            7, 1s,           lease::start_call{run(), "text", 486000}};
+        http::request const sent = m_wire.write_call(call);
+        CPPUNIT_ASSERT_EQUAL(std::string("/cassiahub/run-start"), sent.m_path);
+        CPPUNIT_ASSERT(platform::json::parse(sent.m_body) ==
+                       platform::json::parse(
+                           R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text",)"
+                           R"("deadline-ms":486000,"fencing-token":7})"));
+        CPPUNIT_ASSERT(http::find_header(sent.m_headers, "Cassiahub-Expect-Instance") ==
+                       "i-7f3a91c2");
+    }
+
+    void renewal_is_written_as_hold()
+    {
+        lease::renew_call renewal;
+        renewal.m_lease_until = 486000;
+        renewal.m_acknowledged = 57;
+        renewal.m_wait = 1000ms;
+        http::request const sent =
+            m_wire.write_call({1, "i", "10.0.0.1:1", 7, 1s, renewal});
+        CPPUNIT_ASSERT_EQUAL(std::string("/cassiahub/hold"), sent.m_path);
+        CPPUNIT_ASSERT(platform::json::parse(sent.m_body) ==
+                       platform::json::parse(R"({"deadline-ms":486000,"fencing-token":7,)"
+                                             R"("ack-cursor":57,"wait-ms":1000})"));
+    }
+
+    void reply_with_lists_is_read()
+    {
+        lease::upstream_reply const reply =
+            read(200, R"({"clock-ms":482113,"born":9,)"
+                      R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41,3]],)"
+                      R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+        CPPUNIT_ASSERT(reply.m_outcome == lease::call_outcome::accepted);
+        CPPUNIT_ASSERT_EQUAL(lease::upstream_clock(482113), *reply.m_clock);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), reply.m_incarnation);
+        CPPUNIT_ASSERT(reply.m_running.at(0).m_run == run());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(41), reply.m_running[0].m_percent);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(58), reply.m_ended.at(0).m_number);
+        CPPUNIT_ASSERT(reply.m_ended[0].m_cause == lease::end_cause::succeeded);
+    }
+
+    void reply_refused_names_its_reason()
+    {
+        using lease::call_outcome;
+        CPPUNIT_ASSERT(read(409, R"({"reason":"fence"})").m_outcome ==
+                       call_outcome::fenced);
+        CPPUNIT_ASSERT(read(409, R"({"reason":"old"})").m_outcome ==
+                       call_outcome::superseded);
+        CPPUNIT_ASSERT(read(409, R"({"reason":"late"})").m_outcome ==
+                       call_outcome::expired);
+        CPPUNIT_ASSERT(read(409, R"({"reason":"room"})").m_outcome ==
+                       call_outcome::no_room);
+        CPPUNIT_ASSERT(read(421, "").m_outcome == call_outcome::other_incarnation);
+        CPPUNIT_ASSERT(read(503, "").m_outcome == call_outcome::unhealthy);
+        CPPUNIT_ASSERT(read(500, "").m_outcome == call_outcome::lost);
+    }
+
+    void reply_rows_of_other_shape_are_left_out()
+    {
+        lease::upstream_reply const reply =
+            read(200, R"({"running":[1,["x",2,"",3],["a.0.0.0","2","",3],[]],)"
+                      R"("ended":[["1","a.0.0.0",1,"done"],[1,"a.0.0",1,"done"]]})");
+        CPPUNIT_ASSERT(reply.m_running.empty());
+        CPPUNIT_ASSERT(reply.m_ended.empty());
+    }
+
+    void reply_random_bytes_never_throws()
+    {
+        bool const held =
+            rc::check("any bytes give a reply",
+                      [this](std::string const & body) { read(200, body); });
+        CPPUNIT_ASSERT(held);
+    }
+
+    void upstream_registration_is_read()
+    {
+        auto const upstream = m_wire.read_upstream("i-7f3a91c2", registration);
+        CPPUNIT_ASSERT(upstream);
+        config::upstream const & definition = upstream->m_definition;
+        CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), definition.m_name);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), definition.m_address);
+        CPPUNIT_ASSERT_EQUAL(std::string("palermo"), definition.m_domain);
+        CPPUNIT_ASSERT_EQUAL(std::string("huvo11a"), definition.m_service);
+        CPPUNIT_ASSERT(definition.m_capacity == (resources{16000, 32768, 0}));
+        CPPUNIT_ASSERT(!definition.m_draining);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1700000000000), upstream->m_incarnation);
+    }
+
+    void upstream_registration_of_another_writer_names_none()
+    {
+        for (char const * const value :
+             {"", "x", "[]", "{}", R"({"service":"s","address":"a:1","zone":"z"})",
+              R"({"service":"s","address":"a:1","zone":"z","state":"gone",)"
+              R"("capacity":{"cpu":1}})",
+              R"({"service":"s","address":7,"zone":"z","state":"ready",)"
+              R"("capacity":{"cpu":1}})"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(value, !m_wire.read_upstream("i", value));
+        }
+    }
+
+    void configuration_is_read()
+    {
+        auto const read = m_wire.read_configuration(
+            R"({"version":7,"routes":[{"name":"r-1","host":"h.example","prefix":"/a/",)"
+            R"("type":"unsafe","timeout-ms":1500,"target-duration-ms":60,"priority":2,)"
+            R"("service":"s","max-attempts":4,"stretch":1.6}],"services":[],)"
+            R"("limits":{}})");
+        CPPUNIT_ASSERT(read);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), read->m_version);
+        config::work_kind const & kind = read->m_kinds.at(0);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), kind.m_urgency);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(4), kind.m_max_failures);
+        CPPUNIT_ASSERT(kind.m_restartable && !kind.m_repeatable);
+        CPPUNIT_ASSERT_EQUAL(1.6, kind.m_objective_stretch);
+        CPPUNIT_ASSERT(kind.m_objective_slack == 60ms);
+        CPPUNIT_ASSERT(config::find_route(*read, "h.example", "/a/1") != nullptr);
+        CPPUNIT_ASSERT(config::find_route(*read, "other", "/a/1") == nullptr);
+    }
+
+    void configuration_without_version_is_refused()
+    {
+        CPPUNIT_ASSERT(!m_wire.read_configuration(R"({"routes":[]})"));
+        CPPUNIT_ASSERT(!m_wire.read_configuration(R"({"version":1,"routes":[{}]})"));
+        CPPUNIT_ASSERT(!m_wire.read_configuration("not a document"));
+    }
+
+    void store_rows_are_read()
+    {
+        gateway::store_rows rows;
+        auto const status = m_wire.read_rows(
+            received(200, R"({"rows":[{"table":"my","part":"","key":"owner",)"
+                          R"("value":"bm9kZS0x","ver":412},{"key":"gone","ver":413,)"
+                          R"("removed":true},{"key":"bad","ver":1,"value":"*"}],)"
+                          R"("has-more":false,"ver":530,"now-ms":51230})"),
+            rows);
+        CPPUNIT_ASSERT(status == gateway::store_status::done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), rows.m_rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), rows.m_rows[0].m_value);
+        CPPUNIT_ASSERT(rows.m_rows[1].m_removed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(530), rows.m_version);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(51230), rows.m_clock_ms);
+    }
+
+    void store_status_tells_lost_history_from_refusal()
+    {
+        gateway::store_rows rows;
+        CPPUNIT_ASSERT(m_wire.read_rows(received(410, ""), rows) ==
+                       gateway::store_status::history_lost);
+        CPPUNIT_ASSERT(m_wire.read_rows(received(429, ""), rows) ==
+                       gateway::store_status::refused);
+        CPPUNIT_ASSERT(m_wire.read_rows(received(200, "x"), rows) ==
+                       gateway::store_status::malformed);
+    }
+
+    void store_row_is_written_in_base64()
+    {
+        http::request const sent =
+            m_wire.write_row(gateway::store_table::instances, "n", "node-1");
+        CPPUNIT_ASSERT(sent.m_body.find("bm9kZS0x") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("/cassiahub/rows-tx"), sent.m_path);
+    }
+
+    void base64_round_trip_keeps_bytes()
+    {
+        bool const held =
+            rc::check("decoding reverses encoding",
+                      [](std::string const & bytes) {
+                          RC_ASSERT(platform::decode_base64(
+                                        platform::encode_base64(bytes)) == bytes);
+                      });
+        CPPUNIT_ASSERT(held);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_caller_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_reply_test);
+
+} // namespace
