Let wide urgent jobs wait at busy peers; keep a message while it is written

Change: a task of the most urgent kind without room goes to a busy peer, one in 10 ms for each; the client keeps the message with the connection.

--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -142,6 +142,7 @@
     instance_id m_instance;
     std::string m_domain;
     peer_load m_load;
+    bool m_takes_work = true; ///< false while it stops
 };
 
 /// What is known of another live instance.
@@ -150,6 +151,7 @@
     peer_capacity m_capacity;         ///< free slots less what was forwarded since
     std::set<attempt_id> m_forwarded; ///< attempts that the peer runs for this instance
     std::set<attempt_id> m_accepted;  ///< attempts of the peer that wait here
+    time_point m_next_spill;          ///< see pick_busy_peer()
 };
 
 /// A task that another instance has forwarded to this one and that waits for a slot.
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -53,7 +53,8 @@
     {
         load.m_free_slots = 0; // its upstreams belong to others from now on
     }
-    dispatch::set_peer(context.m_state.m_dispatch, {peer, entry.m_domain, load});
+    dispatch::set_peer(context.m_state.m_dispatch,
+                       {peer, entry.m_domain, load, !entry.m_report.m_leaving});
 }
 
 void remove_peer(step_context & context, instance_id const & peer)
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -133,6 +133,10 @@
     {
         target.m_peer = *peer;
     }
+    else if (auto const * const busy = pick_busy_peer(state, job.m_kind, context.m_now))
+    {
+        target.m_peer = *busy;
+    }
     else
     {
         consider_reservation(state, job, request.m_demand, context.m_now,
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -16,6 +16,9 @@
 
 using peer_order = std::tuple<bool, std::size_t, instance_id>;
 
+/// Time between two tasks that wait at the same busy peer: about the time in which a few
+/// upstreams end a task.
+constexpr duration spill_period = std::chrono::milliseconds(10);
 /// Peers that one search looks at in each tier.
 constexpr int peers_to_compare = 4;
 
@@ -75,12 +78,68 @@
     return local != nullptr ? local : pick_in_tier(state, true, demand, random);
 }
 
+bool is_most_urgent(dispatch_state const & state, std::uint32_t kind)
+{
+    std::uint32_t const urgency = state.m_kinds[kind].m_definition.m_urgency;
+    auto const & kinds = state.m_configuration->m_kinds;
+    return std::all_of(kinds.begin(), kinds.end(),
+                       [urgency](config::work_kind const & other)
+                       { return urgency <= other.m_urgency; }) &&
+           std::any_of(kinds.begin(), kinds.end(),
+                       [urgency](config::work_kind const & other)
+                       { return urgency < other.m_urgency; });
+}
+
+bool may_wait_at_peers(dispatch_state const & state)
+{
+    if (state.m_peers.empty())
+    {
+        return false;
+    }
+    for (std::uint32_t kind = 0; kind < state.m_kinds.size(); ++kind)
+    {
+        if (state.m_kinds[kind].m_queued_tasks > 0 &&
+            state.m_kinds[kind].m_definition.m_objective_stretch > 0 &&
+            is_most_urgent(state, kind))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+instance_id const * pick_busy_peer(dispatch_state & state, std::uint32_t kind,
+                                   time_point now)
+{
+    if (state.m_kinds[kind].m_definition.m_objective_stretch <= 0 ||
+        !is_most_urgent(state, kind))
+    {
+        return nullptr;
+    }
+    peer_state * best = nullptr;
+    for (auto & [instance, peer] : state.m_peers)
+    {
+        bool const idle_first = best == nullptr || peer.m_next_spill < best->m_next_spill;
+        if (peer.m_capacity.m_takes_work && peer.m_next_spill <= now && idle_first)
+        {
+            best = &peer;
+        }
+    }
+    if (best == nullptr)
+    {
+        return nullptr;
+    }
+    best->m_next_spill = now + spill_period;
+    return &best->m_capacity.m_instance;
+}
+
 void forward_attempt(dispatch_state & state, instance_id const & peer,
                      attempt_start start, effects & out)
 {
     peer_state & target = state.m_peers.at(peer);
     state.m_peer_order.erase(order_of(state, target.m_capacity));
-    --target.m_capacity.m_load.m_free_slots;
+    target.m_capacity.m_load.m_free_slots -=
+        std::min<std::uint32_t>(target.m_capacity.m_load.m_free_slots, 1);
     list_peer(state, target.m_capacity);
     target.m_forwarded.insert(start.m_attempt);
     ++state.m_counters.m_forwards;
--- a/src/dispatch/forwarding.hpp
+++ b/src/dispatch/forwarding.hpp
@@ -14,6 +14,15 @@
 instance_id const * pick_peer(dispatch_state const & state, resources const & demand,
                               random_source & random);
 
+/// \returns a peer without free slots at which a task of the most urgent kind may wait
+/// for the next one, so that a wide job does not wait for the upstreams of one instance
+/// alone; nullptr for other kinds, and while each peer has been given one a moment ago.
+instance_id const * pick_busy_peer(dispatch_state & state, std::uint32_t kind,
+                                   time_point now);
+
+/// \returns true when pick_busy_peer() may find a peer for some waiting task.
+bool may_wait_at_peers(dispatch_state const & state);
+
 /// Sends \p start to \p peer and counts one of its free slots as taken.
 void forward_attempt(dispatch_state & state, instance_id const & peer,
                      attempt_start start, effects & out);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/forwarding.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
 
@@ -73,7 +74,8 @@
 bool any_room(dispatch_state const & state)
 {
     return state.m_offered_slots > 0 || !state.m_probe_targets.empty() ||
-           !state.m_peer_order.empty() || reservation_is_due(state);
+           !state.m_peer_order.empty() || reservation_is_due(state) ||
+           may_wait_at_peers(state);
 }
 
 } // namespace cassiahub::dispatch::internal
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -49,7 +49,9 @@
     beast::flat_buffer m_buffer;
     std::optional<response_parser> m_parser;
     std::optional<client_request> m_request; ///< in progress
-    bool m_sent = false;                     ///< the request may have left
+    beast_request m_message; ///< outlives m_request: a write may still refer to it
+    bool m_writing = false;
+    bool m_sent = false; ///< the request may have left
     bool m_open = true;
 };
 
@@ -150,32 +152,32 @@
 {
     used->m_parser.emplace();
     used->m_parser->body_limit(client->m_options.m_max_body_bytes);
-    beast::http::async_read(used->m_socket, used->m_buffer, *used->m_parser,
-                            [client, used](boost::system::error_code error, std::size_t)
-                            {
-                                if (error || !used->m_open)
-                                {
-                                    fail_connection(client, used);
-                                    return;
-                                }
-                                bool const keep = used->m_parser->keep_alive();
-                                response answer = from_beast(used->m_parser->release());
-                                if (keep)
-                                {
-                                    client->m_addresses[used->m_address].m_idle.push_back(
-                                        used);
-                                    watch_idle(client, used);
-                                }
-                                else
-                                {
-                                    close_connection(client, used);
-                                }
-                                finish_request(client, used, {}, std::move(answer));
-                                if (!client->m_closed)
-                                {
-                                    start_next(client, used->m_address);
-                                }
-                            });
+    beast::http::async_read(
+        used->m_socket, used->m_buffer, *used->m_parser,
+        [client, used](boost::system::error_code error, std::size_t)
+        {
+            if (error || !used->m_open)
+            {
+                fail_connection(client, used);
+                return;
+            }
+            bool const keep = used->m_parser->keep_alive() && !used->m_writing;
+            response answer = from_beast(used->m_parser->release());
+            if (keep)
+            {
+                client->m_addresses[used->m_address].m_idle.push_back(used);
+                watch_idle(client, used);
+            }
+            else
+            {
+                close_connection(client, used);
+            }
+            finish_request(client, used, {}, std::move(answer));
+            if (!client->m_closed)
+            {
+                start_next(client, used->m_address);
+            }
+        });
 }
 
 void set_limit(client_pointer const & client, connection_pointer const & used,
@@ -196,10 +198,13 @@
 void write_request(client_pointer const & client, connection_pointer const & used)
 {
     used->m_sent = true;
+    used->m_writing = true;
+    used->m_message = std::move(used->m_request->m_message);
     set_limit(client, used, used->m_request->m_limit);
-    beast::http::async_write(used->m_socket, used->m_request->m_message,
+    beast::http::async_write(used->m_socket, used->m_message,
                              [client, used](boost::system::error_code error, std::size_t)
                              {
+                                 used->m_writing = false;
                                  if (error && used->m_open)
                                  {
                                      fail_connection(client, used);
--- /dev/null
+++ b/tests/dispatch_objective_test.cpp
@@ -0,0 +1,169 @@
+/// \file Objectives of kinds, and tasks that wait at busy peers.
+
+#include "dispatch_fixture.hpp"
+
+namespace cassiahub::dispatch
+{
+
+namespace
+{
+
+// Guards against queues that serve every job too late after one burst, and against wide
+// urgent jobs that wait for the upstreams of one instance alone.
+class dispatch_objective_test : public dispatch_fixture
+{
+    CPPUNIT_TEST_SUITE(dispatch_objective_test);
+    CPPUNIT_TEST(job_past_objective_is_refused_while_others_wait);
+    CPPUNIT_TEST(job_past_objective_waits_on_when_alone);
+    CPPUNIT_TEST(late_job_is_refused_one_objective_later);
+    CPPUNIT_TEST(late_job_yields_to_job_on_time);
+    CPPUNIT_TEST(started_job_is_not_refused_for_its_objective);
+    CPPUNIT_TEST(kind_without_objective_waits_to_its_deadline);
+    CPPUNIT_TEST(urgent_task_waits_at_busy_peer);
+    CPPUNIT_TEST(task_of_other_kind_does_not_wait_at_busy_peer);
+    CPPUNIT_TEST(stopping_peer_gets_no_waiting_task);
+    CPPUNIT_TEST(load_counts_tasks_of_typical_demand);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::vector<attempt_start> m_running;
+
+    /// Fills all six slots with tasks of kind bulk.
+    void fill()
+    {
+        submit("bulk", 6);
+        m_running = take_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), m_running.size());
+    }
+
+    void finish_one()
+    {
+        attempt_id const id = m_running.back().m_attempt;
+        m_running.pop_back();
+        finish(id, attempt_outcome::succeeded);
+    }
+
+    void add_busy_peer(bool takes_work = true)
+    {
+        set_peer(m_state, {{"peer"}, "north", {}, takes_work});
+    }
+
+public:
+    void setUp() override
+    {
+        dispatch_fixture::setUp();
+        for (config::work_kind & kind : m_configuration.m_kinds)
+        {
+            // Run time 100 ms: objective 300 ms, last start on time after 200 ms.
+            kind.m_expected_run_time = 100ms;
+            kind.m_objective_stretch = kind.m_name == "bulk" ? 0 : 2;
+            kind.m_objective_slack = 100ms;
+        }
+        apply();
+    }
+
+    void job_past_objective_is_refused_while_others_wait()
+    {
+        fill();
+        submit("check", 1);
+        step(150ms);
+        submit("check", 1);
+        step(100ms);
+        job_answer const answer = take_answer();
+        CPPUNIT_ASSERT(answer.m_error == job_errc::deadline_unreachable);
+        CPPUNIT_ASSERT(answer.m_ran == run_state::no);
+    }
+
+    void job_past_objective_waits_on_when_alone()
+    {
+        fill();
+        submit("check", 1);
+        step(250ms);
+        CPPUNIT_ASSERT(m_out.m_finished.empty());
+        finish_one();
+        CPPUNIT_ASSERT_EQUAL(std::string("check"), take_one_start().m_kind);
+    }
+
+    void late_job_is_refused_one_objective_later()
+    {
+        fill();
+        submit("check", 1);
+        step(250ms);
+        step(300ms);
+        CPPUNIT_ASSERT(take_answer().m_error == job_errc::deadline_unreachable);
+    }
+
+    void late_job_yields_to_job_on_time()
+    {
+        fill();
+        submit("lodge", 1);
+        step(250ms);
+        submit("check", 1);
+        finish_one();
+        CPPUNIT_ASSERT_EQUAL(std::string("check"), take_one_start().m_kind);
+        finish_one();
+        CPPUNIT_ASSERT_EQUAL(std::string("lodge"), take_one_start().m_kind);
+    }
+
+    void started_job_is_not_refused_for_its_objective()
+    {
+        fill();
+        submit("check", 2);
+        finish_one();
+        CPPUNIT_ASSERT_EQUAL(std::string("check"), take_one_start().m_kind);
+        submit("check", 1);
+        step(190ms);
+        CPPUNIT_ASSERT(m_out.m_finished.empty());
+        step(60ms); // the second job is refused, the first has started
+        CPPUNIT_ASSERT(m_out.m_finished.size() <= 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_state.m_jobs.size());
+    }
+
+    void kind_without_objective_waits_to_its_deadline()
+    {
+        fill();
+        submit("bulk", 1);
+        step(5s);
+        CPPUNIT_ASSERT(m_out.m_finished.empty());
+    }
+
+    void urgent_task_waits_at_busy_peer()
+    {
+        fill();
+        add_busy_peer();
+        submit("lodge", 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
+        step(15ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_out.m_forwards.size());
+    }
+
+    void task_of_other_kind_does_not_wait_at_busy_peer()
+    {
+        fill();
+        add_busy_peer();
+        submit("check", 3);
+        CPPUNIT_ASSERT(m_out.m_forwards.empty());
+    }
+
+    void stopping_peer_gets_no_waiting_task()
+    {
+        fill();
+        add_busy_peer(false);
+        submit("lodge", 3);
+        CPPUNIT_ASSERT(m_out.m_forwards.empty());
+    }
+
+    void load_counts_tasks_of_typical_demand()
+    {
+        job_spec spec = make_spec("check", 1);
+        spec.m_tasks[0].m_demand = {9000, 512, 0};
+        submit(spec);
+        // Two upstreams hold one such task each, the third one has 7 cores left.
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), current_load(m_state).m_free_slots);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_objective_test);
+
+} // namespace
+
+} // namespace cassiahub::dispatch
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(request_to_closed_port_fails_as_not_sent);
     CPPUNIT_TEST(request_without_answer_is_lost_at_its_limit);
     CPPUNIT_TEST(request_waiting_at_its_limit_fails_as_not_sent);
+    CPPUNIT_TEST(request_cut_off_while_it_is_written_is_lost);
     CPPUNIT_TEST(caller_that_leaves_is_reported);
     CPPUNIT_TEST(body_beyond_limit_is_refused);
     CPPUNIT_TEST(malformed_request_is_refused);
@@ -183,6 +184,20 @@
         CPPUNIT_ASSERT(m_errors[1] == http::http_errc::response_lost);
     }
 
+    // The message was freed at the limit while its write went on.
+    void request_cut_off_while_it_is_written_is_lost()
+    {
+        m_server.reset();
+        asio::ip::tcp::acceptor silent(m_loop,
+                                       {asio::ip::make_address_v4("127.0.0.1"), m_port});
+        for (std::size_t round = 0; round < 20; ++round)
+        {
+            send(std::string(8'000'000, 'x'), 20ms);
+            wait_for(round + 1);
+            CPPUNIT_ASSERT(m_errors[round] == http::http_errc::response_lost);
+        }
+    }
+
     void caller_that_leaves_is_reported()
     {
         m_echo = false;
