--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -58,40 +58,40 @@
     // Store.
 
     /// Reads rows of \p table from the key \p from on.
-    http::request (*write_read)(store_table table, std::string_view from);
+    http::request (*m_write_read)(store_table table, std::string_view from);
     /// Waits at most \p wait for rows changed after the version \p after.
-    http::request (*write_watch)(store_table table, std::uint64_t after, duration wait);
+    http::request (*m_write_watch)(store_table table, std::uint64_t after, duration wait);
     /// Writes the row \p key, or removes it when \p value is empty.
-    http::request (*write_row)(store_table table, std::string_view key,
-                               std::optional<std::string_view> value);
-    store_status (*read_rows)(http::response const & received, store_rows & rows);
+    http::request (*m_write_row)(store_table table, std::string_view key,
+                                 std::optional<std::string_view> value);
+    store_status (*m_read_rows)(http::response const & received, store_rows & rows);
     /// Key of the fleet configuration in its table.
-    std::string_view (*configuration_key)();
+    std::string_view (*m_configuration_key)();
 
     // Documents.
 
     /// \returns the configuration without upstreams, or nothing when it is malformed.
-    std::optional<config::fleet_configuration> (*read_configuration)(
+    std::optional<config::fleet_configuration> (*m_read_configuration)(
         std::string_view document);
     /// \returns the registered upstream, or nothing when the row names none to use.
-    std::optional<decision::discovered_upstream> (*read_upstream)(std::string_view key,
-                                                                  std::string_view value);
+    std::optional<decision::discovered_upstream> (*m_read_upstream)(
+        std::string_view key, std::string_view value);
 
     // Callers.
 
     /// Reads everything but the route of a request.
-    std::error_code (*read_request)(http::request received,
-                                    decision::routed_request & request);
-    http::response (*write_answer)(decision::key_operation operation,
-                                   job_answer const & answer);
+    std::error_code (*m_read_request)(http::request received,
+                                      decision::routed_request & request);
+    http::response (*m_write_answer)(decision::key_operation operation,
+                                     job_answer const & answer);
     /// \returns true for a request of the balancer that asks for readiness.
-    bool (*is_readiness_request)(http::request const & received);
+    bool (*m_is_readiness_request)(http::request const & received);
 
     // Upstreams.
 
-    http::request (*write_call)(lease::upstream_call const & call);
+    http::request (*m_write_call)(lease::upstream_call const & call);
     /// \returns the reply without its number and upstream.
-    lease::upstream_reply (*read_reply)(http::response const & received);
+    lease::upstream_reply (*m_read_reply)(http::response const & received);
 };
 
 } // namespace cassiahub::gateway
--- a/include/cassiahub/lease/sessions.hpp
+++ b/include/cassiahub/lease/sessions.hpp
@@ -50,7 +50,8 @@
 void stop(lease_state & state, attempt_id const & attempt, time_point now, effects & out);
 
 /// Takes in the reply to a call.
-void receive(lease_state & state, upstream_reply reply, time_point now, effects & out);
+void receive(lease_state & state, upstream_reply const & reply, time_point now,
+             effects & out);
 
 /// Renews leases, repeats stops, and settles runs whose lease has expired.
 /// \param token for sessions that have to claim their upstream again.
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -206,6 +206,7 @@
     forget_missing(context);
     std::vector<lease::owned_upstream> const owned = choose_owned(context);
     std::vector<std::string> names;
+    names.reserve(owned.size());
     for (lease::owned_upstream const & item : owned)
     {
         names.push_back(item.m_name);
@@ -389,11 +390,10 @@
     }
 }
 
-void receive_reply(step_context & context, lease::upstream_reply reply)
+void receive_reply(step_context & context, lease::upstream_reply const & reply)
 {
     lease::effects effects;
-    lease::receive(context.m_state.m_leasing.m_sessions, std::move(reply), context.m_now,
-                   effects);
+    lease::receive(context.m_state.m_leasing.m_sessions, reply, context.m_now, effects);
     apply(context, std::move(effects));
 }
 
--- a/src/decision/leasing.hpp
+++ b/src/decision/leasing.hpp
@@ -36,7 +36,7 @@
 
 void receive_upstreams(step_context & context, upstreams_discovered & discovered);
 void receive_clock(step_context & context, std::int64_t milliseconds);
-void receive_reply(step_context & context, lease::upstream_reply reply);
+void receive_reply(step_context & context, lease::upstream_reply const & reply);
 
 /// Puts a newer configuration in force; an older one is ignored.
 void change_base_configuration(step_context & context, configuration_changed & changed);
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -212,9 +212,9 @@
     receive_clock(context, reading.m_milliseconds);
 }
 
-void handle(step_context & context, upstream_replied & replied)
+void handle(step_context & context, upstream_replied const & replied)
 {
-    receive_reply(context, std::move(replied.m_reply));
+    receive_reply(context, replied.m_reply);
 }
 
 void handle(step_context &, tick &) {}
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -46,7 +46,7 @@
 void answer(caller_service & service, http::exchange_id exchange,
             decision::key_operation operation, job_answer const & result)
 {
-    http::response made = service.m_context.m_wire.write_answer(operation, result);
+    http::response made = service.m_context.m_wire.m_write_answer(operation, result);
     if (service.m_stopping)
     {
         made.m_headers.push_back({"Connection", "close"});
@@ -60,7 +60,7 @@
     decision::routed_request request;
     request.m_caller = exchange;
     std::error_code const error =
-        service.m_context.m_wire.read_request(std::move(received), request);
+        service.m_context.m_wire.m_read_request(std::move(received), request);
     decision::key_operation const operation = request.m_operation;
     if (error)
     {
@@ -106,7 +106,7 @@
 {
     constexpr int not_found = 404;
 
-    if (!service.m_context.m_wire.is_readiness_request(received))
+    if (!service.m_context.m_wire.m_is_readiness_request(received))
     {
         return {not_found, "application/json", {}, "{}"};
     }
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -91,12 +91,12 @@
         *state.m_client, state.m_context.m_settings.m_store_address, std::move(sent),
         wait + reply_timeout,
         [&state, handler = std::move(handler)](std::error_code error,
-                                               http::response received)
+                                               http::response const & received)
         {
             store_rows rows;
             store_status const status =
                 error ? store_status::refused
-                      : state.m_context.m_wire.read_rows(received, rows);
+                      : state.m_context.m_wire.m_read_rows(received, rows);
             note_contact(state, status == store_status::done,
                          error ? error : std::error_code(store::store_errc::unavailable));
             if (status == store_status::done && rows.m_clock_ms > 0)
@@ -109,7 +109,7 @@
 
 void publish_configuration(registry_state & state)
 {
-    std::string const key(state.m_context.m_wire.configuration_key());
+    std::string const key(state.m_context.m_wire.m_configuration_key());
     auto const found = state.m_configuration.m_rows.find(key);
     if (found != state.m_configuration.m_rows.end())
     {
@@ -122,7 +122,7 @@
     decision::upstreams_discovered discovered;
     for (auto const & [key, value] : state.m_upstreams.m_rows)
     {
-        if (auto upstream = state.m_context.m_wire.read_upstream(key, value))
+        if (auto upstream = state.m_context.m_wire.m_read_upstream(key, value))
         {
             discovered.m_upstreams.push_back(std::move(*upstream));
         }
@@ -167,7 +167,7 @@
     call_after(*table.m_timer, pause, [&state, &table] { follow(state, table); });
 }
 
-void read_table(registry_state & state, followed_table & table, std::string from)
+void read_table(registry_state & state, followed_table & table, std::string_view from)
 {
     auto on_rows = [&state, &table](store_status status, store_rows rows)
     {
@@ -194,8 +194,8 @@
         publish(state, table);
         follow(state, table);
     };
-    send(state, state.m_context.m_wire.write_read(table.m_table, from), duration::zero(),
-         std::move(on_rows));
+    send(state, state.m_context.m_wire.m_write_read(table.m_table, from),
+         duration::zero(), std::move(on_rows));
 }
 
 void apply_changes(registry_state & state, followed_table & table, store_rows rows)
@@ -234,7 +234,7 @@
         follow_after_pause(state, table);
     };
     send(state,
-         state.m_context.m_wire.write_watch(table.m_table, table.m_version, watch_wait),
+         state.m_context.m_wire.m_write_watch(table.m_table, table.m_version, watch_wait),
          watch_wait, std::move(on_rows));
 }
 
@@ -257,8 +257,8 @@
     std::string const value =
         format_registration({settings.m_domain, settings.m_peer_address});
     send(state,
-         state.m_context.m_wire.write_row(store_table::instances, settings.m_instance,
-                                          value),
+         state.m_context.m_wire.m_write_row(store_table::instances, settings.m_instance,
+                                            value),
          duration::zero(),
          [&state](store_status status, store_rows const &)
          {
@@ -287,7 +287,7 @@
 
 void list_instances(registry_state & state)
 {
-    send(state, state.m_context.m_wire.write_read(store_table::instances, {}),
+    send(state, state.m_context.m_wire.m_write_read(store_table::instances, {}),
          duration::zero(),
          [&state](store_status status, store_rows const & rows)
          {
@@ -306,8 +306,8 @@
 {
     bool answered = false;
     send(state,
-         state.m_context.m_wire.write_row(store_table::instances,
-                                          state.m_context.m_settings.m_instance, {}),
+         state.m_context.m_wire.m_write_row(store_table::instances,
+                                            state.m_context.m_settings.m_instance, {}),
          duration::zero(),
          [&answered](store_status, store_rows const &) { answered = true; });
     state.m_loop.restart();
--- a/src/gateway/upstream_calls.cpp
+++ b/src/gateway/upstream_calls.cpp
@@ -39,7 +39,7 @@
 {
     if (!error)
     {
-        return context.m_wire.read_reply(received);
+        return context.m_wire.m_read_reply(received);
     }
     lease::upstream_reply reply;
     reply.m_outcome = error == http::http_errc::connect_failed
@@ -63,7 +63,7 @@
                                        stop);
     };
     http::send_request(renews ? *clients.m_renewals : *clients.m_orders, call.m_address,
-                       context.m_wire.write_call(call), call.m_timeout,
+                       context.m_wire.m_write_call(call), call.m_timeout,
                        std::move(on_response));
 }
 
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -79,7 +79,7 @@
     bool m_closed = false;
 
     async_client_state(boost::asio::io_context & loop, async_client_options options)
-        : m_loop(loop), m_options(std::move(options))
+        : m_loop(loop), m_options(options)
     {
     }
 };
@@ -336,7 +336,7 @@
 async_client make_async_client(boost::asio::io_context & loop,
                                async_client_options options)
 {
-    auto state = std::make_shared<async_client_state>(loop, std::move(options));
+    auto state = std::make_shared<async_client_state>(loop, options);
     state->m_self = state;
     return async_client(state.get());
 }
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -309,7 +309,8 @@
     }
 }
 
-void receive(lease_state & state, upstream_reply reply, time_point now, effects & out)
+void receive(lease_state & state, upstream_reply const & reply, time_point now,
+             effects & out)
 {
     auto const pending = state.m_pending.extract(reply.m_number);
     if (!pending)
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -121,18 +121,19 @@
     std::map<std::string_view, std::vector<std::size_t>> taken;
     for (placed_name const & item : items)
     {
-        auto const [share, added] = shares.try_emplace(item.m_domain);
-        if (added)
+        auto const inserted = shares.try_emplace(item.m_domain);
+        internal::domain_share & share = inserted.first->second;
+        if (inserted.second)
         {
-            share->second = internal::share_of(owners, items, item.m_domain);
+            share = internal::share_of(owners, items, item.m_domain);
             taken[item.m_domain].assign(owners.size(), 0);
         }
         std::vector<std::size_t> & counts = taken[item.m_domain];
         std::vector<std::size_t> const ranked =
-            internal::rank_candidates(owners, share->second.m_candidates, item.m_name);
-        std::size_t const owner = *std::find_if(
-            ranked.begin(), ranked.end(),
-            [&](std::size_t index) { return counts[index] < share->second.m_room; });
+            internal::rank_candidates(owners, share.m_candidates, item.m_name);
+        std::size_t const owner = *std::find_if(ranked.begin(), ranked.end(),
+                                                [&](std::size_t index)
+                                                { return counts[index] < share.m_room; });
         ++counts[owner];
         result.push_back(owner);
     }
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -29,7 +29,7 @@
     if (!stop.stop_requested())
     {
         // Ends the wait of the signal thread.
-        pthread_kill(signal_thread.native_handle(), SIGTERM);
+        pthread_kill(signal_thread.native_handle(), SIGINT);
     }
     signal_thread.join();
     if (error)
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -103,7 +103,7 @@
         std::error_code error;
         m_server = http::start_async_server(
             m_loop, options,
-            {[this](http::exchange_id exchange, http::request received)
+            {[this](http::exchange_id exchange, http::request const & received)
              {
                  if (m_echo)
                  {
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -87,7 +87,7 @@
         upstream_reply reply = make_reply(call, call_outcome::accepted);
         reply.m_running = std::move(running);
         reply.m_ended = std::move(ended);
-        receive(m_state, std::move(reply), m_now, m_out);
+        receive(m_state, reply, m_now, m_out);
     }
 
     void pass(duration time)
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -64,13 +64,13 @@
     std::error_code read(std::string const & body)
     {
         m_request = {};
-        return m_wire.read_request(call("POST", "/lohu930/5c0e7a21d94b36f8", body),
-                                   m_request);
+        return m_wire.m_read_request(call("POST", "/lohu930/5c0e7a21d94b36f8", body),
+                                     m_request);
     }
 
     int status_of(job_answer const & answer)
     {
-        return m_wire.write_answer(decision::key_operation::submit, answer).m_status;
+        return m_wire.m_write_answer(decision::key_operation::submit, answer).m_status;
     }
 
 public:
@@ -136,19 +136,19 @@
     {
         using decision::key_operation;
         decision::routed_request request;
-        CPPUNIT_ASSERT(!m_wire.read_request(call("GET", "/q/1"), request));
+        CPPUNIT_ASSERT(!m_wire.m_read_request(call("GET", "/q/1"), request));
         CPPUNIT_ASSERT(request.m_operation == key_operation::query);
-        CPPUNIT_ASSERT(!m_wire.read_request(call("DELETE", "/q/1"), request));
+        CPPUNIT_ASSERT(!m_wire.m_read_request(call("DELETE", "/q/1"), request));
         CPPUNIT_ASSERT(request.m_operation == key_operation::cancel);
-        CPPUNIT_ASSERT(!m_wire.read_request(call("GET", "/q/"), request));
+        CPPUNIT_ASSERT(!m_wire.m_read_request(call("GET", "/q/"), request));
         CPPUNIT_ASSERT(request.m_operation == key_operation::count);
-        CPPUNIT_ASSERT(m_wire.read_request(call("PATCH", "/q/1"), request) ==
+        CPPUNIT_ASSERT(m_wire.m_read_request(call("PATCH", "/q/1"), request) ==
                        job_errc::malformed_request);
     }
 
     void answer_of_complete_job_is_completed()
     {
-        http::response const made = m_wire.write_answer(
+        http::response const made = m_wire.m_write_answer(
             decision::key_operation::submit, {{}, run_state::yes, 0s, {"", ""}});
         CPPUNIT_ASSERT_EQUAL(200, made.m_status);
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"completed"})"), made.m_body);
@@ -157,17 +157,17 @@
     void answer_of_failed_job_is_failed()
     {
         http::response const made =
-            m_wire.write_answer(decision::key_operation::submit,
-                                {job_errc::task_failed, run_state::yes, 0s, {}});
+            m_wire.m_write_answer(decision::key_operation::submit,
+                                  {job_errc::task_failed, run_state::yes, 0s, {}});
         CPPUNIT_ASSERT_EQUAL(200, made.m_status);
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"failed"})"), made.m_body);
     }
 
     void refusal_not_run_says_when_to_come_back()
     {
-        http::response const made =
-            m_wire.write_answer(decision::key_operation::submit,
-                                {job_errc::deadline_unreachable, run_state::no, 1s, {}});
+        http::response const made = m_wire.m_write_answer(
+            decision::key_operation::submit,
+            {job_errc::deadline_unreachable, run_state::no, 1s, {}});
         CPPUNIT_ASSERT_EQUAL(503, made.m_status);
         CPPUNIT_ASSERT(http::find_header(made.m_headers, "Retry-After") == "1");
     }
@@ -222,7 +222,7 @@
 
     lease::upstream_reply read(int status, std::string body)
     {
-        return m_wire.read_reply(received(status, std::move(body)));
+        return m_wire.m_read_reply(received(status, std::move(body)));
     }
 
 public:
@@ -231,7 +231,7 @@
         lease::upstream_call call{
             1, "i-7f3a91c2", "10.0.0.1:1",
             7, 1s,           lease::start_call{run(), "text", 486000}};
-        http::request const sent = m_wire.write_call(call);
+        http::request const sent = m_wire.m_write_call(call);
         CPPUNIT_ASSERT_EQUAL(std::string("/cassiahub/run-start"), sent.m_path);
         CPPUNIT_ASSERT(platform::json::parse(sent.m_body) ==
                        platform::json::parse(
@@ -248,7 +248,7 @@
         renewal.m_acknowledged = 57;
         renewal.m_wait = 1000ms;
         http::request const sent =
-            m_wire.write_call({1, "i", "10.0.0.1:1", 7, 1s, renewal});
+            m_wire.m_write_call({1, "i", "10.0.0.1:1", 7, 1s, renewal});
         CPPUNIT_ASSERT_EQUAL(std::string("/cassiahub/hold"), sent.m_path);
         CPPUNIT_ASSERT(platform::json::parse(sent.m_body) ==
                        platform::json::parse(R"({"deadline-ms":486000,"fencing-token":7,)"
@@ -305,7 +305,7 @@
 
     void upstream_registration_is_read()
     {
-        auto const upstream = m_wire.read_upstream("i-7f3a91c2", registration);
+        auto const upstream = m_wire.m_read_upstream("i-7f3a91c2", registration);
         CPPUNIT_ASSERT(upstream);
         config::upstream const & definition = upstream->m_definition;
         CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), definition.m_name);
@@ -326,13 +326,13 @@
               R"({"service":"s","address":7,"zone":"z","state":"ready",)"
               R"("capacity":{"cpu":1}})"})
         {
-            CPPUNIT_ASSERT_MESSAGE(value, !m_wire.read_upstream("i", value));
+            CPPUNIT_ASSERT_MESSAGE(value, !m_wire.m_read_upstream("i", value));
         }
     }
 
     void configuration_is_read()
     {
-        auto const read = m_wire.read_configuration(
+        auto const read = m_wire.m_read_configuration(
             R"({"version":7,"routes":[{"name":"r-1","host":"h.example","prefix":"/a/",)"
             R"("type":"unsafe","timeout-ms":1500,"target-duration-ms":60,"priority":2,)"
             R"("service":"s","max-attempts":4,"stretch":1.6}],"services":[],)"
@@ -351,15 +351,15 @@
 
     void configuration_without_version_is_refused()
     {
-        CPPUNIT_ASSERT(!m_wire.read_configuration(R"({"routes":[]})"));
-        CPPUNIT_ASSERT(!m_wire.read_configuration(R"({"version":1,"routes":[{}]})"));
-        CPPUNIT_ASSERT(!m_wire.read_configuration("not a document"));
+        CPPUNIT_ASSERT(!m_wire.m_read_configuration(R"({"routes":[]})"));
+        CPPUNIT_ASSERT(!m_wire.m_read_configuration(R"({"version":1,"routes":[{}]})"));
+        CPPUNIT_ASSERT(!m_wire.m_read_configuration("not a document"));
     }
 
     void store_rows_are_read()
     {
         gateway::store_rows rows;
-        auto const status = m_wire.read_rows(
+        auto const status = m_wire.m_read_rows(
             received(200, R"({"rows":[{"table":"my","part":"","key":"owner",)"
                           R"("value":"bm9kZS0x","ver":412},{"key":"gone","ver":413,)"
                           R"("removed":true},{"key":"bad","ver":1,"value":"*"}],)"
@@ -376,18 +376,18 @@
     void store_status_tells_lost_history_from_refusal()
     {
         gateway::store_rows rows;
-        CPPUNIT_ASSERT(m_wire.read_rows(received(410, ""), rows) ==
+        CPPUNIT_ASSERT(m_wire.m_read_rows(received(410, ""), rows) ==
                        gateway::store_status::history_lost);
-        CPPUNIT_ASSERT(m_wire.read_rows(received(429, ""), rows) ==
+        CPPUNIT_ASSERT(m_wire.m_read_rows(received(429, ""), rows) ==
                        gateway::store_status::refused);
-        CPPUNIT_ASSERT(m_wire.read_rows(received(200, "x"), rows) ==
+        CPPUNIT_ASSERT(m_wire.m_read_rows(received(200, "x"), rows) ==
                        gateway::store_status::malformed);
     }
 
     void store_row_is_written_in_base64()
     {
         http::request const sent =
-            m_wire.write_row(gateway::store_table::instances, "n", "node-1");
+            m_wire.m_write_row(gateway::store_table::instances, "n", "node-1");
         CPPUNIT_ASSERT(sent.m_body.find("bm9kZS0x") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(std::string("/cassiahub/rows-tx"), sent.m_path);
     }
