Report starts without a reply as unknown when their upstream restarts

Ruled out: the peer path (one owner reported one outcome) and late orders. Change: runs whose start has no reply are reported as unknown, which ends their job as 502; the caller submits again after the claim has stopped them. Before: start_accepted_by_restarted_upstream_is_unknown fails; after: lease_test 25 of 25.

--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -177,6 +177,22 @@
     }
 }
 
+void finish_uncertain_runs(session_context & context)
+{
+    std::vector<task_name> uncertain;
+    for (auto const & [task, run] : context.m_session.m_runs)
+    {
+        if (run.m_uncertain)
+        {
+            uncertain.push_back(task);
+        }
+    }
+    for (task_name const & task : uncertain)
+    {
+        finish_run(context, task, attempt_outcome::unknown);
+    }
+}
+
 void stop_run(session_context & context, task_name const & task, ordered_run & run)
 {
     run.m_phase = run_phase::stopping;
--- a/src/lease/runs.hpp
+++ b/src/lease/runs.hpp
@@ -17,6 +17,9 @@
 /// Reports every run of the session with \p outcome.
 void finish_all_runs(session_context & context, dispatch::attempt_outcome outcome);
 
+/// Reports every run whose start has no reply as unknown.
+void finish_uncertain_runs(session_context & context);
+
 /// Orders the stop of a run.
 void stop_run(session_context & context, task_name const & task, ordered_run & run);
 
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -57,12 +57,14 @@
     session.m_next_renewal = context.m_now + claim_period;
 }
 
-/// The upstream was started again: it holds nothing of before.
+/// The upstream was started again: it holds nothing of before. A start without a reply so
+/// far may run there all the same, until the next claim stops it.
 void adopt_incarnation(session_context & context, std::uint64_t incarnation)
 {
     upstream_session & session = context.m_session;
     if (session.m_incarnation != 0)
     {
+        finish_uncertain_runs(context);
         lose_upstream(context, attempt_outcome::interrupted, "upstream_restarted");
         session.m_next_renewal = context.m_now;
     }
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -153,6 +153,7 @@
     CPPUNIT_TEST(disowned_upstream_with_run_is_released_after_its_end);
     CPPUNIT_TEST(disowned_idle_upstream_is_released_at_once);
     CPPUNIT_TEST(restarted_upstream_ends_its_runs);
+    CPPUNIT_TEST(start_accepted_by_restarted_upstream_is_unknown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -240,6 +241,24 @@
         receive(m_state, reply, m_now, m_out);
         CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::interrupted);
     }
+
+    // The run was reported as ended and started elsewhere while it ran on the upstream
+    // that had come back (tausi-returns-grown, trouble-2).
+    void start_accepted_by_restarted_upstream_is_unknown()
+    {
+        serve();
+        attempt_id const running = order(0);
+        answer(take<start_call>());
+        attempt_id const started = order(1);
+        attempt_id const open = order(2);
+        upstream_reply reply = make_reply(take<start_call>(), call_outcome::accepted);
+        reply.m_incarnation = 2;
+        reply.m_clock = 5;
+        receive(m_state, reply, m_now, m_out);
+        CPPUNIT_ASSERT(outcome_of(running) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(outcome_of(started) == dispatch::attempt_outcome::unknown);
+        CPPUNIT_ASSERT(outcome_of(open) == dispatch::attempt_outcome::unknown);
+    }
 };
 
 // Guards against a task that runs twice because an order without a reply was given up,
