--- /dev/null
+++ b/fuzz/platform_wire_fuzz.cpp
@@ -0,0 +1,43 @@
+/// \file Every parser of the adapter on arbitrary bytes. The first byte picks the parser.
+
+#include "platform/wire_format.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const * data, std::size_t size)
+{
+    using namespace cassiahub;
+    constexpr unsigned parsers = 5;
+
+    if (size == 0)
+    {
+        return 0;
+    }
+    gateway::wire_format const wire = platform::make_wire_format();
+    std::string text(reinterpret_cast<char const *>(data) + 1, size - 1);
+    http::response received;
+    received.m_body = text;
+    gateway::store_rows rows;
+    decision::routed_request request;
+    switch (data[0] % parsers)
+    {
+    case 0:
+        wire.m_read_rows(received, rows);
+        break;
+    case 1:
+        wire.m_read_configuration(text);
+        break;
+    case 2:
+        wire.m_read_upstream("name", text);
+        break;
+    case 3:
+        wire.m_read_reply(received);
+        break;
+    default:
+        wire.m_read_request({"POST", "/queue/1", "", {{"Host", "h"}}, text}, request);
+        break;
+    }
+    return 0;
+}
