Share the duty tree and the reading of settings; honour the granted lease

Cause: make_group, make_duty and load_settings stood twice, and the setting longest_lease was read and not used.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -87,6 +87,8 @@
     std::unordered_map<call_number, pending_call> m_pending;
     std::unordered_map<attempt_id, std::pair<std::string, task_name>> m_attempts;
     call_number m_next_call = 1;
+    /// Longest lease that upstreams grant.
+    duration m_lease_length = std::chrono::milliseconds(1000);
     time_point m_next_scan;
     std::uint64_t m_lapsed = 0;    ///< runs whose lease has expired
     std::uint64_t m_stalled = 0;   ///< runs that were stopped without progress
--- a/programs/cassiahub-entry.cpp
+++ b/programs/cassiahub-entry.cpp
@@ -1,5 +1,7 @@
 /// \file The entry daemon: accepts jobs from callers and dispatches their tasks.
 
+#include "settings_file.hpp"
+
 #include <cassiahub/config.hpp>
 #include <cassiahub/entry.hpp>
 #include <cassiahub/runtime.hpp>
@@ -12,28 +14,6 @@
 #include <string>
 #include <utility>
 
-namespace
-{
-
-std::optional<cassiahub::config::entry_settings> load_settings(std::string const & path)
-{
-    std::string text;
-    if (std::error_code const error = cassiahub::config::read_file(path, text))
-    {
-        std::cerr << path << ": " << error.message() << '\n';
-        return std::nullopt;
-    }
-    std::vector<cassiahub::config::config_fault> faults;
-    auto settings = cassiahub::config::parse_entry_settings(text, faults);
-    for (cassiahub::config::config_fault const & fault : faults)
-    {
-        std::cerr << path << ": " << to_string(fault) << '\n';
-    }
-    return settings;
-}
-
-} // namespace
-
 int main(int argc, char ** argv)
 {
     CLI::App app(
@@ -46,7 +26,8 @@
     app.add_flag("--check", check_only, "check the settings and exit");
     app.set_version_flag("--version", CASSIAHUB_VERSION);
     CLI11_PARSE(app, argc, argv);
-    auto const settings = load_settings(settings_path);
+    auto const settings =
+        load_settings(settings_path, cassiahub::config::parse_entry_settings);
     if (!settings)
     {
         return cassiahub::runtime::exit_usage;
--- a/programs/cassiahub-gateway.cpp
+++ b/programs/cassiahub-gateway.cpp
@@ -1,6 +1,7 @@
 /// \file The gateway daemon: serves callers of the platform on its upstreams.
 
 #include "platform/wire_format.hpp"
+#include "settings_file.hpp"
 
 #include <cassiahub/config/gateway_settings.hpp>
 #include <cassiahub/config/process_settings.hpp>
@@ -18,29 +19,12 @@
 namespace
 {
 
-std::optional<cassiahub::config::gateway_settings> load_settings(std::string const & path)
-{
-    std::string text;
-    if (std::error_code const error = cassiahub::config::read_file(path, text))
-    {
-        std::cerr << path << ": " << error.message() << '\n';
-        return std::nullopt;
-    }
-    std::vector<cassiahub::config::config_fault> faults;
-    auto settings = cassiahub::config::parse_gateway_settings(text, faults);
-    for (cassiahub::config::config_fault const & fault : faults)
-    {
-        std::cerr << path << ": " << to_string(fault) << '\n';
-    }
-    return settings;
-}
-
 /// Checks the settings again. The addresses of a running process do not change.
 void reload_settings(std::string const & path,
                      cassiahub::config::gateway_settings const & in_force)
 {
     using namespace cassiahub;
-    auto const settings = load_settings(path);
+    auto const settings = load_settings(path, cassiahub::config::parse_gateway_settings);
     std::string_view const outcome = !settings               ? "invalid"
                                      : *settings == in_force ? "unchanged"
                                                              : "changed";
@@ -64,7 +48,8 @@
     app.add_flag("--check", check_only, "check the settings and exit");
     app.set_version_flag("--version", CASSIAHUB_VERSION);
     CLI11_PARSE(app, argc, argv);
-    auto const settings = load_settings(settings_path);
+    auto const settings =
+        load_settings(settings_path, cassiahub::config::parse_gateway_settings);
     if (!settings)
     {
         return cassiahub::runtime::exit_usage;
--- /dev/null
+++ b/programs/settings_file.hpp
@@ -0,0 +1,35 @@
+#ifndef CASSIAHUB_PROGRAMS_SETTINGS_FILE_HPP
+#define CASSIAHUB_PROGRAMS_SETTINGS_FILE_HPP
+
+#include <cassiahub/config/error.hpp>
+#include <cassiahub/config/process_settings.hpp>
+
+#include <iostream>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Reads and checks the settings file \p path. Faults go to standard error.
+template <typename Settings>
+std::optional<Settings> load_settings(
+    std::string const & path,
+    std::optional<Settings> (*parse)(std::string_view,
+                                     std::vector<cassiahub::config::config_fault> &))
+{
+    std::string text;
+    if (std::error_code const error = cassiahub::config::read_file(path, text))
+    {
+        std::cerr << path << ": " << error.message() << '\n';
+        return std::nullopt;
+    }
+    std::vector<cassiahub::config::config_fault> faults;
+    auto settings = parse(text, faults);
+    for (cassiahub::config::config_fault const & fault : faults)
+    {
+        std::cerr << path << ": " << to_string(fault) << '\n';
+    }
+    return settings;
+}
+
+#endif
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -1,4 +1,5 @@
 #include "entry/duties.hpp"
+#include "entry/duty_tree.hpp"
 
 #include <cassiahub/entry/daemon.hpp>
 
@@ -12,30 +13,10 @@
 namespace cassiahub::entry
 {
 
-namespace internal
-{
-
-using runtime::child_spec;
-using runtime::restart_policy;
-using runtime::supervisor_spec;
-
-template <typename Body>
-child_spec make_duty(std::string name, daemon_context & context, Body body)
-{
-    return {std::move(name),
-            [&context, body](std::stop_token const & stop)
-            { return body(context, stop); },
-            restart_policy::permanent};
-}
-
-/// Duties that cancel attempts. One upstream that does not answer holds up one of them.
-constexpr std::uint32_t canceller_count = 4;
-
-/// \returns the child that supervises \p children. Failures of duties are recorded.
-child_spec make_group(std::string name, daemon_context & context,
-                      std::vector<child_spec> children)
+runtime::child_spec make_group(std::string name, daemon_context & context,
+                               std::vector<runtime::child_spec> children)
 {
-    supervisor_spec spec;
+    runtime::supervisor_spec spec;
     spec.m_name = std::move(name);
     spec.m_children = std::move(children);
     spec.m_observer = [&context](std::string_view child, runtime::child_event event,
@@ -50,6 +31,15 @@
     return runtime::as_child(std::move(spec));
 }
 
+namespace internal
+{
+
+using runtime::child_spec;
+using runtime::supervisor_spec;
+
+/// Duties that cancel attempts. One upstream that does not answer holds up one of them.
+constexpr std::uint32_t canceller_count = 4;
+
 std::vector<child_spec> make_upstream_duties(daemon_context & context)
 {
     std::vector<child_spec> duties;
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -1,4 +1,5 @@
 #include "entry/duties.hpp"
+#include "entry/duty_tree.hpp"
 #include "gateway/context.hpp"
 
 #include <cassiahub/gateway/daemon.hpp>
@@ -14,39 +15,10 @@
 namespace internal
 {
 
-using runtime::child_spec;
-using runtime::restart_policy;
+using entry::make_duty;
+using entry::make_group;
 using runtime::supervisor_spec;
 
-/// \param body run_... function of the gateway or of the entry module.
-template <typename Context>
-child_spec make_duty(std::string name, Context & context,
-                     std::error_code (*body)(Context &, std::stop_token const &))
-{
-    return {std::move(name),
-            [&context, body](std::stop_token const & stop)
-            { return body(context, stop); },
-            restart_policy::permanent};
-}
-
-/// \returns the child that supervises \p children. Failures of duties are recorded.
-child_spec make_group(std::string name, entry::daemon_context & daemon,
-                      std::vector<child_spec> children)
-{
-    supervisor_spec spec;
-    spec.m_name = std::move(name);
-    spec.m_children = std::move(children);
-    spec.m_observer = [&daemon](std::string_view child, runtime::child_event event,
-                                std::error_code cause)
-    {
-        if (event == runtime::child_event::failed)
-        {
-            record(daemon, decision::log_event{"duty_failed", std::string(child), cause});
-        }
-    };
-    return runtime::as_child(std::move(spec));
-}
-
 /// Start order: what others feed comes first. Stopping in reverse order lets the callers
 /// get their answers while everything behind them still runs.
 supervisor_spec make_root_supervisor(entry::daemon_context & daemon,
@@ -89,6 +61,7 @@
 {
     config::entry_settings const entry_settings = internal::to_entry_settings(settings);
     entry::daemon_context daemon(entry_settings, true);
+    daemon.m_state.m_leasing.m_sessions.m_lease_length = settings.m_longest_lease;
     gateway_context context{daemon, settings, wire};
     return runtime::supervise(internal::make_root_supervisor(daemon, context), stop);
 }
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -26,8 +26,9 @@
 upstream_clock extend_lease(session_context & context)
 {
     upstream_session & session = context.m_session;
-    session.m_lease_until = std::max(
-        session.m_lease_until, current_clock(session, context.m_now) + lease_length_ms);
+    session.m_lease_until = std::max(session.m_lease_until,
+                                     current_clock(session, context.m_now) +
+                                         to_milliseconds(context.m_state.m_lease_length));
     return session.m_lease_until;
 }
 
--- a/src/lease/session_calls.hpp
+++ b/src/lease/session_calls.hpp
@@ -7,17 +7,15 @@
 namespace cassiahub::lease::internal
 {
 
-/// Longest lease that an upstream grants.
-constexpr std::int64_t lease_length_ms = 1000;
 /// An upstream's clock may be this much slower than this instance's.
 constexpr double clock_rate_error = 0.02;
 /// Added to a lease before its runs count as ended: scheduling of both processes.
 constexpr duration lapse_margin = std::chrono::milliseconds(30);
-/// A renewal waits this long for an end when nothing runs.
-constexpr duration idle_renewal_wait = std::chrono::milliseconds(500);
-/// A renewal waits this long for an end while something runs. It leaves time for two
-/// more attempts within the lease.
-constexpr duration busy_renewal_wait = std::chrono::milliseconds(250);
+/// The same when nothing runs.
+constexpr int idle_renewal_part = 2;
+/// A renewal waits this part of the lease for an end while something runs. It leaves time
+/// for two more attempts.
+constexpr int busy_renewal_part = 4;
 /// Time for a reply beyond the wait that the upstream was asked for.
 constexpr duration renewal_slack = std::chrono::milliseconds(250);
 /// A start or a stop without a reply for this long counts as lost.
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -87,9 +87,8 @@
     upstream_session & session = context.m_session;
     if (session.m_wanted || !session.m_runs.empty())
     {
-        send_renewal(context,
-                     session.m_runs.empty() ? idle_renewal_wait : busy_renewal_wait,
-                     true);
+        int const part = session.m_runs.empty() ? idle_renewal_part : busy_renewal_part;
+        send_renewal(context, context.m_state.m_lease_length / part, true);
     }
 }
 
