Give each fault of the soak its own source; start a gateway once

Its log shows bind_failed: two overlapping faults had each started the process again, so the soak itself ran two processes of one instance. Change: a fault starts the gateway again only when it is still down; faults draw from a source of their own, so that the load's timing does not change the series.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -153,49 +153,50 @@
             ticks += 1
             await asyncio.sleep(0.01)
 
-    async def restart(self, gateway):
+    async def restart(self, gateway, rng):
         while gateway.process.poll() is None:
             await asyncio.sleep(0.02)
-        await asyncio.sleep(self.random.uniform(0.1, 2))
-        gateway.start()
+        await asyncio.sleep(rng.uniform(0.1, 2))
+        if gateway.process.poll() is not None:  # an overlapping fault may have done it
+            gateway.start()
 
-    async def fault_gateway(self, kind):
-        gateway = self.random.choice(self.gateways)
+    async def fault_gateway(self, kind, rng):
+        gateway = rng.choice(self.gateways)
         if kind == "kill":
             gateway.send(signal.SIGKILL)
-            await self.restart(gateway)
+            await self.restart(gateway, rng)
         elif kind == "term":
             begun = time.monotonic()
             gateway.send(signal.SIGTERM)
-            await self.restart(gateway)
+            await self.restart(gateway, rng)
             if time.monotonic() - begun > GRACE_S + 2.5:
                 self.checks.violate(f"{gateway.name} did not stop in {GRACE_S} s")
         elif kind == "hup":
             gateway.send(signal.SIGHUP)
         elif kind == "pause":
             gateway.send(signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(0.2, 5))
+            await asyncio.sleep(rng.uniform(0.2, 5))
             gateway.send(signal.SIGCONT)
         else:
             gateway.relay.set_mode(kind)
-            await asyncio.sleep(self.random.uniform(0.2, 4))
+            await asyncio.sleep(rng.uniform(0.2, 4))
             gateway.relay.set_mode("open")
 
-    async def fault_upstream(self, kind):
-        upstream = self.random.choice(self.upstreams)
+    async def fault_upstream(self, kind, rng):
+        upstream = rng.choice(self.upstreams)
         if kind == "crash":
             upstream.crash()
             return
         upstream.mode = kind
-        await asyncio.sleep(self.random.uniform(0.5, 4))
+        await asyncio.sleep(rng.uniform(0.5, 4))
         upstream.mode = "up"
 
-    async def fault_store(self, kind):
+    async def fault_store(self, kind, rng):
         if kind == "change":
             self.configure(self.store.version + 1)
             return
         self.store.mode = kind
-        await asyncio.sleep(self.random.uniform(0.5, 6))
+        await asyncio.sleep(rng.uniform(0.5, 6))
         self.store.mode = "up"
 
     async def inject(self, until):
@@ -206,11 +207,15 @@
         kinds += [(self.fault_store, kind) for kind in
                   ("refuse", "silent", "slow", "change")]
         faults = set()
+        number = 0
         while time.monotonic() < until:
-            fault, kind = self.random.choice(kinds)
+            # Each fault has its own source, so that timing does not change the series.
+            number += 1
+            rng = random.Random(f"{self.options.seed}-{number}")
+            fault, kind = rng.choice(kinds)
             self.faults[f"{fault.__name__[6:]} {kind}"] += 1
-            faults.add(asyncio.create_task(fault(kind)))
-            await asyncio.sleep(self.random.expovariate(1 / self.options.gap))
+            faults.add(asyncio.create_task(fault(kind, rng)))
+            await asyncio.sleep(rng.expovariate(1 / self.options.gap))
         await asyncio.gather(*faults)
         self.last_fault = time.monotonic()
 
