--- a/include/cassiahub/telemetry/log.hpp
+++ b/include/cassiahub/telemetry/log.hpp
@@ -35,6 +35,9 @@
 void write_log(log_level level, std::string_view instance, std::string_view code,
                std::span<log_field const> fields);
 
+/// Hands written lines to the operating system, so that a killed process loses none.
+void flush_log();
+
 /// Lines of one code that were let through in the current period.
 struct code_budget
 {
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -129,6 +129,7 @@
             std::visit([&state](auto & item) { internal::take(state, item); }, next);
         }
         items.clear();
+        telemetry::flush_log();
     }
     internal::write_event(state, telemetry::log_level::info, "stopped",
                           context.m_settings.m_domain, {});
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <iostream>
 #include <utility>
 
 INITIALIZE_EASYLOGGINGPP
@@ -78,6 +79,11 @@
     }
 }
 
+void flush_log()
+{
+    std::cout.flush();
+}
+
 log_permission admit_line(log_limiter & limiter, std::string_view code, time_point now)
 {
     auto found = limiter.m_codes.find(code);
