--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -25,8 +25,8 @@
 /// makes it longer, so that reports stay below 48 messages a second.
 constexpr duration shortest_report_period = std::chrono::milliseconds(50);
 constexpr duration report_spread = std::chrono::milliseconds(21);
-/// The same where short tasks of few slots make reports stale sooner; 200 messages a
-/// second cost less than one percent of a core.
+/// The same where short tasks of few slots make reports stale sooner: at most 200
+/// messages a second.
 constexpr duration leased_report_spread = std::chrono::milliseconds(5);
 
 std::uint64_t configuration_version(entry_state const & state) noexcept
