Do not run requests of connections that were reset before they were read

Cause: after reset_conns a busy gateway read a request whose connection had been reset some 70 ms before; the caller had sent it again at once on a new connection, so one job ran at two gateways for 30 to 55 ms (TWICE). Ruled out: retries of the gateway itself (other request ids) and work forwarded between gateways.

The server now looks at the connection when the request is whole; a request that was abandoned is logged and not run. The new test of http_async_test fails before and passes after.

--- a/include/cassiahub/http/async_server.hpp
+++ b/include/cassiahub/http/async_server.hpp
@@ -38,6 +38,9 @@
     std::function<void(exchange_id, request)> m_request;
     /// The client has left before the answer. respond() may still be called.
     std::function<void(exchange_id)> m_gone;
+    /// The client had left before its request was read; nobody waits for an answer.
+    /// May be empty.
+    std::function<void(request)> m_abandoned{};
 };
 
 struct async_server_state;
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -80,6 +80,17 @@
     }
 }
 
+/// Logs a request whose caller had left before it was read. It is not run.
+void log_abandoned(caller_service const & service, http::request received)
+{
+    decision::routed_request request;
+    std::error_code const error =
+        service.m_context.m_wire.m_read_request(std::move(received), request);
+    record(service.m_context.m_daemon,
+           decision::log_event{"request_abandoned", std::move(request.m_path), error,
+                               "request=" + request.m_request_id});
+}
+
 void take_departure(caller_service & service, http::exchange_id exchange)
 {
     service.m_operations.erase(exchange);
@@ -140,8 +151,7 @@
         service.m_loop, options,
         {[&service, &server, serve](http::exchange_id exchange, http::request received)
          { http::respond(*server, exchange, serve(service, received)); },
-         [](http::exchange_id) {
-         }},
+         [](http::exchange_id) {}, nullptr},
         error);
 }
 
@@ -155,9 +165,10 @@
         service.m_loop, options,
         {[&service](http::exchange_id exchange, http::request received)
          { take_request(service, exchange, std::move(received)); },
-         [&service](http::exchange_id exchange)
+         [&service](http::exchange_id exchange) { take_departure(service, exchange); },
+         [&service](http::request received)
          {
-             take_departure(service, exchange);
+             log_abandoned(service, std::move(received));
          }},
         error);
     if (!error)
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -182,12 +182,32 @@
     write_response(server, used, std::move(refusal));
 }
 
+/// \returns true when the caller has closed or reset its connection.
+/// \pre \p socket does not block
+bool has_left(asio::ip::tcp::socket & socket)
+{
+    char next = 0;
+    boost::system::error_code error;
+    socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 void take_request(server_pointer const & server, server_connection_pointer const & used)
 {
     boost::system::error_code ignored;
     used->m_timer.cancel(ignored);
     used->m_keep_alive = used->m_parser->keep_alive();
     request received = from_beast(used->m_parser->release());
+    // A caller whose connection breaks before its request is read sends it again at once.
+    if (has_left(used->m_socket))
+    {
+        close_connection(server, used);
+        if (server->m_handlers.m_abandoned)
+        {
+            server->m_handlers.m_abandoned(std::move(received));
+        }
+        return;
+    }
     used->m_exchange = server->m_next_exchange++;
     server->m_exchanges.emplace(used->m_exchange, used);
     watch_caller(server, used);
@@ -253,7 +273,10 @@
                     });
                 return;
             }
-            if (server->m_connections.size() < server->m_options.m_max_connections)
+            boost::system::error_code blocks;
+            socket.non_blocking(true, blocks);
+            if (!blocks &&
+                server->m_connections.size() < server->m_options.m_max_connections)
             {
                 tune_socket(socket, caller_user_timeout);
                 auto const used = std::make_shared<server_connection>(std::move(socket));
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(request_waiting_at_its_limit_fails_as_not_sent);
     CPPUNIT_TEST(request_cut_off_while_it_is_written_is_lost);
     CPPUNIT_TEST(caller_that_leaves_is_reported);
+    CPPUNIT_TEST(request_of_connection_that_was_reset_is_not_served);
     CPPUNIT_TEST(body_beyond_limit_is_refused);
     CPPUNIT_TEST(malformed_request_is_refused);
     CPPUNIT_TEST(server_that_stops_accepting_answers_what_is_open);
@@ -214,6 +215,22 @@
         http::respond(*m_server, m_open[0], {});
     }
 
+    /// The caller sends such a request again at once, since nobody can have read it.
+    void request_of_connection_that_was_reset_is_not_served()
+    {
+        m_echo = false;
+        asio::ip::tcp::socket caller = connect_raw();
+        run_for(20ms);
+        asio::write(caller, asio::buffer(std::string(
+                                "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2"
+                                "\r\n\r\n{}")));
+        caller.set_option(asio::socket_base::linger(true, 0));
+        caller.close();
+        run_for(50ms);
+        CPPUNIT_ASSERT(m_open.empty());
+        CPPUNIT_ASSERT(m_gone.empty());
+    }
+
     void body_beyond_limit_is_refused()
     {
         send(std::string(1001, 'x'));
