Notice lost replies of upstreams within 60 ms

Ruled out: longer waits elsewhere; p50 of the first starts did not change.

A start or a renewal without its reply after 60 ms is now followed by a stop or by a look; renewals wait at most 60 ms for 3 s after a loss. An instance that was short of processor time first takes in the replies that have arrived.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -64,7 +64,8 @@
     std::map<task_name, ordered_run> m_runs;
 
     call_number m_renewal = 0; ///< in flight; 0 for none
-    time_point m_renewal_sent_at;
+    time_point m_renewal_due;  ///< when its reply is overdue
+    bool m_looked = false;     ///< it follows a renewal whose reply is overdue
     time_point m_next_renewal;
     std::uint32_t m_failures = 0; ///< renewals in a row without a reply
 };
@@ -90,8 +91,11 @@
     /// Longest lease that upstreams grant.
     duration m_lease_length = std::chrono::milliseconds(1000);
     time_point m_next_scan;
-    std::uint64_t m_lapsed = 0;    ///< runs whose lease has expired
-    std::uint64_t m_stalled = 0;   ///< runs that were stopped without progress
+    time_point m_last_scan;
+    time_point m_lagging_until;  ///< replies may wait unread until then
+    time_point m_last_loss;      ///< when an order or a renewal last had no reply in time
+    std::uint64_t m_lapsed = 0;  ///< runs whose lease has expired
+    std::uint64_t m_stalled = 0; ///< runs that were stopped without progress
     std::uint64_t m_uncertain = 0; ///< starts without a reply
 };
 
--- a/src/gateway/upstream_calls.cpp
+++ b/src/gateway/upstream_calls.cpp
@@ -13,8 +13,9 @@
 namespace internal
 {
 
-/// Renewals wait at the upstream, so they have connections of their own.
-constexpr std::size_t renewal_connections = 2;
+/// Renewals wait at the upstream, so they have connections of their own. Two of them may
+/// wait for a reply that is lost.
+constexpr std::size_t renewal_connections = 3;
 /// Starts and stops of one upstream that are on their way at the same time.
 constexpr std::size_t order_connections = 4;
 /// Longest time to connect to an upstream; one round trip takes a few milliseconds.
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -66,6 +66,18 @@
                : nullptr;
 }
 
+void stop_unanswered_run(session_context & context, task_name const & task,
+                         ordered_run & run)
+{
+    ++context.m_state.m_uncertain;
+    note_loss(context);
+    log_session(context, "start_without_reply", task.m_job,
+                fmt::format("task={} generation={} waited_ms={}", task.m_index,
+                            run.m_generation,
+                            to_milliseconds(context.m_now - run.m_ordered_at)));
+    stop_run(context, task, run);
+}
+
 void receive_start_reply(session_context & context, task_name const & task,
                          ordered_run & run, call_outcome outcome)
 {
@@ -82,9 +94,7 @@
     case call_outcome::lost:
         if (run.m_uncertain && run.m_phase == run_phase::starting)
         {
-            ++context.m_state.m_uncertain;
-            log_session(context, "start_without_reply", task.m_job);
-            stop_run(context, task, run);
+            stop_unanswered_run(context, task, run);
         }
         break;
     default:
@@ -201,6 +211,18 @@
     send_stop(context, {task, run.m_generation});
 }
 
+void stop_unanswered_runs(session_context & context)
+{
+    for (auto & [task, run] : context.m_session.m_runs)
+    {
+        if (run.m_phase == run_phase::starting && run.m_uncertain &&
+            context.m_now - run.m_ordered_at >= reply_patience)
+        {
+            stop_unanswered_run(context, task, run);
+        }
+    }
+}
+
 void receive_order_reply(session_context & context, pending_call const & call,
                          call_outcome outcome)
 {
--- a/src/lease/runs.hpp
+++ b/src/lease/runs.hpp
@@ -23,6 +23,9 @@
 /// Orders the stop of a run.
 void stop_run(session_context & context, task_name const & task, ordered_run & run);
 
+/// Stops every run whose start is without a reply for too long.
+void stop_unanswered_runs(session_context & context);
+
 /// Takes in the reply to a start or a stop.
 void receive_order_reply(session_context & context, pending_call const & call,
                          call_outcome outcome);
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -78,6 +78,19 @@
         call.m_lease_until = extend_lease(context);
     }
     session.m_renewal = send_call(context, wait + renewal_slack, {}, call);
+    session.m_renewal_due = context.m_now + wait + reply_patience;
+    session.m_looked = false;
+}
+
+void note_loss(session_context & context) noexcept
+{
+    context.m_state.m_last_loss = context.m_now;
+}
+
+bool expects_losses(session_context const & context) noexcept
+{
+    return context.m_state.m_last_loss != time_point() &&
+           context.m_now - context.m_state.m_last_loss < loss_memory;
 }
 
 void log_session(session_context & context, std::string_view code, std::string job,
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -17,6 +17,10 @@
 
 /// Shortest time between two looks at every session.
 constexpr duration scan_period = std::chrono::milliseconds(10);
+/// After a longer time between two looks this instance was short of processor time.
+constexpr duration longest_scan_gap = std::chrono::milliseconds(40);
+/// Time to take in the replies that have arrived meanwhile.
+constexpr duration catch_up_time = std::chrono::milliseconds(40);
 
 void set_available(session_context & context, bool available)
 {
@@ -88,7 +92,9 @@
     if (session.m_wanted || !session.m_runs.empty())
     {
         int const part = session.m_runs.empty() ? idle_renewal_part : busy_renewal_part;
-        send_renewal(context, context.m_state.m_lease_length / part, true);
+        duration const usual = context.m_state.m_lease_length / part;
+        bool const lossy = !session.m_runs.empty() && expects_losses(context);
+        send_renewal(context, lossy ? std::min(usual, lossy_renewal_wait) : usual, true);
     }
 }
 
@@ -156,6 +162,21 @@
     return !session.m_wanted && session.m_runs.empty();
 }
 
+/// Follows a renewal whose reply is overdue by a look, so that a lost reply does not hide
+/// what has ended.
+void look_after_overdue_renewal(session_context & context)
+{
+    upstream_session & session = context.m_session;
+    bool const overdue = session.m_renewal != 0 && !session.m_looked &&
+                         context.m_now >= session.m_renewal_due;
+    if (overdue && !session.m_runs.empty())
+    {
+        note_loss(context);
+        send_renewal(context, duration::zero(), true);
+        session.m_looked = true;
+    }
+}
+
 /// Repeats stops that had no effect.
 void repeat_stops(session_context & context)
 {
@@ -181,6 +202,11 @@
     {
         repeat_stops(context);
     }
+    if (context.m_now >= context.m_state.m_lagging_until)
+    {
+        stop_unanswered_runs(context);
+        look_after_overdue_renewal(context);
+    }
     if (session.m_renewal != 0 || context.m_now < session.m_next_renewal ||
         is_released(session))
     {
@@ -360,6 +386,12 @@
         return;
     }
     state.m_next_scan = now + internal::scan_period;
+    if (state.m_last_scan != time_point() &&
+        now - state.m_last_scan > internal::longest_scan_gap)
+    {
+        state.m_lagging_until = now + internal::catch_up_time;
+    }
+    state.m_last_scan = now;
     for (auto & [name, session] : state.m_sessions)
     {
         internal::session_context context{state, session, now, out};
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -278,6 +278,12 @@
     CPPUNIT_TEST(stop_without_effect_is_repeated);
     CPPUNIT_TEST(silent_upstream_gets_no_start);
     CPPUNIT_TEST(run_on_silent_upstream_is_reported_after_its_lease);
+    CPPUNIT_TEST(start_without_reply_is_stopped_before_its_call_fails);
+    CPPUNIT_TEST(start_with_reply_is_not_stopped);
+    CPPUNIT_TEST(overdue_renewal_is_followed_by_a_look);
+    CPPUNIT_TEST(overdue_renewal_is_followed_by_one_look_only);
+    CPPUNIT_TEST(renewal_after_loss_waits_less);
+    CPPUNIT_TEST(replies_are_not_overdue_after_a_stall);
     CPPUNIT_TEST(run_without_progress_is_stopped);
     CPPUNIT_TEST(run_with_progress_is_not_stopped);
     CPPUNIT_TEST(unknown_run_is_stopped);
@@ -322,6 +328,82 @@
         CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::not_run);
     }
 
+    // A job waits for its last task, so a lost order has to be noticed within a fraction
+    // of a short task's run time.
+    void start_without_reply_is_stopped_before_its_call_fails()
+    {
+        serve();
+        order(0);
+        pass(80ms);
+        CPPUNIT_ASSERT(std::get<stop_call>(take<stop_call>().m_body).m_run == name(0));
+    }
+
+    void start_with_reply_is_not_stopped()
+    {
+        serve();
+        order(0);
+        answer(take<start_call>());
+        pass(80ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count<stop_call>());
+    }
+
+    void overdue_renewal_is_followed_by_a_look()
+    {
+        serve();
+        attempt_id const attempt = order(0);
+        answer(take<start_call>());
+        auto const lost = take<renew_call>();
+        pass(std::get<renew_call>(lost.m_body).m_wait + 80ms);
+        CPPUNIT_ASSERT(is_available());
+        auto const look = take<renew_call>();
+        CPPUNIT_ASSERT(std::get<renew_call>(look.m_body).m_wait == 0ms);
+        answer_lists(look, {}, {{1, name(0), end_cause::succeeded}});
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::succeeded);
+    }
+
+    void overdue_renewal_is_followed_by_one_look_only()
+    {
+        serve();
+        order(0);
+        answer(take<start_call>());
+        auto const lost = take<renew_call>();
+        pass(std::get<renew_call>(lost.m_body).m_wait + 200ms);
+        take<renew_call>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count<renew_call>());
+    }
+
+    void renewal_after_loss_waits_less()
+    {
+        serve();
+        order(0);
+        answer(take<start_call>());
+        auto const lost = take<renew_call>();
+        pass(std::get<renew_call>(lost.m_body).m_wait + 80ms);
+        answer_lists(take<renew_call>(), {{name(0), 10}});
+        upstream_call next = take<renew_call>();
+        CPPUNIT_ASSERT(std::get<renew_call>(next.m_body).m_wait <= 60ms);
+        for (std::uint32_t percent = 10; percent < 90; ++percent)
+        {
+            pass(50ms);
+            answer_lists(next, {{name(0), percent}});
+            next = take<renew_call>();
+        }
+        CPPUNIT_ASSERT(std::get<renew_call>(next.m_body).m_wait > 60ms);
+    }
+
+    /// A process that gets no processor time finds the replies when it runs again.
+    void replies_are_not_overdue_after_a_stall()
+    {
+        serve();
+        order(0);
+        pass(10ms);
+        m_now += 100ms;
+        advance(m_state, first_token, m_now, m_out);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count<stop_call>());
+        pass(80ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count<stop_call>());
+    }
+
     // A cut link may reset connections while the upstream runs on.
     void start_to_closed_port_is_not_run_and_ends_nothing_else()
     {
