Let restartable tasks probe ejected upstreams; introduce started gateways first

Two causes found in logs.

Kinds of the platform are restartable, not repeatable, and only repeatable tasks were probes, so an upstream that was ejected once stayed out until its owner restarted. Ruled out: run times of forwarded tasks in the mean (they are not observed; a test now says so) and processor time (0.078 of a core on average). A restartable task that has not failed yet may now be a probe.

Also: a kind that was never observed counts as long as its caller declares.

Tests that fail before: task_of_restartable_kind_probes_the_upstream, instance_without_list_of_instances_claims_nothing, instance_claims_nothing_before_it_has_heard_listed_peer, newly_listed_peer_gets_heartbeat_at_once, first_heartbeat_of_peer_is_answered_at_once, kind_that_was_never_observed_is_as_long_as_declared.

--- a/include/cassiahub/membership/members.hpp
+++ b/include/cassiahub/membership/members.hpp
@@ -67,6 +67,10 @@
 /// minority.
 bool may_be_alive(membership_state const & state, member const & entry, time_point now);
 
+/// \returns true when this instance has heard what the listed members hold, or has waited
+/// for them long enough.
+bool is_introduced(membership_state const & state, time_point now);
+
 /// \returns the epoch under which \p entry reports to own \p shard; 0 when it does not.
 std::uint64_t held_epoch(member const & entry, std::uint32_t shard) noexcept;
 
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -43,6 +43,9 @@
 /// Gap between two calls after which this instance was itself suspended. Silence of the
 /// others during the gap is not held against them.
 constexpr duration suspension_gap = std::chrono::milliseconds(500);
+/// Time in which a listed member is heard for the first time: the period of heartbeats
+/// and a connection in either direction.
+constexpr duration introduction_time = std::chrono::milliseconds(1000);
 /// Time after the start in which the members of the domain are still being learned.
 constexpr duration discovery_time = std::chrono::milliseconds(500);
 
@@ -93,6 +96,7 @@
     member_report m_report;       ///< of the last heartbeat
     bool m_live = false;
     bool m_listed = false;
+    time_point m_first_listed_at; ///< zero when it was heard of from its heartbeats only
     std::uint64_t m_row_version = 0;
     time_point m_row_changed_at; ///< when its registration was last seen to change
     time_point m_heard_at;       ///< moved on by the length of own suspensions
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -179,13 +179,14 @@
     }
     std::vector<std::size_t> const assigned =
         membership::assign_in_domains(owners, items);
+    bool const introduced = membership::is_introduced(state.m_membership, context.m_now);
     std::vector<lease::owned_upstream> owned;
     for (std::size_t index = 0; index < assigned.size(); ++index)
     {
         std::string const & name = items[index].m_name;
         bool const held = state.m_leasing.m_sessions.m_sessions.contains(name);
         if (owners[assigned[index]].m_name == state.m_identity.m_instance.m_value &&
-            (held || !is_held_elsewhere(state, name)))
+            (held || (introduced && !is_held_elsewhere(state, name))))
         {
             discovered_upstream const & upstream = state.m_leasing.m_upstreams.at(name);
             owned.push_back(
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -110,6 +110,38 @@
            found->second.m_report.m_leaving;
 }
 
+bool has_store_contact(entry_state const & state, time_point now)
+{
+    return state.m_identity.m_leases_upstreams
+               ? now - state.m_membership.m_listed_at < membership::list_validity
+               : ownership::has_store_contact(state.m_ownership, now);
+}
+
+heartbeat make_heartbeat(step_context const & context)
+{
+    entry_state const & state = context.m_state;
+    heartbeat message;
+    message.m_incarnation = state.m_identity.m_incarnation;
+    message.m_domain = state.m_identity.m_domain;
+    message.m_peer_address = state.m_identity.m_peer_address;
+    message.m_sent_at = context.m_now;
+    message.m_configuration_version = configuration_version(state);
+    message.m_leaving = state.m_draining;
+    message.m_store_contact = has_store_contact(state, context.m_now);
+    message.m_held_upstreams = lease::held_upstreams(state.m_leasing.m_sessions);
+    message.m_fleet_clock_ms = fleet_clock(state.m_leasing, context.m_now);
+    auto const & shards = state.m_ownership.m_shards;
+    for (std::uint32_t index = 0; index < shards.size(); ++index)
+    {
+        if (shards[index].m_phase == ownership::shard_phase::serving)
+        {
+            message.m_holdings.push_back({index, shards[index].m_epoch});
+        }
+    }
+    message.m_load = dispatch::current_load(state.m_dispatch);
+    return message;
+}
+
 void receive_heartbeat(step_context & context, instance_id const & from,
                        heartbeat message)
 {
@@ -161,6 +193,11 @@
         learn_holdings(context, entry);
     }
     send_configuration(context, from, entry.m_report);
+    if (effect != membership::report_effect::refreshed)
+    {
+        // It waits for what this instance holds before it claims anything.
+        send(context, from, make_heartbeat(context));
+    }
 }
 
 void receive_load(step_context & context, instance_id const & from,
@@ -226,7 +263,13 @@
         }
     }
     state.m_listed_upstreams = std::move(upstreams);
+    std::size_t const known = state.m_membership.m_members.size();
     membership::merge_list(state.m_membership, entries, context.m_now);
+    if (state.m_membership.m_members.size() != known)
+    {
+        state.m_membership.m_next_domain_heartbeat = {};
+        state.m_next_scan = context.m_now;
+    }
 }
 
 /// Sets the upstreams that this instance accounts for.
@@ -379,38 +422,6 @@
         check_document{notice.m_version, std::move(notice.m_document)});
 }
 
-bool has_store_contact(entry_state const & state, time_point now)
-{
-    return state.m_identity.m_leases_upstreams
-               ? now - state.m_membership.m_listed_at < membership::list_validity
-               : ownership::has_store_contact(state.m_ownership, now);
-}
-
-heartbeat make_heartbeat(step_context const & context)
-{
-    entry_state const & state = context.m_state;
-    heartbeat message;
-    message.m_incarnation = state.m_identity.m_incarnation;
-    message.m_domain = state.m_identity.m_domain;
-    message.m_peer_address = state.m_identity.m_peer_address;
-    message.m_sent_at = context.m_now;
-    message.m_configuration_version = configuration_version(state);
-    message.m_leaving = state.m_draining;
-    message.m_store_contact = has_store_contact(state, context.m_now);
-    message.m_held_upstreams = lease::held_upstreams(state.m_leasing.m_sessions);
-    message.m_fleet_clock_ms = fleet_clock(state.m_leasing, context.m_now);
-    auto const & shards = state.m_ownership.m_shards;
-    for (std::uint32_t index = 0; index < shards.size(); ++index)
-    {
-        if (shards[index].m_phase == ownership::shard_phase::serving)
-        {
-            message.m_holdings.push_back({index, shards[index].m_epoch});
-        }
-    }
-    message.m_load = dispatch::current_load(state.m_dispatch);
-    return message;
-}
-
 void send_load(step_context & context)
 {
     entry_state & state = context.m_state;
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -100,9 +100,10 @@
 {
     std::uint32_t const task =
         job.m_retries.empty() ? job.m_next_task : job.m_retries.front();
-    return {job.m_spec.m_tasks[task].m_demand,
-            state.m_kinds[job.m_kind].m_definition.m_repeatable,
-            job.m_tasks[task].m_last_upstream, false};
+    return {
+        job.m_spec.m_tasks[task].m_demand,
+        may_probe(state.m_kinds[job.m_kind].m_definition, job.m_tasks[task].m_failures),
+        job.m_tasks[task].m_last_upstream, false};
 }
 
 head_result try_job(advance_context & context, std::uint64_t serial)
@@ -153,8 +154,8 @@
 {
     dispatch_state & state = context.m_state;
     forwarded_task const & task = state.m_forwarded.at(id);
-    placement_request const request{task.m_start.m_demand,
-                                    state.m_kinds[task.m_kind].m_definition.m_repeatable};
+    placement_request const request{
+        task.m_start.m_demand, may_probe(state.m_kinds[task.m_kind].m_definition, 0)};
     auto const upstream = pick_upstream(state, request, context.m_random);
     if (!upstream)
     {
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -31,7 +31,10 @@
         longest = std::max(longest, task.m_declared_run_time);
     }
     double const declared = std::chrono::duration<double>(longest).count();
-    double const usual = declared > 0 ? (observed + declared) / 2 : observed;
+    bool const known = kind.m_run_time.m_count > 0;
+    double const usual = declared <= 0 ? observed
+                         : known       ? (observed + declared) / 2
+                                       : declared;
     return job.m_spec.m_tasks.size() > 1 ? usual * longest_of_many : usual;
 }
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -25,7 +25,7 @@
 std::optional<std::uint32_t> pick_probe(dispatch_state const & state,
                                         placement_request const & request)
 {
-    if (!request.m_repeatable || state.m_probe_targets.empty())
+    if (!request.m_may_probe || state.m_probe_targets.empty())
     {
         return std::nullopt;
     }
@@ -55,6 +55,11 @@
 
 } // namespace
 
+bool may_probe(config::work_kind const & kind, std::uint32_t failures) noexcept
+{
+    return kind.m_repeatable || (kind.m_restartable && failures == 0);
+}
+
 std::optional<std::uint32_t> pick_upstream(dispatch_state const & state,
                                            placement_request const & request,
                                            random_source & random)
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -13,11 +13,15 @@
 struct placement_request
 {
     resources m_demand;
-    bool m_repeatable = false;
+    bool m_may_probe = false;            ///< it may run again when the upstream fails it
     std::uint32_t m_avoid = no_upstream; ///< used only when no other has room
     bool m_avoid_strictly = false;       ///< never use m_avoid
 };
 
+/// \returns true when a task of \p kind that has failed \p failures times may try an
+/// upstream that is likely to fail it.
+bool may_probe(config::work_kind const & kind, std::uint32_t failures) noexcept;
+
 /// \returns an owned upstream with room, or none.
 std::optional<std::uint32_t> pick_upstream(dispatch_state const & state,
                                            placement_request const & request,
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -109,6 +109,10 @@
             entry.m_domain = item.m_domain;
         }
         entry.m_listed = true;
+        if (entry.m_first_listed_at == time_point())
+        {
+            entry.m_first_listed_at = now;
+        }
         if (entry.m_row_version != item.m_row_version)
         {
             entry.m_row_version = item.m_row_version;
@@ -270,6 +274,23 @@
     return reached * 2 <= known;
 }
 
+bool is_introduced(membership_state const & state, time_point now)
+{
+    if (state.m_listed_at == time_point())
+    {
+        // Whoever was registered before the store was lost has failed by then.
+        return state.m_started_at != time_point() &&
+               now - state.m_started_at >= registration_timeout;
+    }
+    return std::none_of(state.m_members.begin(), state.m_members.end(),
+                        [now](auto const & item)
+                        {
+                            member const & entry = item.second;
+                            return entry.m_listed && entry.m_report_at == time_point() &&
+                                   now - entry.m_first_listed_at < introduction_time;
+                        });
+}
+
 std::uint64_t held_epoch(member const & entry, std::uint32_t shard) noexcept
 {
     for (held_shard const & holding : entry.m_report.m_holdings)
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -201,6 +201,7 @@
 
     void start_alone()
     {
+        handle(instances_listed{});
         handle(fleet_clock_read{store_clock});
         configure();
         discover({"up-1", "up-2"});
@@ -329,6 +330,12 @@
     CPPUNIT_TEST_SUITE(leasing_owner_test);
     CPPUNIT_TEST(instance_alone_claims_every_upstream);
     CPPUNIT_TEST(instance_without_store_clock_claims_nothing);
+    CPPUNIT_TEST(instance_without_list_of_instances_claims_nothing);
+    CPPUNIT_TEST(instance_claims_nothing_before_it_has_heard_listed_peer);
+    CPPUNIT_TEST(newly_listed_peer_gets_heartbeat_at_once);
+    CPPUNIT_TEST(first_heartbeat_of_peer_is_answered_at_once);
+    CPPUNIT_TEST(instance_claims_although_listed_peer_stays_silent);
+    CPPUNIT_TEST(instance_without_store_claims_after_registrations_expire);
     CPPUNIT_TEST(upstream_held_by_live_peer_is_not_claimed);
     CPPUNIT_TEST(upstreams_of_silent_registered_peer_are_not_claimed);
     CPPUNIT_TEST(upstreams_of_peer_with_stale_registration_are_claimed);
@@ -352,6 +359,85 @@
         CPPUNIT_ASSERT(held().empty());
     }
 
+    // A gateway that had just started claimed every upstream of the fleet before it knew
+    // the others, and so ended their runs (sartoria-pa, inc-577f).
+    void instance_without_list_of_instances_claims_nothing()
+    {
+        handle(fleet_clock_read{store_clock});
+        configure();
+        discover({"up-1", "up-2"});
+        pass(500ms);
+        CPPUNIT_ASSERT(held().empty());
+    }
+
+    void instance_claims_nothing_before_it_has_heard_listed_peer()
+    {
+        list_peer(true);
+        handle(fleet_clock_read{store_clock});
+        configure();
+        discover({"up-1", "up-2"});
+        pass(500ms);
+        CPPUNIT_ASSERT(held().empty());
+        hear_peer({"up-1", "up-2"});
+        pass(500ms);
+        CPPUNIT_ASSERT(held().empty());
+        hear_peer({});
+        pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), held().size());
+    }
+
+    std::size_t count_heartbeats()
+    {
+        std::vector<send_peer> const sent = take<send_peer>();
+        return std::size_t(std::count_if(
+            sent.begin(), sent.end(),
+            [](send_peer const & message)
+            { return std::holds_alternative<heartbeat>(message.m_message); }));
+    }
+
+    void newly_listed_peer_gets_heartbeat_at_once()
+    {
+        start_alone();
+        take<send_peer>();
+        list_peer(true);
+        pass(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_heartbeats());
+    }
+
+    void first_heartbeat_of_peer_is_answered_at_once()
+    {
+        start_alone();
+        hear_peer({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_heartbeats());
+        pass(20ms);
+        count_heartbeats();
+        hear_peer({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_heartbeats());
+    }
+
+    void instance_claims_although_listed_peer_stays_silent()
+    {
+        list_peer(true);
+        handle(fleet_clock_read{store_clock});
+        configure();
+        discover({"up-1", "up-2"});
+        for (int second = 0; second < 2; ++second)
+        {
+            list_peer(true);
+            pass(1s);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), held().size());
+    }
+
+    void instance_without_store_claims_after_registrations_expire()
+    {
+        handle(fleet_clock_read{store_clock});
+        configure();
+        discover({"up-1", "up-2"});
+        pass(membership::registration_timeout + 500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), held().size());
+    }
+
     void upstream_held_by_live_peer_is_not_claimed()
     {
         hear_peer({"up-1", "up-2"});
--- a/tests/dispatch_objective_test.cpp
+++ b/tests/dispatch_objective_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(urgent_task_waits_at_busy_peer);
     CPPUNIT_TEST(task_of_other_kind_does_not_wait_at_busy_peer);
     CPPUNIT_TEST(stopping_peer_gets_no_waiting_task);
+    CPPUNIT_TEST(forwarded_task_teaches_no_run_time);
+    CPPUNIT_TEST(kind_that_was_never_observed_is_as_long_as_declared);
     CPPUNIT_TEST(load_counts_tasks_of_typical_demand);
     CPPUNIT_TEST_SUITE_END();
 
@@ -152,6 +154,32 @@
         CPPUNIT_ASSERT(m_out.m_forwards.empty());
     }
 
+    // The time of a forwarded task includes its wait at the peer.
+    void forwarded_task_teaches_no_run_time()
+    {
+        fill();
+        set_peer(m_state, {{"peer"}, "north", {1, 0}, true});
+        submit("check", 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
+        attempt_id const forwarded = m_out.m_forwards[0].m_start.m_attempt;
+        step(2s);
+        finish(forwarded, attempt_outcome::succeeded);
+        kind_state const & kind = m_state.m_kinds[m_state.m_kind_index.at("check")];
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), kind.m_run_time.m_count);
+    }
+
+    void kind_that_was_never_observed_is_as_long_as_declared()
+    {
+        fill();
+        job_spec spec = make_spec("check", 1);
+        spec.m_tasks[0].m_declared_run_time = 20ms;
+        submit(spec);
+        submit("lodge", 1);
+        // Objective 140 ms, last start on time after 120 ms.
+        step(130ms);
+        CPPUNIT_ASSERT(take_answer().m_error == job_errc::deadline_unreachable);
+    }
+
     void load_counts_tasks_of_typical_demand()
     {
         job_spec spec = make_spec("check", 1);
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -135,6 +135,8 @@
     CPPUNIT_TEST_SUITE(ejection_test);
     CPPUNIT_TEST(failing_upstream_is_ejected_and_probed_after_cooling);
     CPPUNIT_TEST(probes_that_succeed_readmit_the_upstream);
+    CPPUNIT_TEST(task_of_restartable_kind_probes_the_upstream);
+    CPPUNIT_TEST(task_that_must_not_run_again_probes_nothing);
     CPPUNIT_TEST(failure_of_every_upstream_ejects_none);
     CPPUNIT_TEST(upstream_that_never_answers_gets_little_work);
     CPPUNIT_TEST(attempt_timeout_counts_against_the_upstream);
@@ -182,6 +184,35 @@
         CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
     }
 
+    // Kinds of the platform are restartable and not repeatable. None of their tasks was a
+    // probe, so an ejected upstream stayed out for good (sartoria-pa-grown, trouble-1).
+    void task_of_restartable_kind_probes_the_upstream()
+    {
+        for (config::work_kind & kind : m_configuration.m_kinds)
+        {
+            kind.m_repeatable = false;
+            kind.m_restartable = true;
+        }
+        apply();
+        run_tasks(30, {"up-0"});
+        CPPUNIT_ASSERT_EQUAL(4U, current_load(m_state).m_free_slots);
+        step(10s);
+        run_tasks(10, {});
+        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+    }
+
+    void task_that_must_not_run_again_probes_nothing()
+    {
+        run_tasks(30, {"up-0"});
+        for (config::work_kind & kind : m_configuration.m_kinds)
+        {
+            kind.m_repeatable = false;
+        }
+        apply();
+        step(10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), run_tasks(10, {}));
+    }
+
     void failure_of_every_upstream_ejects_none()
     {
         run_tasks(60, {"up-0", "up-1", "up-2"});
