Date registrations, so that dead instances are not waited for

Cause: the registration of an instance that was removed for good stays in the store. Ruled out: deleting such rows, which needs a conditional write and an owner for it.

--- a/include/cassiahub/decision/event.hpp
+++ b/include/cassiahub/decision/event.hpp
@@ -69,6 +69,7 @@
     bool m_is_entry = false;
     bool m_leaving = false;
     std::uint64_t m_row_version = 0; ///< of an entry instance's registration
+    duration m_age{0};               ///< of that registration; 0 when not known
 };
 
 struct instances_listed
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -79,6 +79,7 @@
     std::string m_address;
     bool m_leaving = false;
     std::uint64_t m_row_version = 0; ///< of its registration; 0 where there is none
+    duration m_age{0};               ///< of its registration; 0 when not known
 };
 
 /// An incarnation that was replaced by another one of the same name.
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -243,7 +243,8 @@
                                item.m_domain,
                                item.m_address,
                                item.m_leaving,
-                               item.m_row_version});
+                               item.m_row_version,
+                               item.m_age});
             continue;
         }
         upstreams.insert(item.m_name);
--- a/src/gateway/registration.cpp
+++ b/src/gateway/registration.cpp
@@ -8,7 +8,8 @@
 std::string format_registration(registration const & entry)
 {
     return nlohmann::json{{"domain", entry.m_domain},
-                          {"peer_address", entry.m_peer_address}}
+                          {"peer_address", entry.m_peer_address},
+                          {"renewed_ms", entry.m_renewed_ms}}
         .dump();
 }
 
@@ -23,8 +24,11 @@
     {
         return std::nullopt;
     }
+    auto const renewed = parsed.find("renewed_ms");
+    bool const dated = renewed != parsed.end() && renewed->is_number_integer();
     return registration{parsed["domain"].get<std::string>(),
-                        parsed["peer_address"].get<std::string>()};
+                        parsed["peer_address"].get<std::string>(),
+                        dated ? renewed->get<std::int64_t>() : 0};
 }
 
 } // namespace cassiahub::gateway
--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -1,6 +1,7 @@
 #ifndef CASSIAHUB_SRC_GATEWAY_REGISTRATION_HPP
 #define CASSIAHUB_SRC_GATEWAY_REGISTRATION_HPP
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +14,7 @@
 {
     std::string m_domain;
     std::string m_peer_address;
+    std::int64_t m_renewed_ms = 0; ///< clock of the store at the renewal; 0: not known
 };
 
 std::string format_registration(registration const & entry);
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -4,6 +4,7 @@
 
 #include <cassiahub/http/async_client.hpp>
 #include <cassiahub/http/error.hpp>
+#include <cassiahub/runtime/boot_clock.hpp>
 #include <cassiahub/store/error.hpp>
 
 #include <boost/asio/steady_timer.hpp>
@@ -65,6 +66,8 @@
     boost::asio::steady_timer m_listing_timer{m_loop};
     bool m_in_contact = true;
     std::size_t m_listed = 0;
+    std::int64_t m_clock_ms = 0; ///< clock of the store in its last reply; 0: none yet
+    time_point m_clock_at{};
 };
 
 using rows_handler = std::function<void(store_status, store_rows)>;
@@ -101,6 +104,8 @@
                          error ? error : std::error_code(store::store_errc::unavailable));
             if (status == store_status::done && rows.m_clock_ms > 0)
             {
+                state.m_clock_ms = rows.m_clock_ms;
+                state.m_clock_at = runtime::read_boot_clock();
                 push(state, decision::fleet_clock_read{rows.m_clock_ms});
             }
             handler(status, std::move(rows));
@@ -251,11 +256,20 @@
     }
 }
 
+/// \returns the clock of the store now, or 0 before its first reply.
+std::int64_t store_clock(registry_state const & state)
+{
+    return state.m_clock_ms == 0
+               ? 0
+               : state.m_clock_ms +
+                     to_milliseconds(runtime::read_boot_clock() - state.m_clock_at);
+}
+
 void renew_registration(registry_state & state)
 {
     config::gateway_settings const & settings = state.m_context.m_settings;
-    std::string const value =
-        format_registration({settings.m_domain, settings.m_peer_address});
+    std::string const value = format_registration(
+        {settings.m_domain, settings.m_peer_address, store_clock(state)});
     send(state,
          state.m_context.m_wire.m_write_row(store_table::instances, settings.m_instance,
                                             value),
@@ -276,9 +290,13 @@
     {
         if (auto entry = parse_registration(row.m_value))
         {
+            bool const dated = entry->m_renewed_ms > 0 && rows.m_clock_ms > 0;
+            duration const age = std::chrono::milliseconds(
+                dated ? std::max<std::int64_t>(0, rows.m_clock_ms - entry->m_renewed_ms)
+                      : 0);
             listed.m_instances.push_back({row.m_key, std::move(entry->m_domain),
                                           std::move(entry->m_peer_address), true, false,
-                                          row.m_version});
+                                          row.m_version, age});
         }
     }
     state.m_listed = listed.m_instances.size();
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -116,7 +116,7 @@
         if (entry.m_row_version != item.m_row_version)
         {
             entry.m_row_version = item.m_row_version;
-            entry.m_row_changed_at = now;
+            entry.m_row_changed_at = now - item.m_age;
         }
         entry.m_listed_address = item.m_address;
     }
@@ -287,6 +287,7 @@
                         {
                             member const & entry = item.second;
                             return entry.m_listed && entry.m_report_at == time_point() &&
+                                   now - entry.m_row_changed_at < registration_timeout &&
                                    now - entry.m_first_listed_at < introduction_time;
                         });
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(report_overtaken_by_later_one_is_ignored);
     CPPUNIT_TEST(list_address_takes_precedence_over_heartbeat);
     CPPUNIT_TEST(list_without_live_member_keeps_it_live);
+    CPPUNIT_TEST(listed_member_is_waited_for);
+    CPPUNIT_TEST(listed_member_with_old_registration_is_not_waited_for);
     CPPUNIT_TEST(heartbeats_at_design_size_stay_within_budget);
     CPPUNIT_TEST(peer_clock_limit_is_never_later_than_true_limit);
     CPPUNIT_TEST_SUITE_END();
@@ -138,6 +140,25 @@
 
     // 9 KB/s for control at 30 instances in each of 15 domains leave 100 messages a
     // second of 90 bytes.
+    void listed_member_is_waited_for()
+    {
+        std::vector<listed_member> const listed = {{{"n"}, "a", "address", false, 7, 1s}};
+        merge_list(m_state, listed, start);
+        CPPUNIT_ASSERT(!is_introduced(m_state, start));
+        receive("n", make_report("a", 1));
+        CPPUNIT_ASSERT(is_introduced(m_state, start));
+    }
+
+    // The registration of an instance that was removed for good stays in the store.
+    void listed_member_with_old_registration_is_not_waited_for()
+    {
+        std::vector<listed_member> const listed = {
+            {{"n"}, "a", "address", false, 7, registration_timeout}};
+        merge_list(m_state, listed, start);
+        CPPUNIT_ASSERT(is_introduced(m_state, start));
+        CPPUNIT_ASSERT(!may_be_alive(m_state, m_state.m_members.at({"n"}), start));
+    }
+
     void heartbeats_at_design_size_stay_within_budget()
     {
         for (int domain = 0; domain < 15; ++domain)
