--- a/tests/entry_process_test.cpp
+++ b/tests/entry_process_test.cpp
@@ -483,6 +483,8 @@
         instance const & survivor = m_instances[1];
         std::vector<std::future<http::response>> lost;
         std::vector<std::future<http::response>> again;
+        lost.reserve(jobs);
+        again.reserve(jobs);
         for (int index = 0; index < jobs; ++index)
         {
             lost.push_back(std::async(
