Log what tells the hypotheses of the double run apart

The logs did not say that a session found a run that it had not started, which incarnation a session believed in, whether a start was known to be accepted and how old it was, that a task was started again and where, that a caller had left, or how long a failed peer had been silent.

New lines foreign_run_stopped, run_repeated, caller_left, peer_disconnected and peer_restarted; more inputs on the lines of runs, sessions and peer_failed. First starts still have no line, so a served job costs no line more than before.

Tests: leasing_log_test, and the claim test checks foreign_run_stopped.

--- a/include/cassiahub/dispatch/attempt.hpp
+++ b/include/cassiahub/dispatch/attempt.hpp
@@ -39,6 +39,8 @@
     /// Latest time at which the attempt may be sent; an attempt not sent by then counts
     /// as not_run. Not after the end of the shard lease.
     time_point m_send_before;
+    /// Earlier attempts of the task by this instance; not sent to peers.
+    std::uint32_t m_earlier_attempts = 0;
 };
 
 /// Order to cancel an attempt that was started.
--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -76,6 +76,16 @@
 /// Adds a live instance or replaces its last reported load.
 void set_peer(dispatch_state & state, peer_capacity peer);
 
+/// Numbers of tasks that this instance and another one run for each other.
+struct peer_work
+{
+    std::size_t m_forwarded = 0; ///< forwarded to the other instance
+    std::size_t m_queued = 0;    ///< of the other instance, waiting here
+    std::size_t m_running = 0;   ///< of the other instance, running here
+};
+
+peer_work work_with_peer(dispatch_state const & state, instance_id const & instance);
+
 /// Removes an instance that is no longer live. Attempts forwarded to it end with an
 /// unknown outcome. Tasks that it forwarded to this instance are dequeued or cancelled.
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -6,6 +6,8 @@
 #include <cassiahub/membership/members.hpp>
 #include <cassiahub/ownership/owner.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -148,6 +150,22 @@
     return true;
 }
 
+/// Logs a start of a task that this instance has attempted before.
+/// \param place "upstream=NAME" or "peer=NAME".
+void log_repeated_start(step_context & context, dispatch::attempt_start const & start,
+                        std::string_view place)
+{
+    if (start.m_earlier_attempts > 0)
+    {
+        context.m_actions.emplace_back(log_event{
+            "run_repeated",
+            start.m_job.m_key,
+            {},
+            fmt::format("{} task={} generation={} earlier={}", place, start.m_task,
+                        start.m_generation, start.m_earlier_attempts)});
+    }
+}
+
 /// Reports an attempt as not run to the dispatcher, which then frees its slot.
 void report_unsent_attempt(step_context & context, attempt_id const & id)
 {
@@ -205,6 +223,7 @@
         }
         else if (leased)
         {
+            log_repeated_start(context, start, "upstream=" + start.m_upstream);
             start_run(context, std::move(start));
         }
         else
@@ -216,6 +235,7 @@
     {
         if (permit_start(context, task.m_start))
         {
+            log_repeated_start(context, task.m_start, "peer=" + task.m_to.m_value);
             forward(context, task);
         }
         else
@@ -345,6 +365,13 @@
         if (job.m_answer_routes.empty())
         {
             job_key const abandoned = key;
+            context.m_actions.emplace_back(
+                log_event{"caller_left",
+                          key.m_key,
+                          {},
+                          fmt::format("request={} age_ms={} starts={}", job.m_request_id,
+                                      to_milliseconds(context.m_now - job.m_submitted),
+                                      job.m_starts)});
             abort_job(context, abandoned, job_errc::cancelled);
             return;
         }
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -8,6 +8,8 @@
 #include <cassiahub/membership/rendezvous.hpp>
 #include <cassiahub/ownership/owner.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace cassiahub::decision::internal
@@ -61,10 +63,23 @@
                        {peer, entry.m_domain, load, !entry.m_report.m_leaving});
 }
 
-/// Ends the tasks that were forwarded to \p peer and marks the requests sent to it to be
-/// sent again.
-void remove_peer(step_context & context, instance_id const & peer)
+/// Ends the tasks that were forwarded to \p peer and those that run here for it, and
+/// marks the requests sent to it to be sent again. \param code code of the logged event.
+void remove_peer(step_context & context, instance_id const & peer, std::string_view code)
 {
+    entry_state const & state = context.m_state;
+    dispatch::peer_work const work = dispatch::work_with_peer(state.m_dispatch, peer);
+    auto const member = state.m_membership.m_members.find(peer);
+    std::int64_t const silent =
+        member == state.m_membership.m_members.end()
+            ? -1
+            : to_milliseconds(context.m_now - member->second.m_report_at);
+    context.m_actions.emplace_back(
+        log_event{code,
+                  peer.m_value,
+                  {},
+                  fmt::format("silent_ms={} forwarded={} queued_here={} running_here={}",
+                              silent, work.m_forwarded, work.m_queued, work.m_running)});
     dispatch::effects effects;
     dispatch::remove_peer(context.m_state.m_dispatch, peer, context.m_now,
                           context.m_random, effects);
@@ -180,7 +195,7 @@
     }
     if (effect == membership::report_effect::restarted)
     {
-        remove_peer(context, from);
+        remove_peer(context, from, "peer_restarted");
     }
     if (effect != membership::report_effect::refreshed ||
         was_leaving != is_leaving(state, from))
@@ -231,7 +246,7 @@
         capacity = known->second.m_capacity;
     }
     // Results in flight may be lost, so the outcome of forwarded tasks is unknown.
-    remove_peer(context, peer);
+    remove_peer(context, peer, "peer_disconnected");
     if (restore)
     {
         dispatch::set_peer(state.m_dispatch, std::move(capacity));
@@ -477,8 +492,7 @@
     for (instance_id const & failed :
          membership::expire_members(state.m_membership, context.m_now))
     {
-        context.m_actions.emplace_back(log_event{"peer_failed", failed.m_value, {}});
-        remove_peer(context, failed);
+        remove_peer(context, failed, "peer_failed");
         schedule_upstream_assignment(context);
     }
     update_assignments(context);
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -30,6 +30,8 @@
     start.m_attempt = id;
     start.m_job = job.m_spec.m_key;
     start.m_task = task;
+    start.m_earlier_attempts =
+        job.m_tasks[task].m_attempts + job.m_tasks[task].m_declined;
     start.m_kind = job.m_spec.m_kind;
     start.m_payload = job.m_spec.m_tasks[task].m_payload;
     start.m_demand = job.m_spec.m_tasks[task].m_demand;
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -250,6 +250,22 @@
     }
 }
 
+peer_work work_with_peer(dispatch_state const & state, instance_id const & instance)
+{
+    peer_work work;
+    if (auto const peer = state.m_peers.find(instance); peer != state.m_peers.end())
+    {
+        work.m_forwarded = peer->second.m_forwarded.size();
+    }
+    work.m_queued = static_cast<std::size_t>(std::count_if(
+        state.m_forwarded.begin(), state.m_forwarded.end(),
+        [&instance](auto const & entry) { return entry.second.m_from == instance; }));
+    work.m_running = static_cast<std::size_t>(std::count_if(
+        state.m_attempts.begin(), state.m_attempts.end(),
+        [&instance](auto const & entry) { return entry.second.m_from == instance; }));
+    return work;
+}
+
 void accept_forwarded(dispatch_state & state, instance_id const & from,
                       attempt_start task, time_point)
 {
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -48,13 +48,18 @@
     return "run_unknown";
 }
 
-std::string describe(task_name const & task, requested_run const & run)
+std::string describe(session_context const & context, task_name const & task,
+                     requested_run const & run)
 {
     std::string_view const phase = run.m_phase == run_phase::starting  ? "starting"
                                    : run.m_phase == run_phase::running ? "running"
                                                                        : "stopping";
-    return fmt::format("task={} generation={} phase={} percent={}", task.m_index,
-                       run.m_generation, phase, run.m_percent);
+    return fmt::format("task={} generation={} phase={} percent={} accepted={} age_ms={} "
+                       "incarnation={}",
+                       task.m_index, run.m_generation, phase, run.m_percent,
+                       run.m_uncertain ? "unknown" : "yes",
+                       to_milliseconds(context.m_now - run.m_requested_at),
+                       context.m_session.m_incarnation);
 }
 
 requested_run * find_run(upstream_session & session, task_name const & task,
@@ -174,7 +179,8 @@
     attempt_id const attempt = found->second.m_attempt;
     if (outcome != attempt_outcome::succeeded)
     {
-        log_session(context, code_of(outcome), task.m_job, describe(task, found->second));
+        log_session(context, code_of(outcome), task.m_job,
+                    describe(context, task, found->second));
     }
     context.m_session.m_runs.erase(found);
     context.m_state.m_attempts.erase(attempt);
@@ -274,6 +280,11 @@
         else
         {
             ++foreign_runs;
+            log_session(context, "foreign_run_stopped", listed.m_run.m_task.m_job,
+                        fmt::format("task={} generation={} percent={} incarnation={}",
+                                    listed.m_run.m_task.m_index,
+                                    listed.m_run.m_generation, listed.m_percent,
+                                    session.m_incarnation));
             send_stop(context, listed.m_run);
         }
     }
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -3,6 +3,7 @@
 #include <cassiahub/lease/sessions.hpp>
 
 #include <boost/assert.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -51,13 +52,27 @@
     send_renewal(context, duration::zero(), false);
 }
 
+/// \returns the inputs of a decision about the whole session, for the log. clock_age_ms
+/// is the time since the last reply that told the upstream's clock; -1: none so far.
+std::string describe_session(session_context const & context)
+{
+    upstream_session const & session = context.m_session;
+    std::int64_t const clock_age =
+        session.m_clock_at == time_point()
+            ? -1
+            : to_milliseconds(context.m_now - session.m_clock_at);
+    return fmt::format("runs={} token={} incarnation={} clock={} clock_age_ms={}",
+                       session.m_runs.size(), session.m_token, session.m_incarnation,
+                       session.m_clock, clock_age);
+}
+
 /// Finishes all runs with \p outcome because the claim on the upstream is lost. The
 /// upstream is claimed again later.
 /// \param code code of the logged event.
 void lose_claim(session_context & context, attempt_outcome outcome, std::string_view code)
 {
     upstream_session & session = context.m_session;
-    log_session(context, code, {}, "runs=" + std::to_string(session.m_runs.size()));
+    log_session(context, code, {}, describe_session(context));
     finish_all_runs(context, outcome);
     stop_serving(context, session_phase::claiming);
     session.m_renewal = 0;
@@ -126,7 +141,7 @@
     if (session.m_phase != session_phase::serving && session.m_wanted)
     {
         log_session(context, claiming ? "upstream_claimed" : "upstream_regained", {},
-                    "token=" + std::to_string(session.m_token));
+                    describe_session(context));
         session.m_phase = session_phase::serving;
         set_available(context, true);
     }
@@ -140,7 +155,7 @@
     ++session.m_failures;
     if (session.m_phase == session_phase::serving)
     {
-        log_session(context, "upstream_silent");
+        log_session(context, "upstream_silent", {}, describe_session(context));
         stop_serving(context, session_phase::silent);
     }
     session.m_next_renewal =
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -523,7 +523,80 @@
     }
 };
 
+// Guards against a double run that cannot be traced: which instance started a task again,
+// whose caller has left, and how long a failed peer was silent.
+class leasing_log_test : public leasing_fixture
+{
+    CPPUNIT_TEST_SUITE(leasing_log_test);
+    CPPUNIT_TEST(first_start_of_task_is_not_logged);
+    CPPUNIT_TEST(repeated_start_of_task_is_logged_with_its_upstream);
+    CPPUNIT_TEST(caller_that_left_is_logged_with_its_starts);
+    CPPUNIT_TEST(failed_peer_is_logged_with_its_silence_and_work);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::vector<log_event> take_events(std::string_view code)
+    {
+        std::vector<log_event> events = take_actions<log_event>();
+        std::erase_if(events,
+                      [code](log_event const & item) { return item.m_code != code; });
+        return events;
+    }
+
+    static bool mentions(log_event const & logged, std::string_view text)
+    {
+        return logged.m_detail.find(text) != std::string::npos;
+    }
+
+public:
+    void first_start_of_task_is_not_logged()
+    {
+        start_without_peers();
+        submit("/q/1");
+        CPPUNIT_ASSERT(take_events("run_repeated").empty());
+    }
+
+    void repeated_start_of_task_is_logged_with_its_upstream()
+    {
+        start_without_peers();
+        submit("/q/1");
+        auto const first = take_calls<lease::start_call>();
+        lease::upstream_reply refused;
+        refused.m_number = first[0].m_number;
+        refused.m_upstream = first[0].m_upstream;
+        refused.m_outcome = lease::call_outcome::unhealthy;
+        handle(upstream_replied{std::move(refused)});
+        auto const second = take_calls<lease::start_call>();
+        auto const logged = take_events("run_repeated");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), logged[0].m_subject);
+        CPPUNIT_ASSERT(mentions(logged[0], "upstream=" + second.at(0).m_upstream));
+        CPPUNIT_ASSERT(mentions(logged[0], "earlier=1"));
+    }
+
+    void caller_that_left_is_logged_with_its_starts()
+    {
+        start_without_peers();
+        caller_id const caller = submit("/q/1");
+        handle(caller_disconnected{caller});
+        auto const logged = take_events("caller_left");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged.size());
+        CPPUNIT_ASSERT(mentions(logged[0], "starts=1"));
+    }
+
+    void failed_peer_is_logged_with_its_silence_and_work()
+    {
+        start_without_peers();
+        receive_peer_heartbeat({});
+        advance_time(1100ms);
+        auto const logged = take_events("peer_failed");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged.size());
+        CPPUNIT_ASSERT(mentions(logged[0], "silent_ms=10"));
+        CPPUNIT_ASSERT(mentions(logged[0], "running_here=0"));
+    }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(leasing_job_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(leasing_owner_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(leasing_log_test);
 
 } // namespace
--- a/tests/lease_fixture.hpp
+++ b/tests/lease_fixture.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cassiahub::lease
@@ -124,6 +125,13 @@
         return {{"job", 0, 0, index}, generation};
     }
 
+    std::size_t count_events(std::string_view code) const
+    {
+        return std::size_t(std::count_if(m_out.m_events.begin(), m_out.m_events.end(),
+                                         [code](session_event const & logged)
+                                         { return logged.m_code == code; }));
+    }
+
     bool is_available() const
     {
         return !m_out.m_availability.empty() && m_out.m_availability.back().m_available;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -45,6 +45,7 @@
         assign_upstream();
         reply_to_renewal(take_call<renew_call>(), {{make_run_name(3), 10}});
         CPPUNIT_ASSERT(!is_available());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("foreign_run_stopped"));
         CPPUNIT_ASSERT(std::get<stop_call>(take_call<stop_call>().m_body).m_run ==
                        make_run_name(3));
         advance_by(100ms);
