Soak: let upstreams behave as the platform's pages allow

The soak never showed it, because its upstreams were kinder than the pages: replies to starts and stops carried born; a crash dropped every order in progress, came back at once, at the same address, with its connections intact; a stop ended the run at once; links between gateways and upstreams were never cut; clocks were exact; registrations were never late.

Each gateway has a link of its own to each upstream, which is cut silently, one way, reset or lossy, and a store port of its own. A few callers lose their connection. Gateways are spread over two failure domains.

Old seeds keep their sequence of faults; the new kinds come as a second sequence with random sources of its own.

--- a/soak/http_server.py
+++ b/soak/http_server.py
@@ -20,11 +20,15 @@
     return head[0], headers, body
 
 
-async def serve(port, handler):
-    """Starts a server. handler(method, target, headers, body) returns (status, object),
-    or None to close the connection without a response."""
+async def serve(port, accept):
+    """Starts a server. accept(writer) returns the handler of a connection, or None to
+    refuse it. handler(method, target, headers, body) returns (status, object), or None to
+    close the connection without a response."""
 
     async def on_connection(reader, writer):
+        handler = accept(writer)
+        if handler is None:
+            return
         try:
             while (message := await read_message(reader)) is not None:
                 method, target, _ = message[0].split(" ", 2)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,6 +4,8 @@
 import argparse
 import asyncio
 import collections
+import contextlib
+import functools
 import json
 import os
 import random
@@ -14,11 +16,13 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fakes import Relay, Store, Upstream, start_standins
-from http_server import request
+from fakes import Relay, Store
+from http_server import request, serve
+from upstreams import Upstream
 
 HOST = "soak.example"
 RESUBMIT_AFTER_S = 1.3  # until a caller resubmits a job that got no response
+BREAK_SHARE = 0.04  # of the requests whose connection breaks before the response
 RECOVERY_LIMIT_S = 12  # from the last fault until jobs must complete again
 STOP_GRACE_S = 6  # limit of a graceful stop, as set in the gateways
 
@@ -26,29 +30,45 @@
 class Checks:
     """Invariants that the upstreams and the callers observe, and their violations."""
 
-    def __init__(self):
-        self.running = {}  # by task: upstream that runs it
+    def __init__(self, trace_path):
+        self.running = collections.defaultdict(list)  # by task: its current runs
         self.started = collections.Counter()  # runs by job
         self.submitted = set()  # jobs
         self.violations = []
         self.counts = collections.Counter()
+        self.trace_file = open(trace_path, "w")
+
+    def trace(self, text):
+        now = time.time()
+        at = time.strftime("%H:%M:%S", time.gmtime(now))
+        self.trace_file.write(f"{at}.{int(now * 1000) % 1000:03d} {text}\n")
 
     def add_violation(self, text):
         self.violations.append(f"{time.monotonic():.3f} {text}")
+        self.trace(f"violation: {text}")
 
-    def run_started(self, task, run, upstream):
+    def run_started(self, run):
         self.counts["runs"] += 1
-        if task in self.running:
-            self.add_violation(
-                f"two concurrent runs of {task} on {self.running[task]} and {upstream}")
-        if task.split(".")[0] not in self.submitted:
-            self.add_violation(f"{task} runs but its job was not submitted")
-        self.running[task] = upstream
-        self.started[task.split(".")[0]] += 1
+        self.trace(f"started {run.task} on {run.describe()}")
+        for other in list(self.running[run.task]):
+            other.upstream.advance()  # ends it if it should have ended by now
+        for other in self.running[run.task]:
+            self.counts["two concurrent runs"] += 1
+            self.add_violation(f"two concurrent runs of {run.task}: {other.describe()} "
+                               f"and {run.describe()}")
+        job = run.task.split(".")[0]
+        if job not in self.submitted:
+            self.add_violation(f"{run.task} runs but its job was not submitted")
+        self.running[run.task].append(run)
+        self.started[job] += 1
+
+    def run_ended(self, run, outcome):
+        self.trace(f"ended {run.task} run {run.number} on {run.upstream.name}: {outcome}")
+        self.running[run.task].remove(run)
+
 
-    def run_ended(self, task, run, upstream):
-        if self.running.get(task) == upstream:
-            del self.running[task]
+def domain_of(index, options):
+    return f"domain-{index % options.domains}"
 
 
 class Gateway:
@@ -56,6 +76,7 @@
 
     def __init__(self, options, index, base, store_port, directory):
         self.name = f"gateway-{index}"
+        domain = domain_of(index, options)
         self.port, self.ready_port = base, base + 1
         self.peer_port, self.relay_port = base + 3, base + 4
         self.binary = options.gateway
@@ -64,7 +85,7 @@
         self.relay = Relay(self.peer_port)
         self.process = None
         with open(self.settings, "w") as file:
-            file.write(f"[gateway]\ninstance = {self.name}\ndomain = north\n"
+            file.write(f"[gateway]\ninstance = {self.name}\ndomain = {domain}\n"
                        f"caller_address = 127.0.0.1:{self.port}\n"
                        f"ready_address = 127.0.0.1:{self.ready_port}\n"
                        f"metrics_address = 127.0.0.1:{base + 2}\n"
@@ -87,13 +108,17 @@
     def __init__(self, options, directory):
         self.random = random.Random(options.seed)
         self.options = options
-        self.checks = Checks()
+        self.checks = Checks(os.path.join(directory, "upstreams.log"))
         base = options.port
         self.store = Store(self.rewrite_peer_address)
-        self.upstreams = [Upstream(f"up-{index}", base + 500 + index, 32_000, self.checks)
-                          for index in range(options.upstreams)]
-        self.gateways = [Gateway(options, index, base + 10 + 10 * index, base, directory)
+        self.gateways = [Gateway(options, index, base + 10 + 10 * index, base + index,
+                                 directory)
                          for index in range(options.gateways)]
+        names = [gateway.name for gateway in self.gateways]
+        self.upstreams = [Upstream(f"up-{index}", base + 500 + 2 * index * len(names),
+                                   domain_of(index, options), names, 32_000, self.checks,
+                                   options.seed)
+                          for index in range(options.upstreams)]
         self.gateways_by_name = {gateway.name: gateway for gateway in self.gateways}
         self.faults = collections.Counter()
         self.completed_at = []
@@ -116,6 +141,7 @@
             [("check", 6, 60), ("lookup", 2, 200), ("levy", 3, 800)])
         job = f"{self.random.getrandbits(64):016x}"
         self.checks.submitted.add(job)
+        rng = random.Random(job)
         spec = json.dumps({"run_ms": run_ms, "cpu": 14_000})
         body = json.dumps({"spec": spec, "best-effort": True, "steps": [
             {"count": task_count, "cpu": 14_000, "mem-mb": 64,
@@ -124,8 +150,9 @@
         statuses = []
         for _ in range(3):
             gateway = self.random.choice(self.gateways)
+            limit = rng.uniform(0, 1.5) if rng.random() < BREAK_SHARE else 1.5
             status, response = await request(gateway.port, "POST", f"/{kind}/{job}",
-                                             headers, body, 1.5)
+                                             headers, body, limit)
             statuses.append(status)
             if status == 200 and json.loads(response) == {"state": "completed"}:
                 self.completed_at.append(time.monotonic())
@@ -149,13 +176,10 @@
         await asyncio.gather(*job_tasks)
 
     async def drive_upstreams(self):
-        ticks = 0
         while not self.stopping:
             for upstream in self.upstreams:
                 upstream.advance()
-                if ticks % 50 == 0 and upstream.mode != "silent":
-                    self.store.put("servers", upstream.name, upstream.registration())
-            ticks += 1
+                upstream.write_registration(self.store)
             await asyncio.sleep(0.01)
 
     async def restart(self, gateway, rng):
@@ -189,13 +213,50 @@
             gateway.relay.set_mode("open")
 
     async def break_upstream(self, kind, rng):
-        upstream = rng.choice(self.upstreams)
+        upstreams = [rng.choice(self.upstreams)]
+        if kind in ("late_orders", "late_renewals", "lag"):
+            upstreams = rng.sample(self.upstreams, rng.choice((1, 3, len(self.upstreams))))
         if kind == "crash":
-            upstream.crash()
+            await self.crash(upstreams, rng)
             return
-        upstream.mode = kind
-        await asyncio.sleep(rng.uniform(0.5, 4))
-        upstream.mode = "up"
+        async with self.impaired(upstreams, kind):
+            await asyncio.sleep(rng.uniform(0.5, 4))
+            # Some start again unnoticed, or while orders to them are under way.
+            if kind in ("late_orders", "lag") and rng.random() < 0.5:
+                await self.crash(upstreams[:3], rng)
+
+    async def break_link(self, kind, rng):
+        """Breaks the links of some upstreams to the gateways that hold them, to the
+        others, or to all."""
+        upstreams = rng.sample(self.upstreams, rng.choice((1, 3)))
+        which = rng.choice(("holder", "others", "all"))
+        links = [link for upstream in upstreams for link in upstream.links
+                 if which == "all" or (which == "holder") == upstream.is_held_by(link)]
+        async with self.impaired(links, kind):
+            if kind == "reset":
+                for link in links:
+                    link.reset()
+            await asyncio.sleep(rng.uniform(0.2, 4))
+            if rng.random() < 0.3:
+                await self.crash(upstreams, rng)
+                await asyncio.sleep(rng.uniform(0, 1))
+
+    @contextlib.asynccontextmanager
+    async def impaired(self, parts, fault):
+        names = " ".join(part.name for part in parts)
+        self.checks.trace(f"{fault} begins: {names}")
+        for part in parts:
+            part.faults[fault] += 1
+        yield
+        for part in parts:
+            part.faults[fault] -= 1
+        self.checks.trace(f"{fault} ends: {names}")
+
+    async def crash(self, upstreams, rng):
+        await asyncio.gather(*(
+            upstream.crash(rng.choice((rng.uniform(0.02, 0.4), rng.uniform(0.4, 4))),
+                           rng.choice(("reset", "unknown", "silent")), rng.random() < 0.3)
+            for upstream in upstreams))
 
     async def break_store(self, kind, rng):
         if kind == "change":
@@ -206,6 +267,8 @@
         self.store.mode = "up"
 
     async def inject(self, until):
+        """Injects the faults of gateways, upstreams and the store, and, with random
+        sources of their own, those of the platform that hit calls to upstreams."""
         fault_kinds = [(self.break_gateway, kind) for kind in
                        ("kill", "term", "hup", "pause", "silent", "slow", "reset",
                         "one_way")]
@@ -213,23 +276,36 @@
                         ("crash", "silent", "failing", "stalled", "late")]
         fault_kinds += [(self.break_store, kind) for kind in
                         ("refuse", "silent", "slow", "change")]
+        upstream_kinds = [(self.break_link, kind) for kind in
+                          ("silent", "one_way", "reset", "lossy")]
+        upstream_kinds += [(self.break_upstream, kind) for kind in
+                           ("crash", "slow", "late_orders", "late_renewals", "lag")]
+        await asyncio.gather(
+            self.inject_kinds(fault_kinds, f"{self.options.seed}", until),
+            self.inject_kinds(upstream_kinds, f"{self.options.seed}-upstreams", until))
+        self.last_fault = time.monotonic()
+
+    async def inject_kinds(self, fault_kinds, seed, until):
         fault_tasks = set()
         number = 0
         while time.monotonic() < until:
             # Each fault has its own random source, so that timing does not change the
             # sequence of faults.
             number += 1
-            rng = random.Random(f"{self.options.seed}-{number}")
+            rng = random.Random(f"{seed}-{number}")
             fault, kind = rng.choice(fault_kinds)
             self.faults[f"{fault.__name__[6:]} {kind}"] += 1
             fault_tasks.add(asyncio.create_task(fault(kind, rng)))
             await asyncio.sleep(rng.expovariate(1 / self.options.gap))
         await asyncio.gather(*fault_tasks)
-        self.last_fault = time.monotonic()
 
     async def run(self):
         self.configure(1)
-        servers = await start_standins(self.store, self.options.port, self.upstreams)
+        for number in range(len(self.gateways)):
+            handle = functools.partial(self.store.handle, number)
+            await serve(self.options.port + number, lambda _, handle=handle: handle)
+        for upstream in self.upstreams:
+            await upstream.start()
         for gateway in self.gateways:
             await gateway.relay.start(gateway.relay_port)
             gateway.start()
@@ -252,8 +328,7 @@
                 self.checks.add_violation(f"{gateway.name} did not stop")
         self.stopping = True
         await upstream_driver
-        for server in servers:
-            server.close()
+        self.checks.trace_file.close()
 
 
 def main():
@@ -263,6 +338,7 @@
     parser.add_argument("--seconds", type=float, default=20,
                         help="duration of the fault injection")
     parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--domains", type=int, default=2)
     parser.add_argument("--upstreams", type=int, default=12)
     parser.add_argument("--rate", type=float, default=12, help="jobs per second")
     parser.add_argument("--gap", type=float, default=0.8,
@@ -270,6 +346,7 @@
     parser.add_argument("--port", type=int, default=24000)
     parser.add_argument("--logs", help="directory for the logs of the gateways")
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the gateways below
     with tempfile.TemporaryDirectory() as scratch:
         soak = Soak(options, options.logs or scratch)
         try:
