Report only runs of the ended incarnation as interrupted

Cause: replies to starts carry no start time of the upstream. A start that the restarted upstream had accepted counted as a run of the incarnation that had ended, and was reported as interrupted while it went on. Where the registration showed the restart, where another upstream answered at the address, and where the lease had lapsed, even starts without a reply were reported as interrupted, although the restarted upstream may carry them out late: its clock starts anew, so their lease lies far ahead. The session's clock also took any higher reading of another incarnation.

Change: one rule for all four paths. A run is confirmed when a renewal of the session's incarnation lists it, or when the clock in the reply to its start is one that this incarnation can have read between the call and its reply (2% slow, 2 ms for whole milliseconds, overtaken replies included). Confirmed runs are reported as interrupted at once, all others as unknown. A reading outside that range is logged (unexpected_clock), leaves the session's clock alone and is followed by a renewal without a wait, which tells the incarnation.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -30,6 +30,8 @@
     run_phase m_phase = run_phase::starting;
     /// The start was not accepted so far, and no renewal has listed the run.
     bool m_uncertain = true;
+    /// The run is known to have started in the session's incarnation of the upstream.
+    bool m_confirmed = false;
     time_point m_requested_at;
     time_point m_stop_sent_at;
     bool m_stop_accepted = false;
@@ -57,9 +59,10 @@
     bool m_wanted = true; ///< this instance should own the upstream
 
     // The upstream's clock showed m_clock when it sent the reply that arrived at
-    // m_clock_at.
+    // m_clock_at, to a call sent at m_clock_asked_at.
     upstream_clock m_clock = 0;
     time_point m_clock_at;
+    time_point m_clock_asked_at;
     /// Latest lease end that a call has requested.
     upstream_clock m_lease_until = 0;
 
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -54,10 +54,11 @@
     std::string_view const phase = run.m_phase == run_phase::starting  ? "starting"
                                    : run.m_phase == run_phase::running ? "running"
                                                                        : "stopping";
-    return fmt::format("task={} generation={} phase={} percent={} accepted={} age_ms={} "
-                       "incarnation={}",
+    return fmt::format("task={} generation={} phase={} percent={} accepted={} "
+                       "confirmed={} age_ms={} incarnation={}",
                        task.m_index, run.m_generation, phase, run.m_percent,
                        run.m_uncertain ? "unknown" : "yes",
+                       run.m_confirmed ? "yes" : "no",
                        to_milliseconds(context.m_now - run.m_requested_at),
                        context.m_session.m_incarnation);
 }
@@ -84,12 +85,13 @@
 }
 
 void receive_start_reply(session_context & context, task_name const & task,
-                         requested_run & run, call_outcome outcome)
+                         requested_run & run, call_outcome outcome, bool confirmed)
 {
     switch (outcome)
     {
     case call_outcome::accepted:
         run.m_uncertain = false;
+        run.m_confirmed = run.m_confirmed || confirmed;
         run.m_progress_at = context.m_now;
         if (run.m_phase == run_phase::starting)
         {
@@ -111,6 +113,7 @@
                        requested_run & run)
 {
     run.m_uncertain = false;
+    run.m_confirmed = true;
     if (run.m_phase == run_phase::starting)
     {
         run.m_phase = run_phase::running;
@@ -196,17 +199,17 @@
     }
 }
 
-void finish_uncertain_runs(session_context & context)
+void finish_unconfirmed_runs(session_context & context)
 {
-    std::vector<task_name> uncertain;
+    std::vector<task_name> unconfirmed;
     for (auto const & [task, run] : context.m_session.m_runs)
     {
-        if (run.m_uncertain)
+        if (!run.m_confirmed)
         {
-            uncertain.push_back(task);
+            unconfirmed.push_back(task);
         }
     }
-    for (task_name const & task : uncertain)
+    for (task_name const & task : unconfirmed)
     {
         finish_run(context, task, attempt_outcome::unknown);
     }
@@ -233,7 +236,7 @@
 }
 
 void receive_start_or_stop_reply(session_context & context, pending_call const & call,
-                                 call_outcome outcome)
+                                 call_outcome outcome, bool confirmed)
 {
     requested_run * const run =
         find_run(context.m_session, call.m_task, call.m_generation);
@@ -243,7 +246,12 @@
     }
     if (call.m_is_start)
     {
-        receive_start_reply(context, call.m_task, *run, outcome);
+        receive_start_reply(context, call.m_task, *run, outcome, confirmed);
+        if (outcome == call_outcome::accepted && !confirmed)
+        {
+            // The list of a renewal tells which incarnation runs the task.
+            send_renewal(context, duration::zero(), false);
+        }
     }
     else if (outcome == call_outcome::accepted)
     {
--- a/src/lease/runs.hpp
+++ b/src/lease/runs.hpp
@@ -18,8 +18,9 @@
 /// Finishes every run of the session with \p outcome.
 void finish_all_runs(session_context & context, dispatch::attempt_outcome outcome);
 
-/// Finishes, with attempt_outcome::unknown, every run that is not known to have started.
-void finish_uncertain_runs(session_context & context);
+/// Finishes, with attempt_outcome::unknown, every run that is not known to have started
+/// in the session's incarnation of the upstream.
+void finish_unconfirmed_runs(session_context & context);
 
 /// Sends a stop of a run.
 void stop_run(session_context & context, task_name const & task, requested_run & run);
@@ -28,8 +29,10 @@
 void stop_unanswered_runs(session_context & context);
 
 /// Processes the reply to a start or a stop.
+/// \param confirmed whether the session's incarnation of the upstream is known to have
+/// sent the reply.
 void receive_start_or_stop_reply(session_context & context, pending_call const & call,
-                                 call_outcome outcome);
+                                 call_outcome outcome, bool confirmed);
 
 /// Processes the active and ended runs in the reply to a renewal. Runs that this instance
 /// has not started are stopped.
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -39,6 +39,22 @@
     return session.m_clock + to_milliseconds(now - session.m_clock_at);
 }
 
+bool is_possible_clock(upstream_session const & session, upstream_clock clock,
+                       time_point sent_at, time_point now) noexcept
+{
+    if (session.m_clock_at == time_point())
+    {
+        return false;
+    }
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    double const passed = milliseconds(sent_at - session.m_clock_at).count();
+    double const lowest = passed < 0 ? passed : passed * (1 - clock_rate_error);
+    double const highest = milliseconds(now - session.m_clock_asked_at).count();
+    auto const change = static_cast<double>(clock - session.m_clock);
+    return change >= lowest - clock_reading_error &&
+           change <= highest + clock_reading_error;
+}
+
 time_point lease_expiry(upstream_session const & session) noexcept
 {
     double const remaining = static_cast<double>(session.m_lease_until - session.m_clock);
--- a/src/lease/session_calls.hpp
+++ b/src/lease/session_calls.hpp
@@ -9,6 +9,9 @@
 
 /// Bound on how much slower the clock of an upstream may run than this instance's.
 constexpr double clock_rate_error = 0.02;
+/// Bound on the error of a comparison of two clock readings, which are whole
+/// milliseconds.
+constexpr upstream_clock clock_reading_error = 2;
 /// Time after the end of a lease from which its runs count as ended. It covers scheduling
 /// delays of both processes.
 constexpr duration lease_expiry_margin = std::chrono::milliseconds(30);
@@ -52,6 +55,12 @@
 /// for which the last reply was in transit is left out.
 upstream_clock current_clock(upstream_session const & session, time_point now) noexcept;
 
+/// \returns true when the session's incarnation of the upstream can have read \p clock
+/// from its clock between \p sent_at and \p now. The clock of each incarnation starts
+/// anew, so a reading of another one is out of this range.
+bool is_possible_clock(upstream_session const & session, upstream_clock clock,
+                       time_point sent_at, time_point now) noexcept;
+
 /// \returns the time from which no run of the session can hold a lease.
 time_point lease_expiry(upstream_session const & session) noexcept;
 
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -66,28 +66,36 @@
                        session.m_clock, clock_age);
 }
 
-/// Finishes all runs with \p outcome because the claim on the upstream is lost. The
-/// upstream is claimed again later.
+/// \returns the inputs of a decision about a clock reading, for the log.
+std::string describe_clock(upstream_session const & session, upstream_clock clock,
+                           time_point now)
+{
+    return fmt::format("clock={} expected={} incarnation={}", clock,
+                       current_clock(session, now), session.m_incarnation);
+}
+
+/// Finishes all runs because the claim on the upstream is lost: with \p outcome those
+/// that are known to have started in the session's incarnation, and the others, which a
+/// later incarnation may run, with attempt_outcome::unknown. The upstream is claimed
+/// again later.
 /// \param code code of the logged event.
 void lose_claim(session_context & context, attempt_outcome outcome, std::string_view code)
 {
     upstream_session & session = context.m_session;
     log_session(context, code, {}, describe_session(context));
+    finish_unconfirmed_runs(context);
     finish_all_runs(context, outcome);
     stop_serving(context, session_phase::claiming);
     session.m_renewal = 0;
     session.m_next_renewal = context.m_now + renewal_retry_delay;
 }
 
-/// Processes a restart of the upstream, which ended all earlier runs. A start without a
-/// reply so far may still have reached the new incarnation; its run goes on until the
-/// next claim stops it, so its outcome is unknown.
+/// Processes a restart of the upstream, which ended all earlier runs.
 void adopt_incarnation(session_context & context, std::uint64_t incarnation)
 {
     upstream_session & session = context.m_session;
     if (session.m_incarnation != 0)
     {
-        finish_uncertain_runs(context);
         lose_claim(context, attempt_outcome::interrupted, "upstream_restarted");
         session.m_next_renewal = context.m_now;
     }
@@ -95,14 +103,30 @@
     session.m_clock_at = {};
 }
 
+/// \returns true when the session's incarnation of the upstream is known to have sent
+/// \p reply. Replies to starts and stops report no incarnation, only a clock.
+bool is_from_incarnation(upstream_session const & session, pending_call const & call,
+                         upstream_reply const & reply, time_point now) noexcept
+{
+    bool const is_renewal = call.m_generation == 0;
+    if (is_renewal || reply.m_incarnation != 0)
+    {
+        return reply.m_incarnation == session.m_incarnation;
+    }
+    return reply.m_clock &&
+           is_possible_clock(session, *reply.m_clock, call.m_sent_at, now);
+}
+
+/// \pre the session's incarnation of the upstream has sent \p reply.
 void update_clock(upstream_session & session, upstream_reply const & reply,
-                  time_point now)
+                  time_point sent_at, time_point now)
 {
     if (reply.m_clock &&
         (session.m_clock_at == time_point() || *reply.m_clock >= session.m_clock))
     {
         session.m_clock = *reply.m_clock;
         session.m_clock_at = now;
+        session.m_clock_asked_at = sent_at;
     }
 }
 
@@ -381,7 +405,16 @@
     {
         internal::adopt_incarnation(context, reply.m_incarnation);
     }
-    internal::update_clock(session, reply, now);
+    bool const confirmed = internal::is_from_incarnation(session, call, reply, now);
+    if (confirmed)
+    {
+        internal::update_clock(session, reply, call.m_sent_at, now);
+    }
+    else if (is_start_or_stop && reply.m_clock)
+    {
+        internal::log_session(context, "unexpected_clock", call.m_task.m_job,
+                              internal::describe_clock(session, *reply.m_clock, now));
+    }
     if (internal::receive_session_failure(context, reply.m_outcome))
     {
         internal::drop_released(state, out);
@@ -389,7 +422,7 @@
     }
     if (is_start_or_stop)
     {
-        internal::receive_start_or_stop_reply(context, call, reply.m_outcome);
+        internal::receive_start_or_stop_reply(context, call, reply.m_outcome, confirmed);
     }
     else if (reply.m_outcome == call_outcome::accepted)
     {
--- a/tests/lease_fixture.hpp
+++ b/tests/lease_fixture.hpp
@@ -72,7 +72,8 @@
         if (outcome == call_outcome::accepted)
         {
             reply.m_clock = clock_at_start + to_milliseconds(m_now - time_point(1000s));
-            reply.m_incarnation = 1;
+            bool const lists_runs = std::holds_alternative<renew_call>(call.m_body);
+            reply.m_incarnation = lists_runs ? 1 : 0;
         }
         return reply;
     }
@@ -132,6 +133,14 @@
                                          { return logged.m_code == code; }));
     }
 
+    /// \returns true when the task of \p attempt was reported as one that may be started
+    /// elsewhere.
+    bool may_be_restarted(attempt_id const & attempt) const
+    {
+        auto const outcome = outcome_of(attempt);
+        return outcome && *outcome != dispatch::attempt_outcome::unknown;
+    }
+
     bool is_available() const
     {
         return !m_out.m_availability.empty() && m_out.m_availability.back().m_available;
