Claim a restarted upstream with a higher token before starts

A restarted upstream knows no fencing token, so it carries out late starts until it has accepted a claim with a higher one.

Cause: the renewal reply that first showed the restart also counted as the reply to the next claim. The upstream was served again at once, with the old token, so that a late start of before was not refused. Replies to calls that were sent before the restart counted for the new session, as did a start time older than the session's and a list without one. A registration with an older start time and another address moved the session back; one with the same start time and another address ended its runs. A session that was released and opened again in the same millisecond had the token of its predecessor.

Change: the loss of a claim raises the token, so replies to earlier calls are ignored and the next claim has a strictly higher token than every call before it. The claim is sent at once when a reply or the registration shows the restart; nothing is started before it is accepted, and the lists of the reply that showed the restart do not count. Replies of an earlier incarnation, and lists without a start time where one is known, count as lost (stale_reply). An older registration is ignored; a new address of the same incarnation only changes the address. A new session has a higher token than every released one.

What remains: between the start of the new incarnation and its acceptance of the claim it may carry out a late start whose run was reported as not run or interrupted before.

Tests: 9 new cases in lease_restart_test.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -97,6 +97,7 @@
     /// Upstream and task of each attempt with a run.
     std::unordered_map<attempt_id, std::pair<std::string, task_name>> m_attempts;
     call_number m_next_call = 1;
+    std::uint64_t m_released_token = 0; ///< highest token of a session that has ended
     /// Length of the leases requested: the longest that upstreams grant.
     duration m_lease_length = std::chrono::milliseconds(1000);
     time_point m_next_scan;
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -86,21 +86,46 @@
     finish_unconfirmed_runs(context);
     finish_all_runs(context, outcome);
     stop_serving(context, session_phase::claiming);
+    // Ends the processing of replies to earlier calls. The next claim fences starts that
+    // are carried out late.
+    ++session.m_token;
     session.m_renewal = 0;
     session.m_next_renewal = context.m_now + renewal_retry_delay;
 }
 
-/// Processes a restart of the upstream, which ended all earlier runs.
-void adopt_incarnation(session_context & context, std::uint64_t incarnation)
+/// Processes the first sign of a later incarnation of the upstream: its start ended all
+/// earlier runs, and it knows no fencing token.
+/// \param accepted_claim whether the sign is the reply to the last claim.
+/// \returns false when the upstream has to be claimed again, so that the reply does not
+/// count.
+bool adopt_incarnation(session_context & context, std::uint64_t incarnation,
+                       bool accepted_claim)
 {
     upstream_session & session = context.m_session;
-    if (session.m_incarnation != 0)
+    bool const counts = session.m_incarnation == 0 || accepted_claim;
+    if (!counts)
     {
         lose_claim(context, attempt_outcome::interrupted, "upstream_restarted");
-        session.m_next_renewal = context.m_now;
     }
     session.m_incarnation = incarnation;
     session.m_clock_at = {};
+    if (!counts && session.m_wanted)
+    {
+        claim(context, session.m_token);
+    }
+    return counts;
+}
+
+/// \returns true when \p reply does not tell the state of the session's incarnation: it
+/// is from an earlier one, or lists runs without saying whose they are.
+/// \pre \p reply is not from a later incarnation.
+bool is_stale(upstream_session const & session, pending_call const & call,
+              upstream_reply const & reply) noexcept
+{
+    bool const lists_runs =
+        call.m_generation == 0 && reply.m_outcome == call_outcome::accepted;
+    return (lists_runs || reply.m_incarnation != 0) &&
+           reply.m_incarnation != session.m_incarnation;
 }
 
 /// \returns true when the session's incarnation of the upstream is known to have sent
@@ -273,12 +298,14 @@
 void drop_released(lease_state & state, effects & out)
 {
     std::erase_if(state.m_sessions,
-                  [&out](auto const & entry)
+                  [&state, &out](auto const & entry)
                   {
                       if (!is_released(entry.second))
                       {
                           return false;
                       }
+                      state.m_released_token =
+                          std::max(state.m_released_token, entry.second.m_token);
                       out.m_availability.push_back({entry.first, false});
                       out.m_events.push_back({"upstream_released", entry.first, {}, {}});
                       return true;
@@ -295,21 +322,28 @@
         session.m_name = owned.m_name;
         session.m_address = owned.m_address;
         session.m_incarnation = owned.m_incarnation;
+        session.m_token = state.m_released_token + 1;
         claim(context, token);
         return;
     }
-    bool const replaced = session.m_address != owned.m_address ||
-                          (owned.m_incarnation != 0 && session.m_incarnation != 0 &&
-                           owned.m_incarnation > session.m_incarnation);
-    if (replaced)
+    bool const comparable = owned.m_incarnation != 0 && session.m_incarnation != 0;
+    bool const outdated = comparable && owned.m_incarnation < session.m_incarnation;
+    bool const restarted = comparable && owned.m_incarnation > session.m_incarnation;
+    bool const moved = !outdated && session.m_address != owned.m_address;
+    session.m_wanted = true;
+    if (restarted || (moved && !comparable))
     {
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         session.m_address = owned.m_address;
-        session.m_incarnation = owned.m_incarnation;
+        session.m_incarnation = std::max(session.m_incarnation, owned.m_incarnation);
         session.m_clock_at = {};
-        session.m_next_renewal = now;
+        claim(context, token);
+    }
+    else if (moved)
+    {
+        log_session(context, "upstream_moved", {}, "address=" + owned.m_address);
+        session.m_address = owned.m_address;
     }
-    session.m_wanted = true;
     if (session.m_phase == session_phase::releasing)
     {
         session.m_phase = session_phase::serving;
@@ -401,9 +435,28 @@
     internal::session_context context{state, session, now, out};
     bool const is_start_or_stop = call.m_generation != 0;
     bool const current = session.m_renewal == reply.m_number;
-    if (reply.m_incarnation != 0 && reply.m_incarnation != session.m_incarnation)
+    if (reply.m_incarnation > session.m_incarnation)
+    {
+        bool const accepted_claim = current &&
+                                    session.m_phase == session_phase::claiming &&
+                                    reply.m_outcome == call_outcome::accepted;
+        if (!internal::adopt_incarnation(context, reply.m_incarnation, accepted_claim))
+        {
+            internal::drop_released(state, out);
+            return;
+        }
+    }
+    if (internal::is_stale(session, call, reply))
     {
-        internal::adopt_incarnation(context, reply.m_incarnation);
+        internal::log_session(context, "stale_reply", {},
+                              fmt::format("incarnation={} expected={}",
+                                          reply.m_incarnation, session.m_incarnation));
+        if (current)
+        {
+            internal::receive_lost_renewal(context);
+        }
+        internal::drop_released(state, out);
+        return;
     }
     bool const confirmed = internal::is_from_incarnation(session, call, reply, now);
     if (confirmed)
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -191,7 +191,160 @@
     }
 };
 
+// Guards against runs that start before the restarted upstream has accepted a new token,
+// so that it carries out starts that were sent earlier, and against a session that
+// returns to an incarnation that has ended.
+class lease_restart_claim_test : public lease_restart_fixture
+{
+    CPPUNIT_TEST_SUITE(lease_restart_claim_test);
+    CPPUNIT_TEST(renewal_of_restarted_upstream_is_followed_by_claim_with_higher_token);
+    CPPUNIT_TEST(registration_of_restart_is_followed_by_claim_with_higher_token);
+    CPPUNIT_TEST(claim_with_reply_of_restarted_upstream_makes_it_available);
+    CPPUNIT_TEST(reply_to_call_before_restart_is_ignored);
+    CPPUNIT_TEST(reply_of_earlier_incarnation_is_ignored);
+    CPPUNIT_TEST(list_without_incarnation_ends_no_run);
+    CPPUNIT_TEST(registration_of_earlier_incarnation_is_ignored);
+    CPPUNIT_TEST(address_of_same_incarnation_keeps_runs);
+    CPPUNIT_TEST(released_upstream_is_claimed_again_with_higher_token);
+    CPPUNIT_TEST_SUITE_END();
+
+    void assign_upstream_at(std::string const & address, std::uint64_t incarnation)
+    {
+        std::vector<owned_upstream> const owned{{"up", address, incarnation}};
+        set_owned(m_state, owned, first_token, m_now, m_out);
+    }
+
+    /// Checks that the upstream gets no start until it has accepted a claim with a higher
+    /// token, and then starts with that token.
+    void check_new_claim()
+    {
+        CPPUNIT_ASSERT(!is_available());
+        CPPUNIT_ASSERT(outcome_of(start_run(8)) == dispatch::attempt_outcome::not_run);
+        auto const claim = take_call<renew_call>();
+        CPPUNIT_ASSERT(claim.m_token > first_token);
+        CPPUNIT_ASSERT(!std::get<renew_call>(claim.m_body).m_lease_until);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                             std::get<renew_call>(claim.m_body).m_acknowledged);
+        reply_as_restarted(claim);
+        CPPUNIT_ASSERT(is_available());
+        start_run(9);
+        auto const start = take_call<start_call>();
+        CPPUNIT_ASSERT(start.m_token >= claim.m_token);
+        CPPUNIT_ASSERT(std::get<start_call>(start.m_body).m_lease_until <=
+                       clock_after_restart + 1000);
+    }
+
+public:
+    void renewal_of_restarted_upstream_is_followed_by_claim_with_higher_token()
+    {
+        claim_upstream();
+        start_run(0);
+        take_call<start_call>();
+        reply_as_restarted(take_call<renew_call>(), {},
+                           {{3, make_run_name(5), end_cause::succeeded}});
+        check_new_claim();
+    }
+
+    void registration_of_restart_is_followed_by_claim_with_higher_token()
+    {
+        claim_upstream();
+        take_call<renew_call>();
+        start_run(0);
+        take_call<start_call>();
+        assign_upstream(restarted);
+        check_new_claim();
+    }
+
+    void claim_with_reply_of_restarted_upstream_makes_it_available()
+    {
+        assign_upstream();
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+    }
+
+    void reply_to_call_before_restart_is_ignored()
+    {
+        claim_upstream();
+        auto const renewal = take_call<renew_call>();
+        start_run(0);
+        auto const start = take_call<start_call>();
+        assign_upstream(restarted);
+        reply(renewal, call_outcome::fenced);
+        reply(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_events("upstream_fenced"));
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+        start_run(1);
+        CPPUNIT_ASSERT_EQUAL(
+            clock_after_restart + 1000,
+            std::get<start_call>(take_call<start_call>().m_body).m_lease_until);
+    }
+
+    void reply_of_earlier_incarnation_is_ignored()
+    {
+        claim_upstream();
+        assign_upstream(restarted);
+        take_call<renew_call>();
+        auto const claim = take_call<renew_call>();
+        reply_as(1, claim, clock_at_start);
+        CPPUNIT_ASSERT(!is_available());
+        advance_by(300ms);
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_events("upstream_restarted"));
+    }
+
+    void list_without_incarnation_ends_no_run()
+    {
+        claim_upstream();
+        take_call<renew_call>();
+        attempt_id const attempt = start_confirmed_run(0);
+        advance_by(600ms);
+        reply_as(0, take_call<renew_call>(), clock_at_start + 600);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("stale_reply"));
+    }
+
+    void registration_of_earlier_incarnation_is_ignored()
+    {
+        claim_upstream();
+        assign_upstream(restarted);
+        take_call<renew_call>();
+        reply_as_restarted(take_call<renew_call>());
+        attempt_id const attempt = start_run(0);
+        assign_upstream_at("10.0.0.2:1", 1);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:1"),
+                             take_call<start_call>().m_address);
+    }
+
+    void address_of_same_incarnation_keeps_runs()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_confirmed_run(0);
+        assign_upstream_at("10.0.0.2:1", 1);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+        start_run(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:1"),
+                             take_call<start_call>().m_address);
+    }
+
+    // A reply to the first session, or a start that is carried out late, would count for
+    // the second one if their tokens were equal.
+    void released_upstream_is_claimed_again_with_higher_token()
+    {
+        claim_upstream();
+        unassign_upstream();
+        take_call<renew_call>();
+        assign_upstream();
+        CPPUNIT_ASSERT(take_call<renew_call>().m_token > first_token);
+    }
+};
+
 CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_run_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_claim_test);
 
 } // namespace
 
