--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -66,43 +66,92 @@
                        session.m_clock, clock_age);
 }
 
-/// Finishes all runs with \p outcome because the claim on the upstream is lost. The
-/// upstream is claimed again later.
+/// \returns the inputs of a decision about a clock reading, for the log.
+std::string describe_clock(upstream_session const & session, upstream_clock clock,
+                           time_point now)
+{
+    return fmt::format("clock={} expected={} incarnation={}", clock,
+                       current_clock(session, now), session.m_incarnation);
+}
+
+/// Finishes all runs because the claim on the upstream is lost: with \p outcome those
+/// that are known to have started in the session's incarnation, and the others, which a
+/// later incarnation may run, with attempt_outcome::unknown. The upstream is claimed
+/// again later.
 /// \param code code of the logged event.
 void lose_claim(session_context & context, attempt_outcome outcome, std::string_view code)
 {
     upstream_session & session = context.m_session;
     log_session(context, code, {}, describe_session(context));
+    finish_unconfirmed_runs(context);
     finish_all_runs(context, outcome);
     stop_serving(context, session_phase::claiming);
+    // Ends the processing of replies to earlier calls. The next claim fences starts that
+    // are carried out late.
+    ++session.m_token;
     session.m_renewal = 0;
     session.m_next_renewal = context.m_now + renewal_retry_delay;
 }
 
-/// Processes a restart of the upstream, which ended all earlier runs. A start without a
-/// reply so far may still have reached the new incarnation; its run goes on until the
-/// next claim stops it, so its outcome is unknown.
-void adopt_incarnation(session_context & context, std::uint64_t incarnation)
+/// Processes the first sign of a later incarnation of the upstream: its start ended all
+/// earlier runs, and it knows no fencing token.
+/// \param accepted_claim whether the sign is the reply to the last claim.
+/// \returns false when the upstream has to be claimed again, so that the reply does not
+/// count.
+bool adopt_incarnation(session_context & context, std::uint64_t incarnation,
+                       bool accepted_claim)
 {
     upstream_session & session = context.m_session;
-    if (session.m_incarnation != 0)
+    bool const counts = session.m_incarnation == 0 || accepted_claim;
+    if (!counts)
     {
-        finish_uncertain_runs(context);
         lose_claim(context, attempt_outcome::interrupted, "upstream_restarted");
-        session.m_next_renewal = context.m_now;
     }
     session.m_incarnation = incarnation;
     session.m_clock_at = {};
+    if (!counts && session.m_wanted)
+    {
+        claim(context, session.m_token);
+    }
+    return counts;
+}
+
+/// \returns true when \p reply does not tell the state of the session's incarnation: it
+/// is from an earlier one, or lists runs without saying whose they are.
+/// \pre \p reply is not from a later incarnation.
+bool is_stale(upstream_session const & session, pending_call const & call,
+              upstream_reply const & reply) noexcept
+{
+    bool const lists_runs =
+        call.m_generation == 0 && reply.m_outcome == call_outcome::accepted;
+    return (lists_runs || reply.m_incarnation != 0) &&
+           reply.m_incarnation != session.m_incarnation;
 }
 
+/// \returns true when the session's incarnation of the upstream is known to have sent
+/// \p reply. Replies to starts and stops report no incarnation, only a clock.
+bool is_from_incarnation(upstream_session const & session, pending_call const & call,
+                         upstream_reply const & reply, time_point now) noexcept
+{
+    bool const is_renewal = call.m_generation == 0;
+    if (is_renewal || reply.m_incarnation != 0)
+    {
+        return reply.m_incarnation == session.m_incarnation;
+    }
+    return reply.m_clock &&
+           is_possible_clock(session, *reply.m_clock, call.m_sent_at, now);
+}
+
+/// \pre the session's incarnation of the upstream has sent \p reply.
 void update_clock(upstream_session & session, upstream_reply const & reply,
-                  time_point now)
+                  time_point sent_at, time_point now)
 {
     if (reply.m_clock &&
         (session.m_clock_at == time_point() || *reply.m_clock >= session.m_clock))
     {
         session.m_clock = *reply.m_clock;
         session.m_clock_at = now;
+        session.m_clock_asked_at = sent_at;
     }
 }
 
@@ -249,12 +298,14 @@
 void drop_released(lease_state & state, effects & out)
 {
     std::erase_if(state.m_sessions,
-                  [&out](auto const & entry)
+                  [&state, &out](auto const & entry)
                   {
                       if (!is_released(entry.second))
                       {
                           return false;
                       }
+                      state.m_released_token =
+                          std::max(state.m_released_token, entry.second.m_token);
                       out.m_availability.push_back({entry.first, false});
                       out.m_events.push_back({"upstream_released", entry.first, {}, {}});
                       return true;
@@ -271,21 +322,28 @@
         session.m_name = owned.m_name;
         session.m_address = owned.m_address;
         session.m_incarnation = owned.m_incarnation;
+        session.m_token = state.m_released_token + 1;
         claim(context, token);
         return;
     }
-    bool const replaced = session.m_address != owned.m_address ||
-                          (owned.m_incarnation != 0 && session.m_incarnation != 0 &&
-                           owned.m_incarnation > session.m_incarnation);
-    if (replaced)
+    bool const comparable = owned.m_incarnation != 0 && session.m_incarnation != 0;
+    bool const outdated = comparable && owned.m_incarnation < session.m_incarnation;
+    bool const restarted = comparable && owned.m_incarnation > session.m_incarnation;
+    bool const moved = !outdated && session.m_address != owned.m_address;
+    session.m_wanted = true;
+    if (restarted || (moved && !comparable))
     {
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         session.m_address = owned.m_address;
-        session.m_incarnation = owned.m_incarnation;
+        session.m_incarnation = std::max(session.m_incarnation, owned.m_incarnation);
         session.m_clock_at = {};
-        session.m_next_renewal = now;
+        claim(context, token);
+    }
+    else if (moved)
+    {
+        log_session(context, "upstream_moved", {}, "address=" + owned.m_address);
+        session.m_address = owned.m_address;
     }
-    session.m_wanted = true;
     if (session.m_phase == session_phase::releasing)
     {
         session.m_phase = session_phase::serving;
@@ -377,11 +435,39 @@
     internal::session_context context{state, session, now, out};
     bool const is_start_or_stop = call.m_generation != 0;
     bool const current = session.m_renewal == reply.m_number;
-    if (reply.m_incarnation != 0 && reply.m_incarnation != session.m_incarnation)
+    if (reply.m_incarnation > session.m_incarnation)
+    {
+        bool const accepted_claim = current &&
+                                    session.m_phase == session_phase::claiming &&
+                                    reply.m_outcome == call_outcome::accepted;
+        if (!internal::adopt_incarnation(context, reply.m_incarnation, accepted_claim))
+        {
+            internal::drop_released(state, out);
+            return;
+        }
+    }
+    if (internal::is_stale(session, call, reply))
+    {
+        internal::log_session(context, "stale_reply", {},
+                              fmt::format("incarnation={} expected={}",
+                                          reply.m_incarnation, session.m_incarnation));
+        if (current)
+        {
+            internal::receive_lost_renewal(context);
+        }
+        internal::drop_released(state, out);
+        return;
+    }
+    bool const confirmed = internal::is_from_incarnation(session, call, reply, now);
+    if (confirmed)
+    {
+        internal::update_clock(session, reply, call.m_sent_at, now);
+    }
+    else if (is_start_or_stop && reply.m_clock)
     {
-        internal::adopt_incarnation(context, reply.m_incarnation);
+        internal::log_session(context, "unexpected_clock", call.m_task.m_job,
+                              internal::describe_clock(session, *reply.m_clock, now));
     }
-    internal::update_clock(session, reply, now);
     if (internal::receive_session_failure(context, reply.m_outcome))
     {
         internal::drop_released(state, out);
@@ -389,7 +475,7 @@
     }
     if (is_start_or_stop)
     {
-        internal::receive_start_or_stop_reply(context, call, reply.m_outcome);
+        internal::receive_start_or_stop_reply(context, call, reply.m_outcome, confirmed);
     }
     else if (reply.m_outcome == call_outcome::accepted)
     {
--- /dev/null
+++ b/tests/lease_restart_test.cpp
@@ -0,0 +1,351 @@
+/// \file Upstreams that start again under their name, in virtual time.
+
+#include "lease_fixture.hpp"
+
+namespace cassiahub::lease
+{
+
+namespace
+{
+
+constexpr std::uint64_t restarted = 2;
+constexpr upstream_clock clock_after_restart = 5;
+
+class lease_restart_fixture : public lease_fixture
+{
+protected:
+    void reply_with_clock(upstream_call const & call, upstream_clock clock)
+    {
+        upstream_reply accepted = make_reply(call, call_outcome::accepted);
+        accepted.m_clock = clock;
+        receive(m_state, accepted, m_now, m_out);
+    }
+
+    void reply_as(std::uint64_t incarnation, upstream_call const & call,
+                  upstream_clock clock, std::vector<listed_run> running = {},
+                  std::vector<listed_end> ended = {})
+    {
+        upstream_reply lists = make_reply(call, call_outcome::accepted);
+        lists.m_incarnation = incarnation;
+        lists.m_clock = clock;
+        lists.m_running = std::move(running);
+        lists.m_ended = std::move(ended);
+        receive(m_state, lists, m_now, m_out);
+    }
+
+    void reply_as_restarted(upstream_call const & call,
+                            std::vector<listed_run> running = {},
+                            std::vector<listed_end> ended = {})
+    {
+        reply_as(restarted, call, clock_after_restart, std::move(running),
+                 std::move(ended));
+    }
+
+    /// Starts runs that the incarnation of the session has accepted.
+    attempt_id start_confirmed_run(std::uint32_t index)
+    {
+        attempt_id const attempt = start_run(index);
+        reply(take_call<start_call>());
+        return attempt;
+    }
+
+    /// Starts a run that the restarted upstream has accepted. The reply to the start does
+    /// not tell so.
+    attempt_id start_run_after_restart(std::uint32_t index)
+    {
+        attempt_id const attempt = start_run(index);
+        reply_with_clock(take_call<start_call>(), clock_after_restart);
+        return attempt;
+    }
+};
+
+// Guards against a task that runs twice: a run that may belong to the restarted upstream
+// was reported as interrupted, and its task was started elsewhere while it ran there.
+class lease_restart_run_test : public lease_restart_fixture
+{
+    CPPUNIT_TEST_SUITE(lease_restart_run_test);
+    CPPUNIT_TEST(start_accepted_before_renewal_showed_restart_is_not_reported_as_ended);
+    CPPUNIT_TEST(start_accepted_without_clock_is_not_reported_as_ended);
+    CPPUNIT_TEST(registration_of_restart_reports_only_confirmed_runs_as_ended);
+    CPPUNIT_TEST(other_upstream_at_address_reports_only_confirmed_runs_as_ended);
+    CPPUNIT_TEST(lapsed_lease_reports_only_confirmed_runs_as_ended);
+    CPPUNIT_TEST(start_with_possible_clock_is_interrupted_by_restart);
+    CPPUNIT_TEST(start_with_overtaken_reply_is_interrupted_by_restart);
+    CPPUNIT_TEST(listed_run_without_start_reply_is_interrupted_by_restart);
+    CPPUNIT_TEST(start_with_unexpected_clock_is_followed_by_renewal);
+    CPPUNIT_TEST(clock_of_restarted_upstream_leaves_lease_unchanged);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void start_accepted_before_renewal_showed_restart_is_not_reported_as_ended()
+    {
+        claim_upstream();
+        attempt_id const before = start_confirmed_run(0);
+        attempt_id const after = start_run_after_restart(1);
+        reply_as_restarted(take_call<renew_call>(), {{make_run_name(1), 5}});
+        CPPUNIT_ASSERT(outcome_of(before) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(!may_be_restarted(after));
+    }
+
+    void start_accepted_without_clock_is_not_reported_as_ended()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        upstream_reply accepted =
+            make_reply(take_call<start_call>(), call_outcome::accepted);
+        accepted.m_clock.reset();
+        receive(m_state, accepted, m_now, m_out);
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(!may_be_restarted(attempt));
+    }
+
+    void registration_of_restart_reports_only_confirmed_runs_as_ended()
+    {
+        claim_upstream();
+        attempt_id const before = start_confirmed_run(0);
+        attempt_id const after = start_run_after_restart(1);
+        attempt_id const open = start_run(2);
+        assign_upstream(restarted);
+        CPPUNIT_ASSERT(outcome_of(before) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(!may_be_restarted(after));
+        CPPUNIT_ASSERT(!may_be_restarted(open));
+    }
+
+    void other_upstream_at_address_reports_only_confirmed_runs_as_ended()
+    {
+        claim_upstream();
+        attempt_id const before = start_confirmed_run(0);
+        attempt_id const open = start_run(1);
+        reply(take_call<renew_call>(), call_outcome::other_incarnation);
+        CPPUNIT_ASSERT(outcome_of(before) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(!may_be_restarted(open));
+    }
+
+    // The clock of a restarted upstream starts anew, so that a start that it carries out
+    // late holds a lease although the lease has lapsed on the clock before the restart.
+    void lapsed_lease_reports_only_confirmed_runs_as_ended()
+    {
+        claim_upstream();
+        attempt_id const before = start_confirmed_run(0);
+        attempt_id const open = start_run(1);
+        reply(take_call<start_call>(), call_outcome::lost);
+        reply(take_call<renew_call>(), call_outcome::lost);
+        advance_by(3s);
+        CPPUNIT_ASSERT(outcome_of(before) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(!may_be_restarted(open));
+    }
+
+    void start_with_possible_clock_is_interrupted_by_restart()
+    {
+        claim_upstream();
+        advance_by(200ms);
+        attempt_id const attempt = start_run(0);
+        auto const call = take_call<start_call>();
+        advance_by(20ms);
+        reply_with_clock(call, clock_at_start + 204); // the upstream's clock is slow
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::interrupted);
+    }
+
+    void start_with_overtaken_reply_is_interrupted_by_restart()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        auto const call = take_call<start_call>();
+        advance_by(30ms);
+        reply_to_renewal(take_call<renew_call>(), {});
+        reply_with_clock(call, clock_at_start + 1);
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::interrupted);
+    }
+
+    void listed_run_without_start_reply_is_interrupted_by_restart()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        reply_to_renewal(take_call<renew_call>(), {{make_run_name(0), 5}});
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::interrupted);
+    }
+
+    void start_with_unexpected_clock_is_followed_by_renewal()
+    {
+        claim_upstream();
+        take_call<renew_call>();
+        start_run_after_restart(0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("unexpected_clock"));
+        auto const renewal = std::get<renew_call>(take_call<renew_call>().m_body);
+        CPPUNIT_ASSERT(renewal.m_wait == 0ms);
+        CPPUNIT_ASSERT(!renewal.m_lease_until);
+    }
+
+    void clock_of_restarted_upstream_leaves_lease_unchanged()
+    {
+        claim_upstream();
+        start_run(0);
+        reply_with_clock(take_call<start_call>(), 10 * clock_at_start);
+        start_run(1);
+        CPPUNIT_ASSERT_EQUAL(
+            clock_at_start + 1000,
+            std::get<start_call>(take_call<start_call>().m_body).m_lease_until);
+    }
+};
+
+// Guards against runs that start before the restarted upstream has accepted a new token,
+// so that it carries out starts that were sent earlier, and against a session that
+// returns to an incarnation that has ended.
+class lease_restart_claim_test : public lease_restart_fixture
+{
+    CPPUNIT_TEST_SUITE(lease_restart_claim_test);
+    CPPUNIT_TEST(renewal_of_restarted_upstream_is_followed_by_claim_with_higher_token);
+    CPPUNIT_TEST(registration_of_restart_is_followed_by_claim_with_higher_token);
+    CPPUNIT_TEST(claim_with_reply_of_restarted_upstream_makes_it_available);
+    CPPUNIT_TEST(reply_to_call_before_restart_is_ignored);
+    CPPUNIT_TEST(reply_of_earlier_incarnation_is_ignored);
+    CPPUNIT_TEST(list_without_incarnation_ends_no_run);
+    CPPUNIT_TEST(registration_of_earlier_incarnation_is_ignored);
+    CPPUNIT_TEST(address_of_same_incarnation_keeps_runs);
+    CPPUNIT_TEST(released_upstream_is_claimed_again_with_higher_token);
+    CPPUNIT_TEST_SUITE_END();
+
+    void assign_upstream_at(std::string const & address, std::uint64_t incarnation)
+    {
+        std::vector<owned_upstream> const owned{{"up", address, incarnation}};
+        set_owned(m_state, owned, first_token, m_now, m_out);
+    }
+
+    /// Checks that the upstream gets no start until it has accepted a claim with a higher
+    /// token, and then starts with that token.
+    void check_new_claim()
+    {
+        CPPUNIT_ASSERT(!is_available());
+        CPPUNIT_ASSERT(outcome_of(start_run(8)) == dispatch::attempt_outcome::not_run);
+        auto const claim = take_call<renew_call>();
+        CPPUNIT_ASSERT(claim.m_token > first_token);
+        CPPUNIT_ASSERT(!std::get<renew_call>(claim.m_body).m_lease_until);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                             std::get<renew_call>(claim.m_body).m_acknowledged);
+        reply_as_restarted(claim);
+        CPPUNIT_ASSERT(is_available());
+        start_run(9);
+        auto const start = take_call<start_call>();
+        CPPUNIT_ASSERT(start.m_token >= claim.m_token);
+        CPPUNIT_ASSERT(std::get<start_call>(start.m_body).m_lease_until <=
+                       clock_after_restart + 1000);
+    }
+
+public:
+    void renewal_of_restarted_upstream_is_followed_by_claim_with_higher_token()
+    {
+        claim_upstream();
+        start_run(0);
+        take_call<start_call>();
+        reply_as_restarted(take_call<renew_call>(), {},
+                           {{3, make_run_name(5), end_cause::succeeded}});
+        check_new_claim();
+    }
+
+    void registration_of_restart_is_followed_by_claim_with_higher_token()
+    {
+        claim_upstream();
+        take_call<renew_call>();
+        start_run(0);
+        take_call<start_call>();
+        assign_upstream(restarted);
+        check_new_claim();
+    }
+
+    void claim_with_reply_of_restarted_upstream_makes_it_available()
+    {
+        assign_upstream();
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+    }
+
+    void reply_to_call_before_restart_is_ignored()
+    {
+        claim_upstream();
+        auto const renewal = take_call<renew_call>();
+        start_run(0);
+        auto const start = take_call<start_call>();
+        assign_upstream(restarted);
+        reply(renewal, call_outcome::fenced);
+        reply(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_events("upstream_fenced"));
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+        start_run(1);
+        CPPUNIT_ASSERT_EQUAL(
+            clock_after_restart + 1000,
+            std::get<start_call>(take_call<start_call>().m_body).m_lease_until);
+    }
+
+    void reply_of_earlier_incarnation_is_ignored()
+    {
+        claim_upstream();
+        assign_upstream(restarted);
+        take_call<renew_call>();
+        auto const claim = take_call<renew_call>();
+        reply_as(1, claim, clock_at_start);
+        CPPUNIT_ASSERT(!is_available());
+        advance_by(300ms);
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_events("upstream_restarted"));
+    }
+
+    void list_without_incarnation_ends_no_run()
+    {
+        claim_upstream();
+        take_call<renew_call>();
+        attempt_id const attempt = start_confirmed_run(0);
+        advance_by(600ms);
+        reply_as(0, take_call<renew_call>(), clock_at_start + 600);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("stale_reply"));
+    }
+
+    void registration_of_earlier_incarnation_is_ignored()
+    {
+        claim_upstream();
+        assign_upstream(restarted);
+        take_call<renew_call>();
+        reply_as_restarted(take_call<renew_call>());
+        attempt_id const attempt = start_run(0);
+        assign_upstream_at("10.0.0.2:1", 1);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:1"),
+                             take_call<start_call>().m_address);
+    }
+
+    void address_of_same_incarnation_keeps_runs()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_confirmed_run(0);
+        assign_upstream_at("10.0.0.2:1", 1);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+        start_run(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:1"),
+                             take_call<start_call>().m_address);
+    }
+
+    // A reply to the first session, or a start that is carried out late, would count for
+    // the second one if their tokens were equal.
+    void released_upstream_is_claimed_again_with_higher_token()
+    {
+        claim_upstream();
+        unassign_upstream();
+        take_call<renew_call>();
+        assign_upstream();
+        CPPUNIT_ASSERT(take_call<renew_call>().m_token > first_token);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_run_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_claim_test);
+
+} // namespace
+
+} // namespace cassiahub::lease
