Let no lease outlast the time in which a run must end

What callers saw: a job submitted again 1.3 s after its connection broke or after a 502 or 504 could run beside a run of its first copy.

Cause: a run that is no longer wanted was ended by stops alone. While the stops have no effect (lost, or carried out late) and renewals get through, the lease was extended each time, without an end. The same holds for the run of an instance that lost power: it was noticed 1,000 ms after the last heartbeat, and a lease renewed then lasts up to 1,000 ms more.

Change: each run has a time beyond which the lease is not extended: 1.2 s after its stop was first requested, and for a run of another instance 1.2 s after that instance was last alive. A heartbeat moves that limit for the attempts of its incarnation. Membership derives the time of life from the time of sending in the heartbeat, so that one read late, after a suspension, does not count as fresh. A forwarded run is refused as not run if the lease of its upstream already exceeds its limit. A renewal waits at most half of the lease that is left.

Cost: if a run cannot be stopped for 1.2 s, the lease of its upstream ends and interrupts the other runs there.

--- a/include/cassiahub/lease/sessions.hpp
+++ b/include/cassiahub/lease/sessions.hpp
@@ -36,6 +36,8 @@
     std::string m_upstream;
     run_name m_run;
     std::string m_payload;
+    /// Limit of the lease (requested_run::m_lease_limit) for a run of another instance.
+    time_point m_lease_limit = time_point::max();
 };
 
 /// Sets the upstreams that this instance should own. New ones are claimed; those that are
@@ -44,12 +46,23 @@
 void set_owned(lease_state & state, std::span<owned_upstream const> owned,
                std::uint64_t token, time_point now, effects & out);
 
-/// Starts a run. Its attempt_result is added to the effects of this or a later call.
+/// Starts a run. Its attempt_result is added to the effects of this or a later call. The
+/// run is refused as not run if the lease of its upstream already exceeds its limit.
 void start(lease_state & state, start_request order, time_point now, effects & out);
 
 /// Stops the run of \p attempt. Its result is reported like that of any other run.
 void stop(lease_state & state, attempt_id const & attempt, time_point now, effects & out);
 
+/// Allows the lease to last until unwanted_run_limit after \p heard_at for the runs that
+/// are not being stopped and whose attempt_id::m_incarnation is \p incarnation.
+/// \param heard_at time at which the instance that wants these runs was alive.
+void extend_lease_limits(lease_state & state, std::uint64_t incarnation,
+                         time_point heard_at);
+
+/// Records that replies and requests which arrived since the last call of advance() may
+/// be unprocessed if that call is long ago.
+void detect_gap(lease_state & state, time_point now);
+
 /// Processes the reply to a call.
 void receive(lease_state & state, upstream_reply const & reply, time_point now,
              effects & out);
--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -13,6 +13,12 @@
 namespace cassiahub::lease
 {
 
+/// Time after which a run that is no longer wanted has ended, whatever is lost: a caller
+/// submits its job again 1.3 s after its connection broke or its request failed, and by
+/// then no earlier run of the job may continue. The difference covers the delays of
+/// messages and of the end of a lease.
+constexpr duration unwanted_run_limit = std::chrono::milliseconds(1200);
+
 /// State of a run, as known to this instance.
 enum class run_phase
 {
@@ -33,6 +39,9 @@
     time_point m_requested_at;
     time_point m_stop_sent_at;
     bool m_stop_accepted = false;
+    /// The lease is not extended beyond this time, by which the run has to end even if
+    /// no stop takes effect.
+    time_point m_lease_limit = time_point::max();
     std::uint32_t m_percent = 0;
     time_point m_progress_at; ///< when m_percent last changed
 };
@@ -101,6 +110,7 @@
     /// Until then, replies that arrived while this process was not scheduled may be
     /// unprocessed, so none counts as overdue.
     time_point m_backlog_until;
+    time_point m_gap_began; ///< last scan before the gap that set m_backlog_until
     time_point m_last_loss; ///< when a reply to a start or a renewal was last overdue
     std::uint64_t m_expired = 0;   ///< number of runs whose lease has expired
     std::uint64_t m_stalled = 0;   ///< number of runs stopped for lack of progress
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -53,6 +53,10 @@
 /// heartbeats of the other members of the domain can arrive.
 constexpr duration discovery_time = std::chrono::milliseconds(500);
 
+/// Bound on the difference between the rates of two instances' clocks: they are
+/// disciplined by at most this much.
+constexpr double clock_drift = 0.001;
+
 /// A shard lease that the sender of a heartbeat holds.
 struct held_shard
 {
@@ -108,7 +112,12 @@
     /// was suspended since then. Heartbeats that arrived during a suspension are still
     /// unread, so that time does not count towards the failure timeout.
     time_point m_last_heard_at;
-    time_point m_report_at; ///< arrival of the last heartbeat, for clock conversion
+    /// Time on this instance's clock at which the member was alive: when it sent the last
+    /// heartbeat, or earlier. A heartbeat that is read long after it arrived shows only
+    /// that the member was alive when it sent it.
+    time_point m_alive_at;
+    duration m_clock_offset{0}; ///< m_alive_at less the time of sending
+    time_point m_report_at;     ///< arrival of the last heartbeat, for clock conversion
     time_point m_every_heartbeat_until; ///< request_heartbeat_time after the last request
     std::vector<retired_incarnation> m_retired; ///< replaced incarnations
 };
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -337,7 +337,17 @@
 
 void start_run(step_context & context, dispatch::attempt_start start)
 {
+    entry_state const & state = context.m_state;
     lease::start_request order;
+    if (start.m_attempt.m_incarnation != state.m_identity.m_incarnation)
+    {
+        // The instance that forwarded the task was alive when it did so.
+        time_point const forwarded_at =
+            start.m_send_before -
+            state.m_dispatch.m_configuration->m_dispatch.m_forward_wait;
+        order.m_lease_limit =
+            std::min(forwarded_at, context.m_now) + lease::unwanted_run_limit;
+    }
     order.m_attempt = start.m_attempt;
     order.m_upstream = std::move(start.m_upstream);
     order.m_run.m_task.m_job = std::move(start.m_job.m_key);
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -203,6 +203,8 @@
         schedule_upstream_assignment(context);
     }
     membership::member const & entry = state.m_membership.m_members.at(from);
+    lease::extend_lease_limits(state.m_leasing.m_sessions, entry.m_report.m_incarnation,
+                               entry.m_alive_at);
     set_load(context, from, entry, message.m_load);
     if (entry.m_domain == state.m_identity.m_domain &&
         !state.m_identity.m_leases_upstreams)
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -337,6 +337,7 @@
 {
     state.m_now = now;
     ownership::detect_suspension(state.m_ownership, now);
+    lease::detect_gap(state.m_leasing.m_sessions, now);
     internal::step_context context{state, now, random, actions};
     std::visit([&context](auto & occurrence) { internal::handle(context, occurrence); },
                occurred);
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -214,6 +214,15 @@
 
 void stop_run(session_context & context, task_name const & task, requested_run & run)
 {
+    if (run.m_phase != run_phase::stopping)
+    {
+        // The cause of a stop that is processed after a gap may be as old as the gap.
+        time_point const unwanted_since = context.m_now < context.m_state.m_backlog_until
+                                              ? context.m_state.m_gap_began
+                                              : context.m_now;
+        run.m_lease_limit =
+            std::min(run.m_lease_limit, unwanted_since + unwanted_run_limit);
+    }
     run.m_phase = run_phase::stopping;
     run.m_stop_sent_at = context.m_now;
     run.m_stop_accepted = false;
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -1,6 +1,7 @@
 #include "lease/session_calls.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cassiahub::lease::internal
@@ -23,12 +24,41 @@
     return number;
 }
 
+/// \returns a time on the upstream's clock that it does not show after \p limit.
+upstream_clock clock_not_after(upstream_session const & session, time_point limit)
+{
+    auto const passed =
+        std::chrono::duration<double, std::milli>(limit - session.m_clock_at);
+    double const rate = passed.count() > 0 ? 1 - clock_rate_error : 1 + clock_rate_error;
+    return session.m_clock +
+           static_cast<upstream_clock>(std::floor(passed.count() * rate));
+}
+
+/// \returns the latest end of a lease granted now that no run of the session forbids.
+upstream_clock latest_lease_end(session_context const & context)
+{
+    upstream_session const & session = context.m_session;
+    time_point limit = time_point::max();
+    for (auto const & [task, run] : session.m_runs)
+    {
+        limit = std::min(limit, run.m_lease_limit);
+    }
+    if (context.m_now < context.m_state.m_backlog_until)
+    {
+        // A notice that ends a run here may have arrived in the gap.
+        limit = std::min(limit, context.m_state.m_gap_began + unwanted_run_limit);
+    }
+    upstream_clock const longest = current_clock(session, context.m_now) +
+                                   to_milliseconds(context.m_state.m_lease_length);
+    return limit == time_point::max()
+               ? longest
+               : std::min(longest, clock_not_after(session, limit));
+}
+
 upstream_clock extend_lease(session_context & context)
 {
     upstream_session & session = context.m_session;
-    session.m_lease_until = std::max(session.m_lease_until,
-                                     current_clock(session, context.m_now) +
-                                         to_milliseconds(context.m_state.m_lease_length));
+    session.m_lease_until = std::max(session.m_lease_until, latest_lease_end(context));
     return session.m_lease_until;
 }
 
@@ -48,6 +78,21 @@
            lease_expiry_margin;
 }
 
+bool exceeds_limit(upstream_session const & session, time_point limit) noexcept
+{
+    return limit != time_point::max() &&
+           session.m_lease_until > clock_not_after(session, limit);
+}
+
+duration limited_wait(session_context const & context) noexcept
+{
+    upstream_clock const end =
+        std::max(context.m_session.m_lease_until, latest_lease_end(context));
+    auto const remaining =
+        std::chrono::milliseconds(end - current_clock(context.m_session, context.m_now));
+    return std::max<duration>(remaining / idle_renewal_divisor, min_renewal_wait);
+}
+
 void send_start(session_context & context, run_name run, std::string payload)
 {
     pending_call pending;
@@ -75,7 +120,11 @@
     call.m_wait = wait;
     if (extend)
     {
-        call.m_lease_until = extend_lease(context);
+        upstream_clock const until = extend_lease(context);
+        if (until > current_clock(session, context.m_now))
+        {
+            call.m_lease_until = until;
+        }
     }
     session.m_renewal = send_call(context, wait + renewal_timeout_margin, {}, call);
     session.m_renewal_due = context.m_now + wait + overdue_reply_time;
--- a/src/lease/session_calls.hpp
+++ b/src/lease/session_calls.hpp
@@ -18,6 +18,8 @@
 /// While runs are active, a renewal waits for an end for the lease length divided by this
 /// number. That leaves time for two more renewals before the lease expires.
 constexpr int busy_renewal_divisor = 4;
+/// Shortest wait of a renewal before the end of a lease that must not be extended.
+constexpr duration min_renewal_wait = std::chrono::milliseconds(20);
 /// Longest wait of a renewal while runs are active and replies are being lost. A lost
 /// reply hides the ends of runs until the next renewal, so the wait has to be short
 /// compared with their run time.
@@ -55,6 +57,14 @@
 /// \returns the time from which no run of the session can hold a lease.
 time_point lease_expiry(upstream_session const & session) noexcept;
 
+/// \returns true when the lease of the session may end after \p limit.
+bool exceeds_limit(upstream_session const & session, time_point limit) noexcept;
+
+/// \returns the longest wait of a renewal that leaves time for another one before the
+/// lease ends, if the limits of the runs (requested_run::m_lease_limit) allow no longer
+/// lease.
+duration limited_wait(session_context const & context) noexcept;
+
 void send_start(session_context & context, run_name run, std::string payload);
 void send_stop(session_context & context, run_name run);
 
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -113,7 +113,8 @@
     {
         int const divisor =
             session.m_runs.empty() ? idle_renewal_divisor : busy_renewal_divisor;
-        duration const normal_wait = context.m_state.m_lease_length / divisor;
+        duration const normal_wait =
+            std::min(context.m_state.m_lease_length / divisor, limited_wait(context));
         bool const shorten = !session.m_runs.empty() && has_recent_loss(context);
         send_renewal(context,
                      shorten ? std::min(normal_wait, lossy_renewal_wait) : normal_wait,
@@ -325,7 +326,8 @@
     auto const found = state.m_sessions.find(order.m_upstream);
     if (found == state.m_sessions.end() ||
         found->second.m_phase != session_phase::serving ||
-        found->second.m_runs.contains(order.m_run.m_task))
+        found->second.m_runs.contains(order.m_run.m_task) ||
+        internal::exceeds_limit(found->second, order.m_lease_limit))
     {
         out.m_results.push_back(
             {order.m_attempt, dispatch::attempt_outcome::not_run, {}, false});
@@ -336,6 +338,7 @@
     run.m_attempt = order.m_attempt;
     run.m_generation = order.m_run.m_generation;
     run.m_requested_at = now;
+    run.m_lease_limit = order.m_lease_limit;
     state.m_attempts[order.m_attempt] = {session.m_name, order.m_run.m_task};
     session.m_runs.emplace(order.m_run.m_task, run);
     internal::session_context context{state, session, now, out};
@@ -359,6 +362,34 @@
     }
 }
 
+void extend_lease_limits(lease_state & state, std::uint64_t incarnation,
+                         time_point heard_at)
+{
+    for (auto & [name, session] : state.m_sessions)
+    {
+        for (auto & [task, run] : session.m_runs)
+        {
+            if (run.m_attempt.m_incarnation == incarnation &&
+                run.m_phase != run_phase::stopping)
+            {
+                run.m_lease_limit =
+                    std::max(run.m_lease_limit, heard_at + unwanted_run_limit);
+            }
+        }
+    }
+}
+
+void detect_gap(lease_state & state, time_point now)
+{
+    if (state.m_last_scan != time_point() &&
+        now - state.m_last_scan > internal::max_scan_gap)
+    {
+        state.m_gap_began = state.m_last_scan;
+        state.m_backlog_until = now + internal::catch_up_time;
+        state.m_last_scan = now;
+    }
+}
+
 void receive(lease_state & state, upstream_reply const & reply, time_point now,
              effects & out)
 {
@@ -409,11 +440,7 @@
         return;
     }
     state.m_next_scan = now + internal::scan_period;
-    if (state.m_last_scan != time_point() &&
-        now - state.m_last_scan > internal::max_scan_gap)
-    {
-        state.m_backlog_until = now + internal::catch_up_time;
-    }
+    detect_gap(state, now);
     state.m_last_scan = now;
     for (auto & [name, session] : state.m_sessions)
     {
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -41,6 +41,20 @@
     state.m_last_call = now;
 }
 
+/// Updates member::m_alive_at from a heartbeat sent at \p sent_at on the member's clock.
+/// The least difference of arrival and sending so far belongs to the heartbeat with the
+/// least delay.
+/// \param first whether it is the first heartbeat of its incarnation.
+void record_sign_of_life(member & entry, time_point sent_at, bool first, time_point now)
+{
+    duration const difference = now.time_since_epoch() - sent_at.time_since_epoch();
+    auto const drift = std::chrono::duration_cast<duration>(
+        clock_drift * std::chrono::duration<double, std::nano>(now - entry.m_report_at));
+    entry.m_clock_offset =
+        first ? difference : std::min(difference, entry.m_clock_offset + drift);
+    entry.m_alive_at = time_point(sent_at.time_since_epoch() + entry.m_clock_offset);
+}
+
 /// \returns the time between heartbeats to the members of the same domain, or to all
 /// members if work is shared across domains (see is_near()). It grows with their number,
 /// up to longest_domain_heartbeat_period, to limit the heartbeats per second.
@@ -151,6 +165,8 @@
     report_effect const effect = !entry.m_live ? report_effect::joined
                                  : replaced    ? report_effect::restarted
                                                : report_effect::refreshed;
+    internal::record_sign_of_life(entry, report.m_sent_at, !heard_before || replaced,
+                                  now);
     entry.m_domain = report.m_domain;
     entry.m_report = std::move(report);
     entry.m_live = true;
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace cassiahub;
@@ -204,6 +205,94 @@
         return names;
     }
 
+    /// Delivers a task that the peer, of incarnation 9, has just forwarded.
+    void receive_forwarded_task(std::uint64_t serial, std::string key)
+    {
+        duration const wait =
+            m_state.m_dispatch.m_configuration
+                ? m_state.m_dispatch.m_configuration->m_dispatch.m_forward_wait
+                : duration::zero();
+        forward_task forwarded;
+        forwarded.m_start.m_attempt = {9, serial};
+        forwarded.m_start.m_job = {"pool", "north", std::move(key)};
+        forwarded.m_start.m_kind = "check";
+        forwarded.m_start.m_generation = 5;
+        forwarded.m_start.m_demand = {1000, 64, 0};
+        forwarded.m_start.m_deadline = m_now + 60s;
+        forwarded.m_start.m_send_before = m_now + wait;
+        handle(peer_message_received{{"peer"}, std::move(forwarded)});
+    }
+
+    /// Advances the clock in steps of 20 ms. Starts are accepted and renewals list their
+    /// runs as running, at once; stops are lost.
+    void advance_with_lost_stops(duration time)
+    {
+        for (duration step{0}; step < time; step += 20ms)
+        {
+            for (lease::upstream_call const & call : take_calls<lease::start_call>())
+            {
+                auto const & order = std::get<lease::start_call>(call.m_body);
+                observe_lease(order.m_lease_until);
+                m_listed_runs.emplace_back(call.m_upstream, order.m_run);
+                reply(call);
+            }
+            for (lease::upstream_call const & call :
+                 std::exchange(m_open_renewals, take_calls<lease::renew_call>()))
+            {
+                list_runs(call);
+            }
+            m_now += 20ms;
+            has_lapsed();
+            handle(tick{});
+        }
+    }
+
+    void list_runs(lease::upstream_call const & call)
+    {
+        auto const until = std::get<lease::renew_call>(call.m_body).m_lease_until;
+        bool const has_run = std::any_of(m_listed_runs.begin(), m_listed_runs.end(),
+                                         [&call](auto const & item)
+                                         { return item.first == call.m_upstream; });
+        if (until && has_run)
+        {
+            observe_lease(*until);
+        }
+        lease::upstream_reply result;
+        result.m_number = call.m_number;
+        result.m_upstream = call.m_upstream;
+        result.m_outcome = lease::call_outcome::accepted;
+        result.m_clock = to_milliseconds(m_now - time_point(4000s));
+        for (auto const & [upstream, run] : m_listed_runs)
+        {
+            if (upstream == call.m_upstream && !has_lapsed())
+            {
+                result.m_running.push_back({run, ++m_percent});
+            }
+        }
+        handle(upstream_replied{std::move(result)});
+    }
+
+    void observe_lease(lease::upstream_clock until)
+    {
+        if (!has_lapsed())
+        {
+            m_lease_end = std::max(m_lease_end,
+                                   time_point(4000s) + std::chrono::milliseconds(until));
+        }
+    }
+
+    /// \returns true once the upstreams have ended all runs.
+    bool has_lapsed()
+    {
+        m_lapsed |= m_lease_end != time_point() && m_now >= m_lease_end;
+        return m_lapsed;
+    }
+
+    std::vector<std::pair<std::string, lease::run_name>> m_listed_runs;
+    std::uint32_t m_percent = 0;
+    time_point m_lease_end; ///< latest end of a lease with a run
+    bool m_lapsed = false;
+
     /// Starts the instance without peers, with two upstreams, until it serves both.
     void start_without_peers()
     {
@@ -523,6 +612,66 @@
     }
 };
 
+// Guards against a run that goes on when its caller submits the job again 1.3 s after its
+// connection broke (tausi-returns, TWICE).
+class leasing_resubmission_test : public leasing_fixture
+{
+    CPPUNIT_TEST_SUITE(leasing_resubmission_test);
+    CPPUNIT_TEST(run_for_failed_peer_with_lost_stops_ends_before_resubmission);
+    CPPUNIT_TEST(run_for_live_peer_continues);
+    CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr duration resubmission_delay = 1300ms;
+
+    void start_with_peer()
+    {
+        receive_peer_heartbeat({});
+        start_without_peers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), held_upstreams().size());
+        receive_peer_heartbeat({});
+    }
+
+public:
+    void run_for_failed_peer_with_lost_stops_ends_before_resubmission()
+    {
+        start_with_peer();
+        receive_forwarded_task(1, "k");
+        advance_with_lost_stops(300ms);
+        receive_peer_heartbeat({});
+        time_point const failed = m_now;
+        advance_with_lost_stops(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_listed_runs.size());
+        CPPUNIT_ASSERT(!take_calls<lease::stop_call>().empty());
+        CPPUNIT_ASSERT(m_lease_end < failed + resubmission_delay);
+    }
+
+    void run_for_live_peer_continues()
+    {
+        start_with_peer();
+        receive_forwarded_task(1, "k");
+        for (int period = 0; period < 10; ++period)
+        {
+            advance_with_lost_stops(500ms);
+            receive_peer_heartbeat({});
+        }
+        CPPUNIT_ASSERT(m_state.m_dispatch.m_attempts.contains({9, 1}));
+        CPPUNIT_ASSERT(m_lease_end > m_now + 200ms);
+    }
+
+    void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
+    {
+        start_with_peer();
+        caller_id const caller = submit("/q/1");
+        advance_with_lost_stops(300ms);
+        handle(caller_disconnected{caller});
+        time_point const left = m_now;
+        advance_with_lost_stops(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_listed_runs.size());
+        CPPUNIT_ASSERT(m_lease_end < left + resubmission_delay);
+    }
+};
+
 // Guards against a double run that cannot be traced: which instance started a task again,
 // whose caller has left, and how long a failed peer was silent.
 class leasing_log_test : public leasing_fixture
@@ -597,6 +746,7 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leasing_job_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(leasing_owner_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(leasing_resubmission_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(leasing_log_test);
 
 } // namespace
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -26,6 +26,9 @@
     CPPUNIT_TEST(member_silent_in_domain_fails_after_timeout);
     CPPUNIT_TEST(member_silent_in_other_domain_keeps_longer_timeout);
     CPPUNIT_TEST(member_after_suspension_of_this_instance_stays_live);
+    CPPUNIT_TEST(member_is_alive_when_its_heartbeat_arrives);
+    CPPUNIT_TEST(heartbeat_read_late_shows_life_at_its_sending);
+    CPPUNIT_TEST(clock_that_drifts_within_bound_keeps_member_alive_at_arrival);
     CPPUNIT_TEST(report_of_new_incarnation_replaces_old_one);
     CPPUNIT_TEST(report_of_replaced_incarnation_is_ignored);
     CPPUNIT_TEST(report_sent_before_received_one_is_ignored);
@@ -101,6 +104,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_failed(start + 30400ms, start + 31s));
     }
 
+    void member_is_alive_when_its_heartbeat_arrives()
+    {
+        receive("p", make_report("a", 1, 7s));
+        receive("p", make_report("a", 1, 7250ms), start + 250ms);
+        CPPUNIT_ASSERT(m_state.m_members.at({"p"}).m_alive_at == start + 250ms);
+    }
+
+    // Guards against runs that continue for an instance because heartbeats from before
+    // its failure were read late, after a suspension of this instance.
+    void heartbeat_read_late_shows_life_at_its_sending()
+    {
+        receive("p", make_report("a", 1, 7s));
+        receive("p", make_report("a", 1, 7250ms), start + 900ms);
+        time_point const alive_at = m_state.m_members.at({"p"}).m_alive_at;
+        CPPUNIT_ASSERT(alive_at >= start + 250ms);
+        CPPUNIT_ASSERT(alive_at <= start + 252ms);
+    }
+
+    void clock_that_drifts_within_bound_keeps_member_alive_at_arrival()
+    {
+        time_point now = start;
+        for (int second = 0; second < 3600; ++second)
+        {
+            receive("p", make_report("a", 1, 7s + second * 1000500us), now);
+            CPPUNIT_ASSERT(now - m_state.m_members.at({"p"}).m_alive_at < 3ms);
+            now += 1s;
+        }
+        for (int second = 0; second < 3600; ++second)
+        {
+            receive("p", make_report("a", 1, 7s + 3600 * 1000500us + second * 999500us),
+                    now);
+            CPPUNIT_ASSERT(now - m_state.m_members.at({"p"}).m_alive_at < 3ms);
+            now += 1s;
+        }
+    }
+
     void report_of_new_incarnation_replaces_old_one()
     {
         CPPUNIT_ASSERT(receive("p", make_report("a", 1)) == report_effect::joined);
