Report an upstream's address that is too long for a header

What callers saw: an entry in the list of upstreams whose address has 70,000 bytes stopped the instance. Jobs ended with their deadline, and upstreams that registered later were never claimed.

Cause: send_request() wrote the address to the Host header before it checked it. Beast throws std::length_error for a field beyond 64 KiB, so the duty upstream-calls ended (duty_failed, duty_threw). The calls taken from the ring with that one, and the calls in flight, got no reply, and the lease sessions wait for it without end. Each further entry of the kind ends the duty again.

Change: send_request() checks the address first and reports bad_address.

--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -4,6 +4,7 @@
 #include <cassiahub/http/error.hpp>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/assert.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -223,15 +224,12 @@
     receive_response(client, connection);
 }
 
+/// \pre \p address is valid.
 void open_connection(client_pointer const & client, std::string const & address,
                      client_request first_request)
 {
     auto const endpoint = parse_endpoint(address);
-    if (!endpoint)
-    {
-        first_request.m_handler(http_errc::bad_address, {});
-        return;
-    }
+    BOOST_ASSERT(endpoint);
     auto const connection = std::make_shared<client_connection>(client->m_loop, address);
     client->m_addresses[address].m_connections.push_back(connection);
     ++client->m_opened_connections;
@@ -355,6 +353,11 @@
 void send_request(async_client_state & client, std::string const & address,
                   request message, duration timeout, response_handler handler)
 {
+    if (!internal::parse_endpoint(address))
+    {
+        handler(http_errc::bad_address, {});
+        return;
+    }
     internal::client_request waiting_request{
         internal::to_beast(std::move(message), address),
         std::chrono::steady_clock::now() +
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(malformed_request_is_refused);
     CPPUNIT_TEST(server_that_stops_accepting_responds_to_open_requests);
     CPPUNIT_TEST(bad_address_is_reported);
+    CPPUNIT_TEST(bad_address_too_long_for_a_header_is_reported);
     CPPUNIT_TEST_SUITE_END();
 
     asio::io_context m_loop{1};
@@ -269,6 +270,15 @@
         wait_for(1);
         CPPUNIT_ASSERT(m_errors[0] == http::http_errc::bad_address);
     }
+
+    // Guards against an exception, since the address is also the Host header.
+    void bad_address_too_long_for_a_header_is_reported()
+    {
+        m_address = std::string(70'000, '1');
+        send("x");
+        wait_for(1);
+        CPPUNIT_ASSERT(m_errors[0] == http::http_errc::bad_address);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_async_test);
