Use no upstream whose registration is odd

What callers and upstreams saw: an entry of another writer with port 99999, port 0, 4,294,967,295 slots, a capacity or start time out of range, a member missing or of another type, deep nesting or a name with a line break was claimed like an upstream. When the entry of an upstream with a run turned odd (port 99999), the session took the other address for a replaced upstream (upstream_replaced runs=1), reported the run as interrupted while it went on, and the task was started a second time on another upstream: TWICE.

Cause: decode_upstream() checked types of some members and no ranges.

Change: decode_upstream() checks what the page of the platform names: service, address (an IPv4 address of one host and a port), zone, version, slots, state, cold-remaining-ms, seq and capacity are there and of their type, numbers are in range, the name fits a header, and at most 16 levels are nested. It returns a registration_errc that says what is wrong. An entry that turns odd is treated like one that is gone: the upstream is used on while it replies.

born and labels may be missing, as in the example of the platform's pages. The soak's stand-in registers with seq, which the page names.

--- a/fuzz/platform_wire_fuzz.cpp
+++ b/fuzz/platform_wire_fuzz.cpp
@@ -21,6 +21,7 @@
     received.m_body = text;
     gateway::store_rows rows;
     decision::routed_request request;
+    decision::discovered_upstream upstream;
     switch (data[0] % parser_count)
     {
     case 0:
@@ -30,7 +31,8 @@
         wire.m_decode_configuration(text);
         break;
     case 2:
-        wire.m_decode_upstream("name", text);
+        wire.m_decode_upstream("name", text, upstream);
+        wire.m_decode_upstream(text, text, upstream);
         break;
     case 3:
         wire.m_decode_reply(received);
--- a/include/cassiahub/gateway.hpp
+++ b/include/cassiahub/gateway.hpp
@@ -5,6 +5,7 @@
 /// platform's callers on upstreams that register themselves in the platform's store.
 
 #include <cassiahub/gateway/daemon.hpp>
+#include <cassiahub/gateway/error.hpp>
 #include <cassiahub/gateway/wire_format.hpp>
 
 #endif
--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -80,10 +80,12 @@
     /// malformed.
     std::optional<config::fleet_configuration> (*m_decode_configuration)(
         std::string_view document);
-    /// \returns the registered upstream, or nothing when the row is no valid registration
-    /// of an upstream that is ready or draining.
-    std::optional<decision::discovered_upstream> (*m_decode_upstream)(
-        std::string_view key, std::string_view value);
+    /// Decodes the row of a registered upstream into \p upstream. Its name is a valid
+    /// HTTP header value and its address can be connected to.
+    /// \returns a registration_errc when the row is no valid registration of an upstream
+    /// that is ready or draining; \p upstream is then unspecified.
+    std::error_code (*m_decode_upstream)(std::string_view key, std::string_view value,
+                                         decision::discovered_upstream & upstream);
 
     // Requests from callers and their responses.
 
--- a/include/cassiahub/http.hpp
+++ b/include/cassiahub/http.hpp
@@ -4,6 +4,7 @@
 /// \file Blocking HTTP server and client, based on CivetWeb. The asynchronous ones have
 /// headers of their own: http/async_server.hpp and http/async_client.hpp.
 
+#include <cassiahub/http/address.hpp>
 #include <cassiahub/http/client.hpp>
 #include <cassiahub/http/error.hpp>
 #include <cassiahub/http/message.hpp>
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -212,7 +212,7 @@
         return {"service": "pool", "address": f"127.0.0.1:{self.port}", "zone": "north",
                 "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
                 "capacity": {"cpu": self.cpu_limit, "mem-mb": 65536, "gpu": 0},
-                "labels": [], "born": self.incarnation_ms}
+                "labels": [], "seq": 1, "born": self.incarnation_ms}
 
 
 class Relay:
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -132,9 +132,10 @@
     decision::upstreams_discovered discovered;
     for (auto const & [key, value] : state.m_upstreams.m_rows)
     {
-        if (auto upstream = state.m_context.m_wire.m_decode_upstream(key, value))
+        decision::discovered_upstream upstream;
+        if (!state.m_context.m_wire.m_decode_upstream(key, value, upstream))
         {
-            discovered.m_upstreams.push_back(std::move(*upstream));
+            discovered.m_upstreams.push_back(std::move(upstream));
         }
     }
     push_event(state, std::move(discovered));
--- a/tests/gateway_registration_test.cpp
+++ b/tests/gateway_registration_test.cpp
@@ -18,6 +18,8 @@
 {
     CPPUNIT_TEST_SUITE(gateway_registration_test);
     CPPUNIT_TEST(entries_with_long_addresses_are_survived);
+    CPPUNIT_TEST(list_with_odd_entries_is_followed_and_served);
+    CPPUNIT_TEST(entry_that_turns_odd_during_run_leaves_run_alone);
     CPPUNIT_TEST_SUITE_END();
 
     platform_stand_in m_platform;
@@ -48,6 +50,14 @@
         return entry.dump();
     }
 
+    /// \returns a registration that ends with the member \p text.
+    std::string with_text(std::string const & text)
+    {
+        std::string entry = m_platform.registration("up-0").dump();
+        entry.back() = ',';
+        return entry + text + '}';
+    }
+
     int run_job()
     {
         return m_gateway->run_job(fmt::format("{:016x}", ++m_jobs));
@@ -63,6 +73,44 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(after, 200, run_job());
     }
 
+    static std::string nested(std::size_t depth, char const * open, char const * close)
+    {
+        std::string text;
+        for (std::size_t level = 0; level < depth; ++level)
+        {
+            text += open;
+        }
+        text += '1';
+        for (std::size_t level = 0; level < depth; ++level)
+        {
+            text += close;
+        }
+        return text;
+    }
+
+    std::vector<std::pair<std::string, std::string>> odd_entries()
+    {
+        return {
+            {"port-above-range", with("address", "127.0.0.1:99999")},
+            {"port-zero", with("address", "127.0.0.1:0")},
+            {"address-without-port", with("address", "127.0.0.1")},
+            {"address-with-line-break", with("address", "127.0.0.1:80\r\nX: y")},
+            {"slots-largest", with("slots", 4'294'967'295U)},
+            {"slots-beyond-double", with_text(R"("slots":1e999)")},
+            {"capacity-largest",
+             with("capacity", {{"cpu", 4'294'967'295U}, {"mem-mb", 1}, {"gpu", 0}})},
+            {"born-largest", with("born", ~std::uint64_t(0))},
+            {"born-with-fraction", with("born", 1.5)},
+            {"seq-of-other-type", with("seq", "x")},
+            {"nested-arrays", with_text("\"extra\":" + nested(100'000, "[", "]"))},
+            {"nested-objects", with_text("\"labels\":" + nested(30'000, "{\"a\":", "}"))},
+            {"not-utf-8", "\xff\xfe\x01"},
+            {"empty-value", ""},
+            {"id with & and space", m_platform.registration("up-0").dump()},
+            {"id\r\nX-Key: y", m_platform.registration("up-0").dump()},
+            {"", m_platform.registration("up-0").dump()}};
+    }
+
 public:
     void setUp() override
     {
@@ -95,6 +143,37 @@
         check_follows_list("long-addresses");
         CPPUNIT_ASSERT(m_gateway->log_lines("duty_failed").empty());
     }
+
+    // Guards against calls to the upstream that an odd entry seems to name.
+    void list_with_odd_entries_is_followed_and_served()
+    {
+        for (auto const & [id, value] : odd_entries())
+        {
+            m_platform.put("servers", id, value);
+            check_follows_list(id);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, m_platform.misdirected_calls());
+        CPPUNIT_ASSERT(m_gateway->log_lines("duty_failed").empty());
+    }
+
+    // Guards against a second run of a task whose upstream did not restart.
+    void entry_that_turns_odd_during_run_leaves_run_alone()
+    {
+        m_platform.add_upstream("up-1");
+        CPPUNIT_ASSERT(wait_for([this] { return m_platform.calls("up-1") > 0; }));
+        m_platform.set_run_time(2s);
+        std::future<int> status =
+            std::async(std::launch::async,
+                       [this] { return m_gateway->run_job("00000000000000aa"); });
+        std::string const task = "00000000000000aa.0.0.0";
+        CPPUNIT_ASSERT(wait_for([&] { return m_platform.starts().contains(task); }));
+        std::string const upstream = m_platform.starts()[task].front();
+        json entry = m_platform.registration(upstream);
+        entry["address"] = "127.0.0.1:99999";
+        m_platform.put("servers", upstream, entry.dump());
+        CPPUNIT_ASSERT_EQUAL(200, status.get());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_platform.starts()[task].size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(gateway_registration_test);
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -308,16 +308,16 @@
 
     void upstream_registration_valid_is_decoded()
     {
-        auto const upstream = m_wire.m_decode_upstream("i-7f3a91c2", registration);
-        CPPUNIT_ASSERT(upstream);
-        config::upstream const & definition = upstream->m_definition;
+        decision::discovered_upstream upstream;
+        CPPUNIT_ASSERT(!m_wire.m_decode_upstream("i-7f3a91c2", registration, upstream));
+        config::upstream const & definition = upstream.m_definition;
         CPPUNIT_ASSERT_EQUAL(std::string("i-7f3a91c2"), definition.m_name);
         CPPUNIT_ASSERT_EQUAL(std::string("10.128.0.9:8080"), definition.m_address);
         CPPUNIT_ASSERT_EQUAL(std::string("palermo"), definition.m_domain);
         CPPUNIT_ASSERT_EQUAL(std::string("huvo11a"), definition.m_service);
         CPPUNIT_ASSERT(definition.m_capacity == (resources{16000, 32768, 0}));
         CPPUNIT_ASSERT(!definition.m_draining);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1700000000000), upstream->m_incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1700000000000), upstream.m_incarnation);
     }
 
     void upstream_registration_malformed_is_ignored()
@@ -329,7 +329,8 @@
               R"({"service":"s","address":7,"zone":"z","state":"ready",)"
               R"("capacity":{"cpu":1}})"})
         {
-            CPPUNIT_ASSERT_MESSAGE(value, !m_wire.m_decode_upstream("i", value));
+            decision::discovered_upstream upstream;
+            CPPUNIT_ASSERT_MESSAGE(value, m_wire.m_decode_upstream("i", value, upstream));
         }
     }
 
