--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -247,7 +247,7 @@
                 "service": "pool", "address": f"127.0.0.1:{self.port()}", "zone": self.domain,
                 "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
                 "capacity": {"cpu": self.cpu_limit, "mem-mb": 65536, "gpu": 0},
-                "labels": [], "born": self.incarnation_ms})
+                "labels": [], "seq": 1, "born": self.incarnation_ms})
 
 
 class Link:
