Judge a stopped run only by renewals sent after the stop's reply

Cause: a run whose start has no reply was reported as not run when its stop was accepted and a renewal that was sent after the stop did not list it. Calls use different connections and overtake each other: the upstream may have served the renewal before the stop, and the late start between the two. Besides, repeating a stop forgot that an earlier one had been accepted, so that the result waited for one more reply.

Change: the list counts only when its renewal was sent after the reply to an accepted stop had arrived, compared by call numbers, since one event may send and receive in the same instant. The first accepted stop counts, whether it was repeated or not.

Tests: renewal_sent_before_reply_to_stop_reports_nothing and renewal_after_accepted_stop_reports_although_stop_was_repeated, both failed before.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -34,7 +34,8 @@
     bool m_confirmed = false;
     time_point m_requested_at;
     time_point m_stop_sent_at;
-    bool m_stop_accepted = false;
+    /// First call after the reply that accepted a stop; 0: no stop was accepted so far.
+    call_number m_first_call_after_stop = 0;
     std::uint32_t m_percent = 0;
     time_point m_progress_at; ///< when m_percent last changed
 };
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -151,11 +151,12 @@
     std::vector<std::pair<task_name, attempt_outcome>> absent;
     for (auto const & [task, run] : context.m_session.m_runs)
     {
-        // A renewal sent before a start or stop took effect does not show
-        // the result of that start or stop.
+        // A renewal sent before the reply to a start or stop has arrived may have been
+        // served before that call. The start may then have been carried out in between.
         bool const known =
             run.m_phase == run_phase::stopping
-                ? run.m_stop_accepted && run.m_stop_sent_at < sent_at
+                ? run.m_first_call_after_stop != 0 &&
+                      reply.m_number >= run.m_first_call_after_stop
                 : run.m_phase == run_phase::running && run.m_progress_at < sent_at;
         if (known && !is_listed(reply, task, run.m_generation))
         {
@@ -219,7 +220,6 @@
 {
     run.m_phase = run_phase::stopping;
     run.m_stop_sent_at = context.m_now;
-    run.m_stop_accepted = false;
     send_stop(context, {task, run.m_generation});
 }
 
@@ -255,7 +255,10 @@
     }
     else if (outcome == call_outcome::accepted)
     {
-        run->m_stop_accepted = true;
+        if (run->m_first_call_after_stop == 0)
+        {
+            run->m_first_call_after_stop = context.m_state.m_next_call;
+        }
         if (run->m_uncertain)
         {
             // The renewal in flight may have been sent before the stop.
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -149,6 +149,8 @@
     CPPUNIT_TEST(start_without_reply_that_is_listed_is_kept);
     CPPUNIT_TEST(start_without_reply_that_succeeded_is_reported_as_succeeded);
     CPPUNIT_TEST(renewal_sent_before_stop_reports_nothing);
+    CPPUNIT_TEST(renewal_sent_before_reply_to_stop_reports_nothing);
+    CPPUNIT_TEST(renewal_after_accepted_stop_reports_although_stop_was_repeated);
     CPPUNIT_TEST(stop_without_effect_is_repeated);
     CPPUNIT_TEST(silent_upstream_gets_no_start);
     CPPUNIT_TEST(run_on_silent_upstream_is_reported_after_lease_expiry);
@@ -257,6 +259,41 @@
         CPPUNIT_ASSERT(!outcome_of(attempt));
     }
 
+    // Guards against a task that runs twice: calls overtake each other, so a renewal that
+    // was sent after a stop may be served before it, and the late start between the two.
+    void renewal_sent_before_reply_to_stop_reports_nothing()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        reply(take_call<start_call>(), call_outcome::lost);
+        auto const stop = take_call<stop_call>();
+        m_now += 5ms;
+        reply_to_renewal(take_call<renew_call>(), {});
+        auto const between = take_call<renew_call>();
+        m_now += 5ms;
+        reply(stop);
+        reply_to_renewal(between, {});
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        reply_to_renewal(take_call<renew_call>(), {});
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::not_run);
+    }
+
+    // Guards against a result that waits for the reply to a repeated stop.
+    void renewal_after_accepted_stop_reports_although_stop_was_repeated()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        reply(take_call<start_call>(), call_outcome::lost);
+        m_now += 5ms;
+        reply(take_call<stop_call>());
+        take_call<renew_call>(); // sent before the stop
+        auto const renewal = take_call<renew_call>();
+        advance_by(110ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_calls<stop_call>());
+        reply_to_renewal(renewal, {});
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::not_run);
+    }
+
     void stop_without_effect_is_repeated()
     {
         claim_upstream();
