--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -40,7 +40,8 @@
     bool m_confirmed = false;
     time_point m_requested_at;
     time_point m_stop_sent_at;
-    bool m_stop_accepted = false;
+    /// First call after the reply that accepted a stop; 0: no stop was accepted so far.
+    call_number m_first_call_after_stop = 0;
     /// The lease is not extended beyond this time, by which the run has to end even if
     /// no stop takes effect.
     time_point m_lease_limit = time_point::max();
