Stop the runs for an instance that failed in a suspension of this one

Cause: after a suspension of over 500 ms, an instance extends every failure timeout by the length of the suspension. It then kept the runs for an instance that had failed meanwhile for up to 1,000 ms plus that length.

Change: the extended time still decides whether a peer counts as live. The work for it, however, is ended once no heartbeat was sent within the failure timeout, 100 ms after the suspension at the earliest, so that the heartbeats that arrived during it can be read. New line in the log: peer_silent.

Before, run_for_peer_that_failed_in_suspension_is_stopped_before_resubmission failed: no stop within 1,150 ms of the peer's last heartbeat, with a suspension of 700 ms.

--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -91,6 +91,10 @@
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
                  random_source & random, effects & out);
 
+/// Refuses the queued tasks that \p instance forwarded to this instance and cancels the
+/// running ones. Their results are emitted as usual.
+void end_work_for(dispatch_state & state, instance_id const & instance, effects & out);
+
 /// Queues a task that \p from forwarded to this instance. Its result is emitted as a
 /// forward_result. A duplicate of a queued, running or recently finished task is ignored.
 /// \pre m_send_before and m_deadline of \p task are on this instance's clock.
--- a/include/cassiahub/membership/members.hpp
+++ b/include/cassiahub/membership/members.hpp
@@ -41,6 +41,15 @@
 /// \returns the members that have failed since the last call.
 std::vector<instance_id> expire_members(membership_state & state, time_point now);
 
+/// \returns true directly after a suspension of this instance, while messages that
+/// arrived during it may be unread.
+bool is_catching_up(membership_state const & state, time_point now) noexcept;
+
+/// \returns the near members that are still live although no heartbeat was sent within
+/// the failure timeout: their failure timeout was extended by a suspension of this
+/// instance. Empty while is_catching_up().
+std::vector<instance_id> silent_members(membership_state const & state, time_point now);
+
 /// Schedules the next heartbeats.
 /// \returns the members to which a heartbeat is due now.
 std::vector<instance_id> schedule_heartbeats(membership_state & state, time_point now,
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -46,6 +46,9 @@
 /// A longer gap between two calls of expire_members() shows that this instance was
 /// suspended. The gap does not count towards the failure timeouts of the members.
 constexpr duration suspension_gap = std::chrono::milliseconds(500);
+/// Time after a suspension of this instance in which the messages and the disconnects
+/// that arrived during it are read.
+constexpr duration catch_up_time = std::chrono::milliseconds(100);
 /// Time for the first heartbeat of a listed member to arrive: one heartbeat period and
 /// the set-up of a connection in each direction.
 constexpr duration first_heartbeat_timeout = std::chrono::milliseconds(1000);
@@ -134,6 +137,7 @@
     std::map<instance_id, member> m_members;             ///< without this instance
     time_point m_started_at;
     time_point m_last_call;
+    time_point m_resumed_at; ///< end of the last suspension of this instance; zero: none
     time_point m_next_domain_heartbeat;
     time_point m_next_remote_heartbeat;
 };
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -488,6 +488,33 @@
     }
 }
 
+/// Ends the work for instances that may have failed while this one was suspended. They
+/// have more time until they count as failed, but by then their callers have submitted
+/// the jobs again.
+void end_work_for_silent_peers(step_context & context)
+{
+    entry_state & state = context.m_state;
+    for (instance_id const & silent :
+         membership::silent_members(state.m_membership, context.m_now))
+    {
+        dispatch::effects effects;
+        dispatch::end_work_for(state.m_dispatch, silent, effects);
+        if (!effects.m_cancels.empty() || !effects.m_forward_results.empty())
+        {
+            time_point const alive_at =
+                state.m_membership.m_members.at(silent).m_alive_at;
+            context.m_actions.emplace_back(log_event{
+                "peer_silent",
+                silent.m_value,
+                {},
+                fmt::format("silent_ms={} refused={} stopped={}",
+                            to_milliseconds(context.m_now - alive_at),
+                            effects.m_forward_results.size(), effects.m_cancels.size())});
+        }
+        apply(context, std::move(effects));
+    }
+}
+
 void advance_peers(step_context & context)
 {
     entry_state & state = context.m_state;
@@ -497,6 +524,10 @@
         remove_peer(context, failed, "peer_failed");
         schedule_upstream_assignment(context);
     }
+    if (context.m_state.m_identity.m_leases_upstreams)
+    {
+        end_work_for_silent_peers(context);
+    }
     update_assignments(context);
     std::vector<instance_id> const due = membership::schedule_heartbeats(
         state.m_membership, context.m_now, context.m_random);
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -190,6 +190,22 @@
         {task.m_from, {id, attempt_outcome::not_run, "", false}});
 }
 
+/// \returns the tasks of \p instance that are queued here, in order of their identifiers.
+std::vector<attempt_id> queued_from(dispatch_state const & state,
+                                    instance_id const & instance)
+{
+    std::vector<attempt_id> queued;
+    for (auto const & [id, task] : state.m_forwarded)
+    {
+        if (task.m_from == instance)
+        {
+            queued.push_back(id);
+        }
+    }
+    std::sort(queued.begin(), queued.end());
+    return queued;
+}
+
 /// Cancels the attempts that run here for \p instance, which is no longer live; its
 /// callers resubmit their jobs to other instances.
 void cancel_attempts_from(dispatch_state & state, instance_id const & instance,
@@ -250,6 +266,15 @@
     }
 }
 
+void end_work_for(dispatch_state & state, instance_id const & instance, effects & out)
+{
+    for (attempt_id const & id : internal::queued_from(state, instance))
+    {
+        internal::refuse_forwarded(state, id, out);
+    }
+    internal::cancel_attempts_from(state, instance, out);
+}
+
 peer_work work_with_peer(dispatch_state const & state, instance_id const & instance)
 {
     peer_work work;
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -37,6 +37,7 @@
         {
             entry.m_last_heard_at += gap;
         }
+        state.m_resumed_at = now;
     }
     state.m_last_call = now;
 }
@@ -208,6 +209,29 @@
     return failed;
 }
 
+bool is_catching_up(membership_state const & state, time_point now) noexcept
+{
+    return state.m_resumed_at != time_point() && now - state.m_resumed_at < catch_up_time;
+}
+
+std::vector<instance_id> silent_members(membership_state const & state, time_point now)
+{
+    std::vector<instance_id> silent;
+    if (is_catching_up(state, now))
+    {
+        return silent;
+    }
+    for (auto const & [id, entry] : state.m_members)
+    {
+        if (entry.m_live && is_near(state, entry) &&
+            now - entry.m_alive_at >= state.m_failure_timeout)
+        {
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
 std::vector<instance_id> schedule_heartbeats(membership_state & state, time_point now,
                                              random_source & random)
 {
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -619,6 +619,8 @@
     CPPUNIT_TEST_SUITE(leasing_resubmission_test);
     CPPUNIT_TEST(run_for_failed_peer_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST(run_for_live_peer_continues);
+    CPPUNIT_TEST(run_for_peer_that_failed_in_suspension_is_stopped_before_resubmission);
+    CPPUNIT_TEST(run_for_peer_heard_after_suspension_continues);
     CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST_SUITE_END();
 
@@ -659,6 +661,42 @@
         CPPUNIT_ASSERT(m_lease_end > m_now + 200ms);
     }
 
+    // Guards against runs that continue for a failed peer because this instance, after a
+    // suspension, gives the peer more time to be heard.
+    void run_for_peer_that_failed_in_suspension_is_stopped_before_resubmission()
+    {
+        start_with_peer();
+        receive_forwarded_task(1, "k");
+        advance_with_lost_stops(300ms);
+        receive_peer_heartbeat({});
+        time_point const failed = m_now;
+        m_now += 700ms;
+        handle(tick{});
+        CPPUNIT_ASSERT(take_calls<lease::stop_call>().empty());
+        while (m_now < failed + 1150ms && take_calls<lease::stop_call>().empty())
+        {
+            advance_with_lost_stops(20ms);
+        }
+        CPPUNIT_ASSERT(m_now < failed + 1150ms);
+        CPPUNIT_ASSERT(membership::find_live(m_state.m_membership, {"peer"}) != nullptr);
+        advance_with_lost_stops(2s);
+        CPPUNIT_ASSERT(m_lease_end < failed + resubmission_delay);
+    }
+
+    void run_for_peer_heard_after_suspension_continues()
+    {
+        start_with_peer();
+        receive_forwarded_task(1, "k");
+        advance_with_lost_stops(300ms);
+        receive_peer_heartbeat({});
+        m_now += 850ms;
+        handle(tick{});
+        advance_with_lost_stops(60ms);
+        receive_peer_heartbeat({});
+        advance_with_lost_stops(300ms);
+        CPPUNIT_ASSERT(take_calls<lease::stop_call>().empty());
+    }
+
     void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
     {
         start_with_peer();
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(member_silent_in_domain_fails_after_timeout);
     CPPUNIT_TEST(member_silent_in_other_domain_keeps_longer_timeout);
     CPPUNIT_TEST(member_after_suspension_of_this_instance_stays_live);
+    CPPUNIT_TEST(member_unheard_since_before_suspension_is_silent_after_catch_up);
+    CPPUNIT_TEST(member_heard_after_suspension_is_not_silent);
     CPPUNIT_TEST(member_is_alive_when_its_heartbeat_arrives);
     CPPUNIT_TEST(heartbeat_read_late_shows_life_at_its_sending);
     CPPUNIT_TEST(clock_that_drifts_within_bound_keeps_member_alive_at_arrival);
@@ -104,6 +106,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_failed(start + 30400ms, start + 31s));
     }
 
+    // Guards against runs that continue for a failed member because a suspension of this
+    // instance extends the failure timeout.
+    void member_unheard_since_before_suspension_is_silent_after_catch_up()
+    {
+        receive("p", make_report("a", 1, 7s));
+        count_failed(start, start + 100ms);
+        time_point const resumed = start + 1600ms;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_failed(resumed, resumed + 80ms));
+        CPPUNIT_ASSERT(silent_members(m_state, resumed + 80ms).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             silent_members(m_state, resumed + 100ms).size());
+        CPPUNIT_ASSERT(find_live(m_state, {"p"}) != nullptr);
+    }
+
+    void member_heard_after_suspension_is_not_silent()
+    {
+        receive("p", make_report("a", 1, 7s));
+        count_failed(start, start + 100ms);
+        time_point const resumed = start + 1600ms;
+        count_failed(resumed, resumed);
+        receive("p", make_report("a", 1, 8600ms), resumed + 10ms);
+        CPPUNIT_ASSERT(silent_members(m_state, resumed + 100ms).empty());
+    }
+
     void member_is_alive_when_its_heartbeat_arrives()
     {
         receive("p", make_report("a", 1, 7s));
