Log why an entry in the list of upstreams is ignored

Entries that are no registration were dropped without a trace, and every row was decoded again with each change of the table.

Change: a row is decoded when its version changes. An entry that is ignored is logged (upstream_ignored, with the reason, the version of the row and its size) when the reason differs from the one before.

Failed before: gateway_registration_test, entries_that_are_odd_are_logged_once_for_each_reason (0 lines, 2 expected).

--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -8,9 +8,11 @@
 #include <cassiahub/store/error.hpp>
 
 #include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -48,16 +50,24 @@
 struct replicated_table
 {
     store_table m_table = store_table::configuration;
-    std::map<std::string, std::string> m_rows; ///< values by key
+    std::map<std::string, store_row> m_rows; ///< by key
     std::uint64_t m_version = 0;  ///< the next watch asks for changes after this version
     bool m_loaded = false;        ///< read in full since the store last lost its history
     std::uint32_t m_failures = 0; ///< consecutive failed requests
     duration m_watch_pause{0};    ///< pause between two watches
-    std::map<std::string, std::string>
+    std::map<std::string, store_row>
         m_partial_rows; ///< rows of the paged read in progress
     std::unique_ptr<boost::asio::steady_timer> m_timer;
 };
 
+/// Decoded row of an upstream's registration.
+struct decoded_registration
+{
+    std::optional<std::uint64_t> m_row_version; ///< row that was decoded
+    std::error_code m_error;                    ///< why the row is ignored
+    decision::discovered_upstream m_upstream;
+};
+
 struct registry_state
 {
     gateway_context & m_context;
@@ -66,6 +76,7 @@
     http::async_client m_client{};
     replicated_table m_configuration{};
     replicated_table m_upstreams{};
+    std::map<std::string, decoded_registration> m_registrations{}; ///< by key
     boost::asio::steady_timer m_registration_timer{m_loop};
     boost::asio::steady_timer m_listing_timer{m_loop};
     bool m_store_reachable = true;  ///< the last store request succeeded
@@ -123,19 +134,43 @@
     auto const found = state.m_configuration.m_rows.find(key);
     if (found != state.m_configuration.m_rows.end())
     {
-        submit_document(state.m_context, found->second, state.m_stop);
+        submit_document(state.m_context, found->second.m_value, state.m_stop);
+    }
+}
+
+/// Decodes a row that has changed. Logs when it is ignored for another reason than
+/// before.
+void decode_registration(registry_state & state, store_row const & row,
+                         decoded_registration & decoded)
+{
+    std::error_code const before = decoded.m_error;
+    decoded = {row.m_version, {}, {}};
+    decoded.m_error = state.m_context.m_wire.m_decode_upstream(row.m_key, row.m_value,
+                                                               decoded.m_upstream);
+    if (decoded.m_error && decoded.m_error != before)
+    {
+        record(state.m_context.m_daemon,
+               decision::log_event{"upstream_ignored", row.m_key, decoded.m_error,
+                                   fmt::format("version={} bytes={}", row.m_version,
+                                               row.m_value.size())});
     }
 }
 
 void publish_upstreams(registry_state & state)
 {
+    std::erase_if(state.m_registrations, [&state](auto const & item)
+                  { return !state.m_upstreams.m_rows.contains(item.first); });
     decision::upstreams_discovered discovered;
-    for (auto const & [key, value] : state.m_upstreams.m_rows)
+    for (auto const & [key, row] : state.m_upstreams.m_rows)
     {
-        decision::discovered_upstream upstream;
-        if (!state.m_context.m_wire.m_decode_upstream(key, value, upstream))
+        decoded_registration & decoded = state.m_registrations[key];
+        if (decoded.m_row_version != row.m_version)
+        {
+            decode_registration(state, row, decoded);
+        }
+        if (!decoded.m_error)
         {
-            discovered.m_upstreams.push_back(std::move(upstream));
+            discovered.m_upstreams.push_back(decoded.m_upstream);
         }
     }
     push_event(state, std::move(discovered));
@@ -189,15 +224,17 @@
             replicate_after_pause(state, table);
             return;
         }
+        std::string last_key;
         for (store_row & row : rows.m_rows)
         {
-            table.m_partial_rows[row.m_key] = std::move(row.m_value);
+            last_key = row.m_key;
+            table.m_partial_rows[last_key] = std::move(row);
         }
         if (rows.m_more && !rows.m_rows.empty())
         {
             // Continues after the last key: with '!' appended it is the next possible key
             // in byte order, as long as keys contain no space or control character.
-            read_table(state, table, rows.m_rows.back().m_key + '!');
+            read_table(state, table, last_key + '!');
             return;
         }
         table.m_rows = std::exchange(table.m_partial_rows, {});
@@ -226,7 +263,8 @@
         }
         else
         {
-            table.m_rows[row.m_key] = std::move(row.m_value);
+            std::string key = row.m_key;
+            table.m_rows[std::move(key)] = std::move(row);
         }
     }
     if (!rows.m_rows.empty())
--- a/tests/gateway_registration_test.cpp
+++ b/tests/gateway_registration_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST_SUITE(gateway_registration_test);
     CPPUNIT_TEST(entries_with_long_addresses_are_survived);
     CPPUNIT_TEST(list_with_odd_entries_is_followed_and_served);
+    CPPUNIT_TEST(entries_that_are_odd_are_logged_once_for_each_reason);
     CPPUNIT_TEST(entry_that_turns_odd_during_run_leaves_run_alone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -156,6 +157,22 @@
         CPPUNIT_ASSERT(m_gateway->log_lines("duty_failed").empty());
     }
 
+    // Guards against an entry that is ignored without a trace, or logged with each write.
+    void entries_that_are_odd_are_logged_once_for_each_reason()
+    {
+        std::string const far = with("address", "127.0.0.1:99999");
+        for (std::string const & value : {far, far, with("slots", 0), with("slots", -1)})
+        {
+            m_platform.put("servers", "odd", value);
+            check_follows_list("rewritten entry");
+        }
+        std::vector<json> const lines = m_gateway->log_lines("upstream_ignored");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), lines.size());
+        CPPUNIT_ASSERT(lines[0]["subject"] == "odd" &&
+                       lines[0]["error"] == "bad_address");
+        CPPUNIT_ASSERT(lines[1]["error"] == "bad_slots");
+    }
+
     // Guards against a second run of a task whose upstream did not restart.
     void entry_that_turns_odd_during_run_leaves_run_alone()
     {
