Soak: inject chosen faults only, and name restarts behind a fault

--only limits both sequences of faults to those named, so that a cause can be told apart from others. A restart of an upstream behind a cut, while orders are under way or while its registration lags is a kind of its own.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -214,30 +214,31 @@
 
     async def break_upstream(self, kind, rng):
         upstreams = [rng.choice(self.upstreams)]
-        if kind in ("late_orders", "late_renewals", "lag"):
+        fault, _, then = kind.partition("+")
+        if fault in ("late_orders", "late_renewals", "lag"):
             upstreams = rng.sample(self.upstreams, rng.choice((1, 3, len(self.upstreams))))
-        if kind == "crash":
+        if fault == "crash":
             await self.crash(upstreams, rng)
             return
-        async with self.impaired(upstreams, kind):
+        async with self.impaired(upstreams, fault):
             await asyncio.sleep(rng.uniform(0.5, 4))
-            # Some start again unnoticed, or while orders to them are under way.
-            if kind in ("late_orders", "lag") and rng.random() < 0.5:
+            if then == "crash":
                 await self.crash(upstreams[:3], rng)
 
     async def break_link(self, kind, rng):
         """Breaks the links of some upstreams to the gateways that hold them, to the
         others, or to all."""
         upstreams = rng.sample(self.upstreams, rng.choice((1, 3)))
+        fault, _, then = kind.partition("+")
         which = rng.choice(("holder", "others", "all"))
         links = [link for upstream in upstreams for link in upstream.links
                  if which == "all" or (which == "holder") == upstream.is_held_by(link)]
-        async with self.impaired(links, kind):
-            if kind == "reset":
+        async with self.impaired(links, fault):
+            if fault == "reset":
                 for link in links:
                     link.reset()
             await asyncio.sleep(rng.uniform(0.2, 4))
-            if rng.random() < 0.3:
+            if then == "crash":
                 await self.crash(upstreams, rng)
                 await asyncio.sleep(rng.uniform(0, 1))
 
@@ -277,15 +278,22 @@
         fault_kinds += [(self.break_store, kind) for kind in
                         ("refuse", "silent", "slow", "change")]
         upstream_kinds = [(self.break_link, kind) for kind in
-                          ("silent", "one_way", "reset", "lossy")]
+                          ("silent", "silent+crash", "one_way", "one_way+crash", "reset",
+                           "lossy")]
         upstream_kinds += [(self.break_upstream, kind) for kind in
-                           ("crash", "slow", "late_orders", "late_renewals", "lag")]
+                           ("crash", "crash", "slow", "late_orders", "late_orders+crash",
+                            "late_renewals", "lag", "lag+crash")]
         await asyncio.gather(
             self.inject_kinds(fault_kinds, f"{self.options.seed}", until),
             self.inject_kinds(upstream_kinds, f"{self.options.seed}-upstreams", until))
         self.last_fault = time.monotonic()
 
     async def inject_kinds(self, fault_kinds, seed, until):
+        if self.options.only:
+            fault_kinds = [(fault, kind) for fault, kind in fault_kinds
+                           if f"{fault.__name__[6:]}-{kind}" in self.options.only]
+            if not fault_kinds:
+                return
         fault_tasks = set()
         number = 0
         while time.monotonic() < until:
@@ -343,6 +351,8 @@
     parser.add_argument("--rate", type=float, default=12, help="jobs per second")
     parser.add_argument("--gap", type=float, default=0.8,
                         help="mean seconds between faults")
+    parser.add_argument("--only", nargs="*", metavar="PART-FAULT",
+                        help="inject only these faults, such as upstream-crash")
     parser.add_argument("--port", type=int, default=24000)
     parser.add_argument("--logs", help="directory for the logs of the gateways")
     options = parser.parse_args()
