Refuse tasks of an instance that is not known to be live

Cause: a forwarded task was accepted from any sender. A sender that had failed, or had sent no heartbeat yet, has no entry in the dispatcher. Its queued tasks were not recorded there, and remove_peer() returned early, so neither these nor its running attempts ended when it failed.

Change: where upstreams are leased, such a task is refused as not run, with a line forward_refused in the log. remove_peer() ends everything that the instance has forwarded, whether its load is known or not.

--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -96,9 +96,26 @@
     receive_answer(context, from, std::move(message));
 }
 
+void refuse_forwarded_task(step_context & context, instance_id const & from,
+                           dispatch::attempt_start const & task)
+{
+    context.m_actions.emplace_back(
+        log_event{"forward_refused", task.m_job.m_key, {}, "from=" + from.m_value});
+    send(context, from,
+         task_reported{{task.m_attempt, dispatch::attempt_outcome::not_run, {}, false}});
+}
+
 void handle_message(step_context & context, instance_id const & from,
                     forward_task & message)
 {
+    if (context.m_state.m_identity.m_leases_upstreams &&
+        membership::find_live(context.m_state.m_membership, from) == nullptr)
+    {
+        // Its caller may have submitted the job again already, and nothing would show
+        // when a run for it has to end.
+        refuse_forwarded_task(context, from, message.m_start);
+        return;
+    }
     membership::record_request(context.m_state.m_membership, from, context.m_now);
     dispatch::accept_forwarded(context.m_state.m_dispatch, from,
                                std::move(message.m_start), context.m_now);
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -246,6 +246,11 @@
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
                  random_source & random, effects & out)
 {
+    for (attempt_id const & id : internal::queued_from(state, instance))
+    {
+        internal::dequeue_forwarded(state, id);
+    }
+    internal::cancel_attempts_from(state, instance, out);
     auto const found = state.m_peers.find(instance);
     if (found == state.m_peers.end())
     {
@@ -254,11 +259,6 @@
     peer_state const removed = std::move(found->second);
     state.m_forward_targets.erase(internal::make_peer_key(state, removed.m_capacity));
     state.m_peers.erase(found);
-    for (attempt_id const & id : removed.m_accepted)
-    {
-        internal::dequeue_forwarded(state, id);
-    }
-    internal::cancel_attempts_from(state, instance, out);
     for (attempt_id const & id : removed.m_forwarded)
     {
         internal::end_attempt(state, {id, attempt_outcome::unknown, "", false}, now,
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision.hpp>
+#include <cassiahub/dispatch/dispatcher.hpp>
 #include <cassiahub/membership/members.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -621,6 +622,8 @@
     CPPUNIT_TEST(run_for_live_peer_continues);
     CPPUNIT_TEST(run_for_peer_that_failed_in_suspension_is_stopped_before_resubmission);
     CPPUNIT_TEST(run_for_peer_heard_after_suspension_continues);
+    CPPUNIT_TEST(task_of_failed_peer_is_refused_as_not_run);
+    CPPUNIT_TEST(task_of_peer_never_heard_is_refused_as_not_run);
     CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST_SUITE_END();
 
@@ -697,6 +700,48 @@
         CPPUNIT_ASSERT(take_calls<lease::stop_call>().empty());
     }
 
+    /// \returns the outcomes reported to the peer.
+    std::vector<dispatch::attempt_outcome> reported_outcomes()
+    {
+        std::vector<dispatch::attempt_outcome> outcomes;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            if (auto const * const report = std::get_if<task_reported>(&sent.m_message))
+            {
+                outcomes.push_back(report->m_result.m_outcome);
+            }
+        }
+        return outcomes;
+    }
+
+    // Guards against a task that is started after its instance has failed, because its
+    // message was read late.
+    void task_of_failed_peer_is_refused_as_not_run()
+    {
+        start_with_peer();
+        advance_time(1100ms);
+        CPPUNIT_ASSERT(membership::find_live(m_state.m_membership, {"peer"}) == nullptr);
+        take_actions<send_peer>();
+        receive_forwarded_task(1, "k");
+        advance_time(20ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+        CPPUNIT_ASSERT(reported_outcomes() ==
+                       std::vector{dispatch::attempt_outcome::not_run});
+    }
+
+    // Guards against a task that continues when its instance fails, because the instance
+    // was not known.
+    void task_of_peer_never_heard_is_refused_as_not_run()
+    {
+        start_without_peers();
+        list_peer(true);
+        receive_forwarded_task(1, "k");
+        advance_time(20ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+        CPPUNIT_ASSERT(reported_outcomes() ==
+                       std::vector{dispatch::attempt_outcome::not_run});
+    }
+
     void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
     {
         start_with_peer();
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -205,6 +205,7 @@
     CPPUNIT_TEST(accepted_task_duplicate_is_ignored);
     CPPUNIT_TEST(accepted_task_past_send_time_is_not_run);
     CPPUNIT_TEST(accepted_task_cancelled_while_waiting_is_not_run);
+    CPPUNIT_TEST(accepted_task_of_unknown_peer_ends_when_that_peer_is_removed);
     CPPUNIT_TEST(accepted_task_without_configuration_is_not_run_when_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
@@ -351,6 +352,23 @@
         assert_invariants();
         CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
     }
+
+    // Guards against tasks that are started or continue for an instance that failed
+    // before its load was known.
+    void accepted_task_of_unknown_peer_ends_when_that_peer_is_removed()
+    {
+        accept_forwarded(m_state, {"unknown"}, make_forwarded(1), m_now);
+        step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_starts().size());
+        submit("check", 20);
+        take_starts();
+        accept_forwarded(m_state, {"unknown"}, make_forwarded(2), m_now);
+        step();
+        remove_peer(m_state, {"unknown"}, m_now, m_random, m_out);
+        assert_invariants();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_state.m_forwarded.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_cancels.size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarding_test);
 
