Stop the run of a forwarded attempt that is given up

Cause: an attempt for another instance that had no result 2 s after its deadline was removed without a stop. Its run went on, under a lease that was renewed, and nothing ended it any more.

Change: the attempt is cancelled before it is removed.

Before, accepted_run_beyond_its_time_limit_is_cancelled_at_its_upstream failed (no cancellation).

--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -334,6 +334,11 @@
                       random_source & random, effects & out)
 {
     running_attempt const & attempt = state.m_attempts.at(id);
+    if (!attempt.m_from.m_value.empty() && !attempt.m_cancelled)
+    {
+        // The attempt of a local job is cancelled when the job ends.
+        cancel_attempt(state, id, out);
+    }
     if (attempt.m_upstream != no_upstream && attempt.m_cancelled)
     {
         // The upstream did not reply to the cancellation either. end_attempt() ignores
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -206,6 +206,7 @@
     CPPUNIT_TEST(accepted_task_past_send_time_is_not_run);
     CPPUNIT_TEST(accepted_task_cancelled_while_waiting_is_not_run);
     CPPUNIT_TEST(accepted_task_of_unknown_peer_ends_when_that_peer_is_removed);
+    CPPUNIT_TEST(accepted_run_beyond_its_time_limit_is_cancelled_at_its_upstream);
     CPPUNIT_TEST(accepted_task_without_configuration_is_not_run_when_cancelled);
     CPPUNIT_TEST_SUITE_END();
 
@@ -369,6 +370,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_state.m_forwarded.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_cancels.size());
     }
+
+    // Guards against a run that continues on its upstream after its attempt was given up.
+    void accepted_run_beyond_its_time_limit_is_cancelled_at_its_upstream()
+    {
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        step();
+        time_point const timeout = m_state.m_attempts.at({77, 1}).m_timeout;
+        step(timeout - m_now);
+        CPPUNIT_ASSERT(!m_state.m_attempts.contains({77, 1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_cancels.size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarding_test);
 
