Cancel forwarded tasks at a peer that is given up

Cause: an instance that no longer hears a peer ends the tasks that it forwarded there as unknown, and answers their callers. If the peer still hears this instance, because only the other direction is cut, the peer let the runs go on, and the callers submitted the jobs again.

Change: the tasks are cancelled at the peer as well.

Measured: decision_leasing_test OK (34), dispatch_random_test OK, decision_property_test OK, ctest 31 of 31. Before, forwarded_task_is_cancelled_at_peer_that_is_given_up failed (no cancellation sent).

--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -86,8 +86,8 @@
 
 peer_work work_with_peer(dispatch_state const & state, instance_id const & instance);
 
-/// Removes an instance that is no longer live. Attempts forwarded to it end with an
-/// unknown outcome. Tasks that it forwarded to this instance are dequeued or
+/// Removes an instance that is no longer live. Attempts forwarded to it are cancelled and
+/// end with an unknown outcome. Tasks that it forwarded to this instance are dequeued or
 /// cancelled, also if its load was never set.
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
                  random_source & random, effects & out);
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -261,6 +261,8 @@
     state.m_peers.erase(found);
     for (attempt_id const & id : removed.m_forwarded)
     {
+        // The instance may be live, with only its messages to this one lost.
+        out.m_forward_cancels.push_back({instance, id});
         internal::end_attempt(state, {id, attempt_outcome::unknown, "", false}, now,
                               random, out);
     }
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -624,6 +624,7 @@
     CPPUNIT_TEST(run_for_peer_heard_after_suspension_continues);
     CPPUNIT_TEST(task_of_failed_peer_is_refused_as_not_run);
     CPPUNIT_TEST(task_of_peer_never_heard_is_refused_as_not_run);
+    CPPUNIT_TEST(forwarded_task_is_cancelled_at_peer_that_is_given_up);
     CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST_SUITE_END();
 
@@ -742,6 +743,37 @@
                        std::vector{dispatch::attempt_outcome::not_run});
     }
 
+    // Guards against a run at a peer that still hears this instance, which no longer
+    // hears the peer and therefore answers the caller.
+    void forwarded_task_is_cancelled_at_peer_that_is_given_up()
+    {
+        start_with_peer();
+        heartbeat message;
+        message.m_incarnation = 9;
+        message.m_domain = "north";
+        message.m_peer_address = "peer:1";
+        message.m_sent_at = m_now;
+        message.m_load.m_free_slots = 8;
+        handle(peer_message_received{{"peer"}, std::move(message)});
+        dispatch::set_upstream_available(m_state.m_dispatch, held_upstreams().at(0),
+                                         false);
+        caller_id const caller = submit("/q/1");
+        bool forwarded = false;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            forwarded |= std::holds_alternative<forward_task>(sent.m_message);
+        }
+        CPPUNIT_ASSERT(forwarded);
+        advance_time(1100ms);
+        CPPUNIT_ASSERT(answer_to(caller)->m_error == job_errc::outcome_unknown);
+        bool cancelled = false;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            cancelled |= std::holds_alternative<cancel_task>(sent.m_message);
+        }
+        CPPUNIT_ASSERT(cancelled);
+    }
+
     void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
     {
         start_with_peer();
