Start nothing before the disconnects of a suspension were seen

Cause: after a suspension, requests that were read before it and queued jobs were started or forwarded at the first event, before the disconnects that waited in the sockets were handled.

Change: where upstreams are leased, nothing is started or forwarded for 100 ms after a suspension of more than 500 ms; timers are handled, so jobs whose time limit has passed fail.

Measured: decision_leasing_test OK (37). Before, job_after_suspension_is_not_started_before_disconnects_are_seen failed (the task was started). job_whose_time_limit_ended_in_suspension_is_not_ started passed before as well: timers were always handled before starts.

--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -112,6 +112,10 @@
 /// \returns the load that this instance reports to its peers.
 peer_load current_load(dispatch_state const & state);
 
+/// Handles due timers, such as job deadlines, and starts nothing.
+void advance_timers(dispatch_state & state, time_point now, random_source & random,
+                    effects & out);
+
 /// Handles due timers, such as job deadlines, and starts queued tasks for which there is
 /// capacity.
 void advance(dispatch_state & state, time_point now, random_source & random,
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -271,8 +271,18 @@
         apply(context, std::move(ownership_effects));
     }
     dispatch::effects dispatch_effects;
-    dispatch::advance(state.m_dispatch, context.m_now, context.m_random,
-                      dispatch_effects);
+    if (state.m_identity.m_leases_upstreams &&
+        membership::is_catching_up(state.m_membership, context.m_now))
+    {
+        // Callers may have left, and submitted their jobs elsewhere, in the suspension.
+        dispatch::advance_timers(state.m_dispatch, context.m_now, context.m_random,
+                                 dispatch_effects);
+    }
+    else
+    {
+        dispatch::advance(state.m_dispatch, context.m_now, context.m_random,
+                          dispatch_effects);
+    }
     apply(context, std::move(dispatch_effects));
 }
 
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -227,6 +227,16 @@
 
 } // namespace internal
 
+void advance_timers(dispatch_state & state, time_point now, random_source & random,
+                    effects & out)
+{
+    if (state.m_configuration)
+    {
+        internal::advance_context context{state, now, random, out};
+        internal::handle_due_timers(context);
+    }
+}
+
 void advance(dispatch_state & state, time_point now, random_source & random,
              effects & out)
 {
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -625,6 +625,9 @@
     CPPUNIT_TEST(task_of_failed_peer_is_refused_as_not_run);
     CPPUNIT_TEST(task_of_peer_never_heard_is_refused_as_not_run);
     CPPUNIT_TEST(forwarded_task_is_cancelled_at_peer_that_is_given_up);
+    CPPUNIT_TEST(job_after_suspension_is_not_started_before_disconnects_are_seen);
+    CPPUNIT_TEST(job_after_suspension_is_started_after_catch_up);
+    CPPUNIT_TEST(job_whose_time_limit_ended_in_suspension_is_not_started);
     CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST_SUITE_END();
 
@@ -774,6 +777,47 @@
         CPPUNIT_ASSERT(cancelled);
     }
 
+    // Guards against a run for a caller that left while this instance was suspended, and
+    // that has submitted its job elsewhere.
+    void job_after_suspension_is_not_started_before_disconnects_are_seen()
+    {
+        start_without_peers();
+        m_now += 700ms;
+        caller_id const caller = submit("/q/1");
+        advance_time(20ms);
+        handle(caller_disconnected{caller});
+        advance_time(200ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+    }
+
+    void job_after_suspension_is_started_after_catch_up()
+    {
+        start_without_peers();
+        m_now += 700ms;
+        submit("/q/1");
+        advance_time(120ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_calls<lease::start_call>().size());
+    }
+
+    void job_whose_time_limit_ended_in_suspension_is_not_started()
+    {
+        start_without_peers();
+        for (std::string const & upstream : held_upstreams())
+        {
+            dispatch::set_upstream_available(m_state.m_dispatch, upstream, false);
+        }
+        caller_id const caller = submit("/q/1");
+        for (std::string const & upstream : held_upstreams())
+        {
+            dispatch::set_upstream_available(m_state.m_dispatch, upstream, true);
+        }
+        m_now += 1600ms;
+        handle(tick{});
+        CPPUNIT_ASSERT(answer_to(caller)->m_error == job_errc::deadline_exceeded);
+        advance_time(200ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+    }
+
     void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
     {
         start_with_peer();
