--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -86,8 +86,9 @@
 
 peer_work work_with_peer(dispatch_state const & state, instance_id const & instance);
 
-/// Removes an instance that is no longer live. Attempts forwarded to it end with an
-/// unknown outcome. Tasks that it forwarded to this instance are dequeued or cancelled.
+/// Removes an instance that is no longer live. Attempts forwarded to it are cancelled and
+/// end with an unknown outcome. Tasks that it forwarded to this instance are dequeued or
+/// cancelled, also if its load was never set.
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
                  random_source & random, effects & out);
 
@@ -111,6 +112,10 @@
 /// \returns the load that this instance reports to its peers.
 peer_load current_load(dispatch_state const & state);
 
+/// Handles due timers, such as job deadlines, and starts nothing.
+void advance_timers(dispatch_state & state, time_point now, random_source & random,
+                    effects & out);
+
 /// Handles due timers, such as job deadlines, and starts queued tasks for which there is
 /// capacity.
 void advance(dispatch_state & state, time_point now, random_source & random,
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision.hpp>
+#include <cassiahub/dispatch/dispatcher.hpp>
 #include <cassiahub/membership/members.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -621,6 +622,12 @@
     CPPUNIT_TEST(run_for_live_peer_continues);
     CPPUNIT_TEST(run_for_peer_that_failed_in_suspension_is_stopped_before_resubmission);
     CPPUNIT_TEST(run_for_peer_heard_after_suspension_continues);
+    CPPUNIT_TEST(task_of_failed_peer_is_refused_as_not_run);
+    CPPUNIT_TEST(task_of_peer_never_heard_is_refused_as_not_run);
+    CPPUNIT_TEST(forwarded_task_is_cancelled_at_peer_that_is_given_up);
+    CPPUNIT_TEST(job_after_suspension_is_not_started_before_disconnects_are_seen);
+    CPPUNIT_TEST(job_after_suspension_is_started_after_catch_up);
+    CPPUNIT_TEST(job_whose_time_limit_ended_in_suspension_is_not_started);
     CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST_SUITE_END();
 
@@ -697,6 +704,120 @@
         CPPUNIT_ASSERT(take_calls<lease::stop_call>().empty());
     }
 
+    /// \returns the outcomes reported to the peer.
+    std::vector<dispatch::attempt_outcome> reported_outcomes()
+    {
+        std::vector<dispatch::attempt_outcome> outcomes;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            if (auto const * const report = std::get_if<task_reported>(&sent.m_message))
+            {
+                outcomes.push_back(report->m_result.m_outcome);
+            }
+        }
+        return outcomes;
+    }
+
+    // Guards against a task that is started after its instance has failed, because its
+    // message was read late.
+    void task_of_failed_peer_is_refused_as_not_run()
+    {
+        start_with_peer();
+        advance_time(1100ms);
+        CPPUNIT_ASSERT(membership::find_live(m_state.m_membership, {"peer"}) == nullptr);
+        take_actions<send_peer>();
+        receive_forwarded_task(1, "k");
+        advance_time(20ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+        CPPUNIT_ASSERT(reported_outcomes() ==
+                       std::vector{dispatch::attempt_outcome::not_run});
+    }
+
+    // Guards against a task that continues when its instance fails, because the instance
+    // was not known.
+    void task_of_peer_never_heard_is_refused_as_not_run()
+    {
+        start_without_peers();
+        list_peer(true);
+        receive_forwarded_task(1, "k");
+        advance_time(20ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+        CPPUNIT_ASSERT(reported_outcomes() ==
+                       std::vector{dispatch::attempt_outcome::not_run});
+    }
+
+    // Guards against a run at a peer that still hears this instance, which no longer
+    // hears the peer and therefore answers the caller.
+    void forwarded_task_is_cancelled_at_peer_that_is_given_up()
+    {
+        start_with_peer();
+        heartbeat message;
+        message.m_incarnation = 9;
+        message.m_domain = "north";
+        message.m_peer_address = "peer:1";
+        message.m_sent_at = m_now;
+        message.m_load.m_free_slots = 8;
+        handle(peer_message_received{{"peer"}, std::move(message)});
+        dispatch::set_upstream_available(m_state.m_dispatch, held_upstreams().at(0),
+                                         false);
+        caller_id const caller = submit("/q/1");
+        bool forwarded = false;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            forwarded |= std::holds_alternative<forward_task>(sent.m_message);
+        }
+        CPPUNIT_ASSERT(forwarded);
+        advance_time(1100ms);
+        CPPUNIT_ASSERT(answer_to(caller)->m_error == job_errc::outcome_unknown);
+        bool cancelled = false;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            cancelled |= std::holds_alternative<cancel_task>(sent.m_message);
+        }
+        CPPUNIT_ASSERT(cancelled);
+    }
+
+    // Guards against a run for a caller that left while this instance was suspended, and
+    // that has submitted its job elsewhere.
+    void job_after_suspension_is_not_started_before_disconnects_are_seen()
+    {
+        start_without_peers();
+        m_now += 700ms;
+        caller_id const caller = submit("/q/1");
+        advance_time(20ms);
+        handle(caller_disconnected{caller});
+        advance_time(200ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+    }
+
+    void job_after_suspension_is_started_after_catch_up()
+    {
+        start_without_peers();
+        m_now += 700ms;
+        submit("/q/1");
+        advance_time(120ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_calls<lease::start_call>().size());
+    }
+
+    void job_whose_time_limit_ended_in_suspension_is_not_started()
+    {
+        start_without_peers();
+        for (std::string const & upstream : held_upstreams())
+        {
+            dispatch::set_upstream_available(m_state.m_dispatch, upstream, false);
+        }
+        caller_id const caller = submit("/q/1");
+        for (std::string const & upstream : held_upstreams())
+        {
+            dispatch::set_upstream_available(m_state.m_dispatch, upstream, true);
+        }
+        m_now += 1600ms;
+        handle(tick{});
+        CPPUNIT_ASSERT(answer_to(caller)->m_error == job_errc::deadline_exceeded);
+        advance_time(200ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+    }
+
     void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
     {
         start_with_peer();
