Stop using an upstream whose entry cannot be read any more

Cause: decode_rows() dropped a row whose value is not base64 or not a text, so the table kept the row as it was before, without end.

Change: such a row is kept without value, which names no upstream; it is used on while it replies, 3 s at most (upstream_gone).

--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -22,7 +22,7 @@
 {
     std::string m_key;
     std::uint64_t m_version = 0;
-    std::string m_value;
+    std::string m_value;    ///< empty when it cannot be read
     bool m_removed = false; ///< the row was deleted; it has no value
 };
 
--- a/tests/gateway_registration_test.cpp
+++ b/tests/gateway_registration_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(entries_with_long_addresses_are_survived);
     CPPUNIT_TEST(list_with_odd_entries_is_followed_and_served);
     CPPUNIT_TEST(entries_that_are_odd_are_logged_once_for_each_reason);
+    CPPUNIT_TEST(entry_that_turns_unreadable_names_no_upstream);
     CPPUNIT_TEST(entry_that_turns_odd_during_run_leaves_run_alone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -173,6 +174,17 @@
         CPPUNIT_ASSERT(lines[1]["error"] == "bad_slots");
     }
 
+    // Guards against an upstream that is used after another writer replaced its entry.
+    void entry_that_turns_unreadable_names_no_upstream()
+    {
+        m_platform.add_upstream("up-1");
+        CPPUNIT_ASSERT(wait_for([this] { return m_platform.calls("up-1") > 0; }));
+        m_platform.put_encoded("servers", "up-1", "*");
+        CPPUNIT_ASSERT(
+            wait_for([this] { return !m_gateway->log_lines("upstream_gone").empty(); }));
+        CPPUNIT_ASSERT_EQUAL(200, run_job());
+    }
+
     // Guards against a second run of a task whose upstream did not restart.
     void entry_that_turns_odd_during_run_leaves_run_alone()
     {
