--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -207,6 +207,7 @@
     CPPUNIT_TEST(configuration_valid_is_decoded);
     CPPUNIT_TEST(configuration_malformed_is_refused);
     CPPUNIT_TEST(store_rows_valid_are_decoded);
+    CPPUNIT_TEST(read_from_odd_key_encodes_the_key);
     CPPUNIT_TEST(store_row_with_unreadable_value_is_kept_without_value);
     CPPUNIT_TEST(store_reply_status_decodes_to_its_outcome);
     CPPUNIT_TEST(store_row_value_is_encoded_in_base64);
@@ -378,6 +379,18 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(51230), rows.m_clock_ms);
     }
 
+    // Guards against a read that cannot go on after an odd key, or changes its meaning.
+    void read_from_odd_key_encodes_the_key()
+    {
+        http::request const sent =
+            m_wire.m_encode_read(gateway::store_table::upstreams,
+                                 std::string("a&limit=1 %#+\r\nX: \xc3\xb6-._~!"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("table=servers&part=&limit=500&"
+                        "from=a%26limit%3D1%20%25%23%2B%0D%0AX%3A%20%C3%B6-._~%21"),
+            sent.m_query);
+    }
+
     // Guards against an entry that is kept as it was after another writer changed it.
     void store_row_with_unreadable_value_is_kept_without_value()
     {
