Use no upstream of a service that no kind of work names

An entry of another writer may name any service. Such an upstream was claimed and got tasks (ROUTE on the platform). Upstreams are now assigned and composed into the configuration only when a kind of work names their service, or names none (any service). One line says so (upstream_without_kind). An upstream whose service is no longer named ends its runs and is released.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -77,6 +77,8 @@
     lease::lease_state m_sessions;
     /// Configuration as published, without the registered upstreams.
     std::shared_ptr<config::fleet_configuration const> m_base_configuration;
+    /// Services that the kinds of work name. The empty name stands for any service.
+    std::set<std::string, std::less<>> m_services;
     std::map<std::string, discovered_upstream, std::less<>> m_upstreams; ///< by name
     /// Upstreams whose registration is gone, with the time at which that was seen.
     std::map<std::string, time_point, std::less<>> m_unregistered_since;
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -71,6 +71,19 @@
     }
 }
 
+/// \returns true when a kind of work may run on upstreams of \p service. An entry of
+/// another writer may name any service.
+bool is_used_service(leasing_state const & leasing, std::string_view service)
+{
+    return leasing.m_services.contains(service) || leasing.m_services.contains("");
+}
+
+void log_unused_service(step_context & context, config::upstream const & upstream)
+{
+    context.m_actions.emplace_back(log_event{
+        "upstream_without_kind", upstream.m_name, {}, "service=" + upstream.m_service});
+}
+
 /// Applies the base configuration extended by the registered upstreams.
 void compose_configuration(step_context & context)
 {
@@ -83,7 +96,10 @@
         *state.m_leasing.m_base_configuration);
     for (auto const & [name, upstream] : state.m_leasing.m_upstreams)
     {
-        composed->m_upstreams.push_back(upstream.m_definition);
+        if (is_used_service(state.m_leasing, upstream.m_definition.m_service))
+        {
+            composed->m_upstreams.push_back(upstream.m_definition);
+        }
     }
     dispatch::apply_configuration(state.m_dispatch, std::move(composed));
     schedule_upstream_assignment(context);
@@ -182,7 +198,10 @@
     std::vector<membership::placed_name> upstreams;
     for (auto const & [name, upstream] : state.m_leasing.m_upstreams)
     {
-        upstreams.push_back({name, upstream.m_definition.m_domain});
+        if (is_used_service(state.m_leasing, upstream.m_definition.m_service))
+        {
+            upstreams.push_back({name, upstream.m_definition.m_domain});
+        }
     }
     std::vector<std::size_t> const assigned =
         membership::assign_in_domains(candidates, upstreams);
@@ -379,8 +398,15 @@
         discovered_upstream & known = leasing.m_upstreams[upstream.m_definition.m_name];
         if (known != upstream)
         {
+            bool const has_other_service =
+                known.m_definition.m_service != upstream.m_definition.m_service;
             known = std::move(upstream);
             changed = true;
+            if (has_other_service && leasing.m_base_configuration &&
+                !is_used_service(leasing, known.m_definition.m_service))
+            {
+                log_unused_service(context, known.m_definition);
+            }
         }
     }
     if (changed)
@@ -426,6 +452,18 @@
                   {}});
     state.m_leasing.m_base_configuration = std::move(changed.m_configuration);
     state.m_document = std::move(changed.m_document);
+    state.m_leasing.m_services.clear();
+    for (config::work_kind const & kind : state.m_leasing.m_base_configuration->m_kinds)
+    {
+        state.m_leasing.m_services.insert(kind.m_service);
+    }
+    for (auto const & [name, upstream] : state.m_leasing.m_upstreams)
+    {
+        if (!is_used_service(state.m_leasing, upstream.m_definition.m_service))
+        {
+            log_unused_service(context, upstream.m_definition);
+        }
+    }
     compose_configuration(context);
 }
 
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -118,14 +118,14 @@
 
     std::vector<lease::upstream_call> m_open_renewals;
 
-    void configure(std::uint64_t version = 1)
+    void configure(std::uint64_t version = 1, std::string const & service = "pool")
     {
         auto result = std::make_shared<config::fleet_configuration>();
         result->m_version = version;
         config::work_kind kind;
         kind.m_name = "check";
         kind.m_restartable = true;
-        kind.m_service = "pool";
+        kind.m_service = service;
         result->m_kinds = {kind};
         config::tenant tenant;
         tenant.m_name = "pool";
@@ -134,7 +134,8 @@
         handle(configuration_changed{std::move(result), "document"});
     }
 
-    void discover(std::vector<std::string> const & names)
+    void discover(std::vector<std::string> const & names,
+                  std::string const & service = "pool")
     {
         upstreams_discovered discovered;
         for (std::string const & name : names)
@@ -143,7 +144,7 @@
             upstream.m_definition.m_name = name;
             upstream.m_definition.m_address = name + ":1";
             upstream.m_definition.m_domain = "north";
-            upstream.m_definition.m_service = "pool";
+            upstream.m_definition.m_service = service;
             discovered.m_upstreams.push_back(std::move(upstream));
         }
         handle(std::move(discovered));
@@ -349,6 +350,8 @@
     CPPUNIT_TEST(upstream_without_registration_is_used_for_grace_period);
     CPPUNIT_TEST(run_for_failed_peer_is_stopped);
     CPPUNIT_TEST(draining_instance_releases_its_upstreams);
+    CPPUNIT_TEST(upstream_of_service_without_kind_is_claimed_once_a_kind_names_it);
+    CPPUNIT_TEST(upstream_of_service_without_kind_is_logged_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -513,6 +516,35 @@
         CPPUNIT_ASSERT(!take_calls<lease::stop_call>().empty());
     }
 
+    // Guards against tasks on an upstream of a service that no route leads to.
+    void upstream_of_service_without_kind_is_claimed_once_a_kind_names_it()
+    {
+        start_without_peers();
+        discover({"other-1"}, "other");
+        advance_time(500ms);
+        CPPUNIT_ASSERT(!m_state.m_leasing.m_sessions.m_sessions.contains("other-1"));
+        configure(2, "other");
+        advance_time(500ms);
+        CPPUNIT_ASSERT(m_state.m_leasing.m_sessions.m_sessions.contains("other-1"));
+    }
+
+    // Guards against an upstream that is left out without a trace.
+    void upstream_of_service_without_kind_is_logged_once()
+    {
+        start_without_peers();
+        for (int repetition = 0; repetition < 3; ++repetition)
+        {
+            discover({"other-1"}, "other");
+            advance_time(300ms);
+        }
+        auto const lines = take_actions<log_event>();
+        CPPUNIT_ASSERT_EQUAL(
+            std::ptrdiff_t(1),
+            std::count_if(lines.begin(), lines.end(),
+                          [](log_event const & line)
+                          { return line.m_code == "upstream_without_kind"; }));
+    }
+
     void draining_instance_releases_its_upstreams()
     {
         start_without_peers();
--- a/tests/gateway_registration_test.cpp
+++ b/tests/gateway_registration_test.cpp
@@ -104,6 +104,7 @@
             {"born-largest", with("born", ~std::uint64_t(0))},
             {"born-with-fraction", with("born", 1.5)},
             {"seq-of-other-type", with("seq", "x")},
+            {"service-unknown", with("service", "other")},
             {"nested-arrays", with_text("\"extra\":" + nested(100'000, "[", "]"))},
             {"nested-objects", with_text("\"labels\":" + nested(30'000, "{\"a\":", "}"))},
             {"not-utf-8", "\xff\xfe\x01"},
