Take no run as ended because of the address that its upstream left

Cause: an upstream that registers the same start time at a new address keeps its runs (upstream_moved), and keeps its token. Calls to the old address that were still under way counted for the session all the same. When another upstream answered there (421), the session reported its runs as interrupted (upstream_replaced) although they went on at the new address, so that their tasks could be started elsewhere.

Change: a pending call records the address that it was sent to. A 421 from an address that the session has left ends nothing: a renewal counts as lost and is sent again, to the new address; a start was refused there and is not run.

Tests: reply_from_address_left_reports_no_run_as_ended failed before (the run was reported), start_refused_at_address_left_is_not_run failed before (unknown instead of not run).

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -90,6 +90,7 @@
 struct pending_call
 {
     std::string m_upstream;
+    std::string m_address; ///< address that the call was sent to
     std::uint64_t m_token = 0;
     task_name m_task; ///< task of a start or a stop
     /// Generation of the run (run_name::m_generation) to start or stop; 0: the call is a
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -16,6 +16,7 @@
     upstream_session const & session = context.m_session;
     call_number const number = context.m_state.m_next_call++;
     pending.m_upstream = session.m_name;
+    pending.m_address = session.m_address;
     pending.m_token = session.m_token;
     pending.m_sent_at = context.m_now;
     context.m_state.m_pending.emplace(number, std::move(pending));
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -214,7 +214,8 @@
 
 /// Processes outcomes that end the claim on the upstream.
 /// \returns false for every other outcome.
-bool receive_session_failure(session_context & context, call_outcome outcome)
+bool receive_session_failure(session_context & context, pending_call const & call,
+                             call_outcome outcome)
 {
     switch (outcome)
     {
@@ -223,6 +224,10 @@
         lose_claim(context, attempt_outcome::unknown, "upstream_fenced");
         return true;
     case call_outcome::other_incarnation:
+        if (call.m_address != context.m_session.m_address)
+        {
+            return false; // the runs continue at the address that has been registered
+        }
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         return true;
     default:
@@ -499,7 +504,7 @@
         internal::log_session(context, "unexpected_clock", call.m_task.m_job,
                               internal::describe_clock(session, *reply.m_clock, now));
     }
-    if (internal::receive_session_failure(context, reply.m_outcome))
+    if (internal::receive_session_failure(context, call, reply.m_outcome))
     {
         internal::drop_released(state, out);
         return;
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -205,6 +205,8 @@
     CPPUNIT_TEST(list_without_incarnation_ends_no_run);
     CPPUNIT_TEST(registration_of_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(address_of_same_incarnation_keeps_runs);
+    CPPUNIT_TEST(reply_from_address_left_reports_no_run_as_ended);
+    CPPUNIT_TEST(start_refused_at_address_left_is_not_run);
     CPPUNIT_TEST(released_upstream_is_claimed_again_with_higher_token);
     CPPUNIT_TEST_SUITE_END();
 
@@ -331,6 +333,34 @@
                              take_call<start_call>().m_address);
     }
 
+    // Guards against a run that goes on at the new address and is reported as ended,
+    // because another upstream answers at the old one.
+    void reply_from_address_left_reports_no_run_as_ended()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_confirmed_run(0);
+        assign_upstream_at("10.0.0.2:1", 1);
+        reply(take_call<renew_call>(), call_outcome::other_incarnation);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        advance_by(10ms);
+        auto const renewal = take_call<renew_call>();
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:1"), renewal.m_address);
+        reply_to_renewal(renewal, {{make_run_name(0), 5}});
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+    }
+
+    // Guards against an outcome that is unknown although the start was refused.
+    void start_refused_at_address_left_is_not_run()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        assign_upstream_at("10.0.0.2:1", 1);
+        reply(take_call<start_call>(), call_outcome::other_incarnation);
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::not_run);
+        CPPUNIT_ASSERT(is_available());
+    }
+
     // A reply to the first session, or a start that is carried out late, would count for
     // the second one if their tokens were equal.
     void released_upstream_is_claimed_again_with_higher_token()
