Take no start time from another upstream at the address

Cause: a reply with 421 comes from another upstream, which has taken the address. A start time in it counted as the one of the session's upstream: a later one was logged as upstream_restarted, and from then on every reply of the session's upstream, back at the address, was stale, and its registration outdated, so that it was never served again.

Change: a reply with 421 reports neither a start time nor a clock of the session's upstream.

Test: incarnation_of_other_upstream_at_address_is_ignored failed before (upstream_restarted instead of upstream_replaced).

--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -116,6 +116,12 @@
     return counts;
 }
 
+/// \returns the start time of the session's upstream that \p reply reports, or 0.
+std::uint64_t reported_incarnation(upstream_reply const & reply) noexcept
+{
+    return reply.m_outcome == call_outcome::other_incarnation ? 0 : reply.m_incarnation;
+}
+
 /// \returns true when \p reply does not tell the state of the session's incarnation: it
 /// is from an earlier one, or lists runs without saying whose they are.
 /// \pre \p reply is not from a later incarnation.
@@ -124,8 +130,8 @@
 {
     bool const lists_runs =
         call.m_generation == 0 && reply.m_outcome == call_outcome::accepted;
-    return (lists_runs || reply.m_incarnation != 0) &&
-           reply.m_incarnation != session.m_incarnation;
+    std::uint64_t const incarnation = reported_incarnation(reply);
+    return (lists_runs || incarnation != 0) && incarnation != session.m_incarnation;
 }
 
 /// \returns true when the session's incarnation of the upstream is known to have sent
@@ -134,6 +140,10 @@
                          upstream_reply const & reply, time_point now) noexcept
 {
     bool const is_renewal = call.m_generation == 0;
+    if (reply.m_outcome == call_outcome::other_incarnation)
+    {
+        return false;
+    }
     if (is_renewal || reply.m_incarnation != 0)
     {
         return reply.m_incarnation == session.m_incarnation;
@@ -471,7 +481,7 @@
     internal::session_context context{state, session, now, out};
     bool const is_start_or_stop = call.m_generation != 0;
     bool const current = session.m_renewal == reply.m_number;
-    if (reply.m_incarnation > session.m_incarnation)
+    if (internal::reported_incarnation(reply) > session.m_incarnation)
     {
         bool const accepted_claim = current &&
                                     session.m_phase == session_phase::claiming &&
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -207,6 +207,7 @@
     CPPUNIT_TEST(address_of_same_incarnation_keeps_runs);
     CPPUNIT_TEST(reply_from_address_left_reports_no_run_as_ended);
     CPPUNIT_TEST(start_refused_at_address_left_is_not_run);
+    CPPUNIT_TEST(incarnation_of_other_upstream_at_address_is_ignored);
     CPPUNIT_TEST(released_upstream_is_claimed_again_with_higher_token);
     CPPUNIT_TEST_SUITE_END();
 
@@ -361,6 +362,21 @@
         CPPUNIT_ASSERT(is_available());
     }
 
+    // Guards against a session that takes every later reply of its upstream for one of
+    // an earlier incarnation.
+    void incarnation_of_other_upstream_at_address_is_ignored()
+    {
+        claim_upstream();
+        upstream_reply refusal =
+            make_reply(take_call<renew_call>(), call_outcome::other_incarnation);
+        refusal.m_incarnation = restarted;
+        receive(m_state, refusal, m_now, m_out);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("upstream_replaced"));
+        advance_by(300ms);
+        reply(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+    }
+
     // A reply to the first session, or a start that is carried out late, would count for
     // the second one if their tokens were equal.
     void released_upstream_is_claimed_again_with_higher_token()
