End no runs because of a registration without a start time

Cause: an entry of another writer under the name of an upstream, complete but for the start time and with another usable address, is decoded as a registration, since the start time may be missing. The session took the address for that of a replaced upstream and reported its runs as interrupted while they went on, so that their tasks were started elsewhere.

Change: where the upstream itself reports a start time, a registration without one says nothing about its runs. Its address is only used once the upstream is not served and has no run here. Where neither reports a start time, another address still means a replaced upstream.

Tests: registration_without_incarnation_leaves_served_upstream_alone failed before (the run was reported as interrupted). registration_without_incarnation_is_followed_after_lapse passed before, too; it guards against a session that never leaves an address at which nobody answers.

--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -346,8 +346,13 @@
     bool const outdated = comparable && owned.m_incarnation < session.m_incarnation;
     bool const restarted = comparable && owned.m_incarnation > session.m_incarnation;
     bool const moved = !outdated && session.m_address != owned.m_address;
+    // The registration of an upstream that reports its start time names it, too. Another
+    // writer's entry must not end the runs of an upstream that still replies.
+    bool const doubtful = owned.m_incarnation == 0 && session.m_incarnation != 0;
+    bool const unused =
+        session.m_phase != session_phase::serving && session.m_runs.empty();
     session.m_wanted = true;
-    if (restarted || (moved && !comparable))
+    if (restarted || (moved && !comparable && !doubtful))
     {
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         session.m_address = owned.m_address;
@@ -355,7 +360,7 @@
         session.m_clock_at = {};
         claim(context, token);
     }
-    else if (moved)
+    else if (moved && (!doubtful || unused))
     {
         log_session(context, "upstream_moved", {}, "address=" + owned.m_address);
         session.m_address = owned.m_address;
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -2,6 +2,8 @@
 
 #include "lease_fixture.hpp"
 
+#include <utility>
+
 namespace cassiahub::lease
 {
 
@@ -207,6 +209,8 @@
     CPPUNIT_TEST(address_of_same_incarnation_keeps_runs);
     CPPUNIT_TEST(reply_from_address_left_reports_no_run_as_ended);
     CPPUNIT_TEST(start_refused_at_address_left_is_not_run);
+    CPPUNIT_TEST(registration_without_incarnation_leaves_served_upstream_alone);
+    CPPUNIT_TEST(registration_without_incarnation_is_followed_after_lapse);
     CPPUNIT_TEST(incarnation_of_other_upstream_at_address_is_ignored);
     CPPUNIT_TEST(released_upstream_is_claimed_again_with_higher_token);
     CPPUNIT_TEST_SUITE_END();
@@ -362,6 +366,41 @@
         CPPUNIT_ASSERT(is_available());
     }
 
+    // Guards against a run that is reported as ended because of an entry of another
+    // writer, which lacks the start time that the upstream itself reports.
+    void registration_without_incarnation_leaves_served_upstream_alone()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_confirmed_run(0);
+        assign_upstream_at("10.0.0.2:1", 0);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+        start_run(1);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:1"),
+                             take_call<start_call>().m_address);
+    }
+
+    // Guards against a session that keeps calling an address at which nobody answers.
+    void registration_without_incarnation_is_followed_after_lapse()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_confirmed_run(0);
+        reply(take_call<renew_call>(), call_outcome::lost);
+        advance_by(3s);
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::interrupted);
+        std::vector<upstream_call> const unanswered = std::exchange(m_out.m_calls, {});
+        assign_upstream_at("10.0.0.2:1", 0);
+        for (upstream_call const & call : unanswered)
+        {
+            reply(call, call_outcome::lost);
+        }
+        advance_by(300ms);
+        auto const claim = take_call<renew_call>();
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:1"), claim.m_address);
+        reply_as_restarted(claim);
+        CPPUNIT_ASSERT(is_available());
+    }
+
     // Guards against a session that takes every later reply of its upstream for one of
     // an earlier incarnation.
     void incarnation_of_other_upstream_at_address_is_ignored()
