--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -116,6 +116,12 @@
     return counts;
 }
 
+/// \returns the start time of the session's upstream that \p reply reports, or 0.
+std::uint64_t reported_incarnation(upstream_reply const & reply) noexcept
+{
+    return reply.m_outcome == call_outcome::other_incarnation ? 0 : reply.m_incarnation;
+}
+
 /// \returns true when \p reply does not tell the state of the session's incarnation: it
 /// is from an earlier one, or lists runs without saying whose they are.
 /// \pre \p reply is not from a later incarnation.
@@ -124,8 +130,8 @@
 {
     bool const lists_runs =
         call.m_generation == 0 && reply.m_outcome == call_outcome::accepted;
-    return (lists_runs || reply.m_incarnation != 0) &&
-           reply.m_incarnation != session.m_incarnation;
+    std::uint64_t const incarnation = reported_incarnation(reply);
+    return (lists_runs || incarnation != 0) && incarnation != session.m_incarnation;
 }
 
 /// \returns true when the session's incarnation of the upstream is known to have sent
@@ -134,6 +140,10 @@
                          upstream_reply const & reply, time_point now) noexcept
 {
     bool const is_renewal = call.m_generation == 0;
+    if (reply.m_outcome == call_outcome::other_incarnation)
+    {
+        return false;
+    }
     if (is_renewal || reply.m_incarnation != 0)
     {
         return reply.m_incarnation == session.m_incarnation;
@@ -214,7 +224,8 @@
 
 /// Processes outcomes that end the claim on the upstream.
 /// \returns false for every other outcome.
-bool receive_session_failure(session_context & context, call_outcome outcome)
+bool receive_session_failure(session_context & context, pending_call const & call,
+                             call_outcome outcome)
 {
     switch (outcome)
     {
@@ -223,6 +234,10 @@
         lose_claim(context, attempt_outcome::unknown, "upstream_fenced");
         return true;
     case call_outcome::other_incarnation:
+        if (call.m_address != context.m_session.m_address)
+        {
+            return false; // the runs continue at the address that has been registered
+        }
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         return true;
     default:
@@ -331,8 +346,13 @@
     bool const outdated = comparable && owned.m_incarnation < session.m_incarnation;
     bool const restarted = comparable && owned.m_incarnation > session.m_incarnation;
     bool const moved = !outdated && session.m_address != owned.m_address;
+    // The registration of an upstream that reports its start time names it, too. Another
+    // writer's entry must not end the runs of an upstream that still replies.
+    bool const doubtful = owned.m_incarnation == 0 && session.m_incarnation != 0;
+    bool const unused =
+        session.m_phase != session_phase::serving && session.m_runs.empty();
     session.m_wanted = true;
-    if (restarted || (moved && !comparable))
+    if (restarted || (moved && !comparable && !doubtful))
     {
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         session.m_address = owned.m_address;
@@ -340,7 +360,7 @@
         session.m_clock_at = {};
         claim(context, token);
     }
-    else if (moved)
+    else if (moved && (!doubtful || unused))
     {
         log_session(context, "upstream_moved", {}, "address=" + owned.m_address);
         session.m_address = owned.m_address;
@@ -466,7 +486,7 @@
     internal::session_context context{state, session, now, out};
     bool const is_start_or_stop = call.m_generation != 0;
     bool const current = session.m_renewal == reply.m_number;
-    if (reply.m_incarnation > session.m_incarnation)
+    if (internal::reported_incarnation(reply) > session.m_incarnation)
     {
         bool const accepted_claim = current &&
                                     session.m_phase == session_phase::claiming &&
@@ -499,7 +519,7 @@
         internal::log_session(context, "unexpected_clock", call.m_task.m_job,
                               internal::describe_clock(session, *reply.m_clock, now));
     }
-    if (internal::receive_session_failure(context, reply.m_outcome))
+    if (internal::receive_session_failure(context, call, reply.m_outcome))
     {
         internal::drop_released(state, out);
         return;
