Count a renewal whose lists cannot be read as lost

Cause: a renewal reply with status 200 whose body could not be read, or without `running`, or with a row of it that could not be parsed, counted as a list without that run. Runs that went on were reported as interrupted. A claim whose reply had no clock was accepted, so that leases were computed without one.

Change: the decoder says why the lists are incomplete (upstream_reply::m_lists_error); both lists must be there and every row readable. The session counts such a renewal, and one without a clock, as lost and logs the reason (reply_ignored, which also covers replies of an earlier incarnation).

Tests: three cases each in lease_loss_test and platform_wire_test, and a stricter reply_with_malformed_rows_omits_them.

--- a/include/cassiahub/lease/call.hpp
+++ b/include/cassiahub/lease/call.hpp
@@ -79,6 +79,8 @@
     std::uint64_t m_incarnation = 0;   ///< start time of the upstream; 0: not reported
     std::vector<listed_run> m_running; ///< active runs; only for a renew_call
     std::vector<listed_end> m_ended;   ///< ended runs; only for a renew_call
+    /// Why the two lists are incomplete; empty: they are complete. Only for a renew_call.
+    std::string m_lists_error;
 };
 
 } // namespace cassiahub::lease
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -116,16 +116,29 @@
     return counts;
 }
 
-/// \returns true when \p reply does not tell the state of the session's incarnation: it
-/// is from an earlier one, or lists runs without saying whose they are.
+/// \returns why \p reply does not tell the state of the session's incarnation; empty when
+/// it does.
 /// \pre \p reply is not from a later incarnation.
-bool is_stale(upstream_session const & session, pending_call const & call,
-              upstream_reply const & reply) noexcept
+std::string find_defect(upstream_session const & session, pending_call const & call,
+                        upstream_reply const & reply)
 {
     bool const lists_runs =
         call.m_generation == 0 && reply.m_outcome == call_outcome::accepted;
-    return (lists_runs || reply.m_incarnation != 0) &&
-           reply.m_incarnation != session.m_incarnation;
+    if (lists_runs && !reply.m_lists_error.empty())
+    {
+        return reply.m_lists_error;
+    }
+    if (lists_runs && !reply.m_clock)
+    {
+        return "no clock";
+    }
+    if ((lists_runs || reply.m_incarnation != 0) &&
+        reply.m_incarnation != session.m_incarnation)
+    {
+        return fmt::format("incarnation={} expected={}", reply.m_incarnation,
+                           session.m_incarnation);
+    }
+    return {};
 }
 
 /// \returns true when the session's incarnation of the upstream is known to have sent
@@ -446,11 +459,11 @@
             return;
         }
     }
-    if (internal::is_stale(session, call, reply))
+    std::string defect = internal::find_defect(session, call, reply);
+    if (!defect.empty())
     {
-        internal::log_session(context, "stale_reply", {},
-                              fmt::format("incarnation={} expected={}",
-                                          reply.m_incarnation, session.m_incarnation));
+        internal::log_session(context, "reply_ignored", call.m_task.m_job,
+                              std::move(defect));
         if (current)
         {
             internal::receive_lost_renewal(context);
--- a/tests/lease_loss_test.cpp
+++ b/tests/lease_loss_test.cpp
@@ -19,8 +19,26 @@
     CPPUNIT_TEST(overdue_renewal_is_repeated_only_once);
     CPPUNIT_TEST(renewal_after_loss_waits_less);
     CPPUNIT_TEST(replies_after_scheduling_stall_are_not_overdue);
+    CPPUNIT_TEST(renewal_with_incomplete_lists_counts_as_lost);
+    CPPUNIT_TEST(renewal_without_clock_counts_as_lost);
+    CPPUNIT_TEST(claim_with_incomplete_lists_is_repeated);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Starts a run that a renewal has listed.
+    attempt_id start_listed_run()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        reply(take_call<start_call>());
+        for (int renewal = 0; renewal < 2; ++renewal)
+        {
+            m_now += 5ms;
+            reply_to_renewal(take_call<renew_call>(), {{make_run_name(0), 5}});
+        }
+        m_now += 5ms;
+        return attempt;
+    }
+
 public:
     // A job ends with its last task, so a lost start has to be detected within a fraction
     // of the run time of a short task.
@@ -98,6 +116,49 @@
         advance_by(80ms);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_calls<stop_call>());
     }
+
+    // Guards against a task that runs twice: a list that could not be read counted as one
+    // without the run, and the task was started elsewhere.
+    void renewal_with_incomplete_lists_counts_as_lost()
+    {
+        attempt_id const attempt = start_listed_run();
+        upstream_reply incomplete =
+            make_reply(take_call<renew_call>(), call_outcome::accepted);
+        incomplete.m_lists_error = "no list of running";
+        receive(m_state, incomplete, m_now, m_out);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(!is_available());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("reply_ignored"));
+        advance_by(10ms);
+        reply_to_renewal(take_call<renew_call>(), {{make_run_name(0), 10}});
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        CPPUNIT_ASSERT(is_available());
+    }
+
+    // Guards against a lease that is computed without a reading of the upstream's clock.
+    void renewal_without_clock_counts_as_lost()
+    {
+        assign_upstream();
+        upstream_reply reply =
+            make_reply(take_call<renew_call>(), call_outcome::accepted);
+        reply.m_clock.reset();
+        receive(m_state, reply, m_now, m_out);
+        CPPUNIT_ASSERT(m_out.m_availability.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("reply_ignored"));
+    }
+
+    void claim_with_incomplete_lists_is_repeated()
+    {
+        assign_upstream();
+        upstream_reply incomplete =
+            make_reply(take_call<renew_call>(), call_outcome::accepted);
+        incomplete.m_lists_error = "1 malformed rows of running";
+        receive(m_state, incomplete, m_now, m_out);
+        CPPUNIT_ASSERT(m_out.m_availability.empty());
+        advance_by(10ms);
+        reply(take_call<renew_call>());
+        CPPUNIT_ASSERT(is_available());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lease_loss_test);
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -302,7 +302,7 @@
         advance_by(600ms);
         reply_as(0, take_call<renew_call>(), clock_at_start + 600);
         CPPUNIT_ASSERT(!outcome_of(attempt));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("stale_reply"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("reply_ignored"));
     }
 
     void registration_of_earlier_incarnation_is_ignored()
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -201,6 +201,9 @@
     CPPUNIT_TEST(reply_with_lists_is_decoded);
     CPPUNIT_TEST(reply_refused_decodes_to_its_reason);
     CPPUNIT_TEST(reply_with_malformed_rows_omits_them);
+    CPPUNIT_TEST(reply_with_both_lists_is_complete);
+    CPPUNIT_TEST(reply_with_unreadable_list_is_incomplete);
+    CPPUNIT_TEST(reply_with_percent_out_of_range_is_limited);
     CPPUNIT_TEST(reply_random_bytes_never_throws);
     CPPUNIT_TEST(upstream_registration_valid_is_decoded);
     CPPUNIT_TEST(upstream_registration_malformed_is_ignored);
@@ -296,6 +299,43 @@
                       R"("ended":[["1","a.0.0.0",1,"done"],[1,"a.0.0",1,"done"]]})");
         CPPUNIT_ASSERT(reply.m_running.empty());
         CPPUNIT_ASSERT(reply.m_ended.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("4 malformed rows of running"),
+                             reply.m_lists_error);
+    }
+
+    void reply_with_both_lists_is_complete()
+    {
+        CPPUNIT_ASSERT(read(200, R"({"clock-ms":1,"born":9,"running":[],"ended":[]})")
+                           .m_lists_error.empty());
+        CPPUNIT_ASSERT(read(200,
+                            R"({"running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41]],)"
+                            R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"new","",0]]})")
+                           .m_lists_error.empty());
+    }
+
+    // Guards against a task that runs twice: a list that could not be read counted as one
+    // without the run, and the task was started elsewhere.
+    void reply_with_unreadable_list_is_incomplete()
+    {
+        for (char const * const body :
+             {"", "{", "[]", "{}", R"({"clock-ms":1,"running":[]})",
+              R"({"clock-ms":1,"ended":[]})", R"({"running":{},"ended":[]})",
+              R"({"running":null,"ended":[]})", R"({"running":[],"ended":[[1]]})",
+              R"({"running":[["a.0.0.0",1,"",5],["a.0.0",1,"",5]],"ended":[]})",
+              R"({"running":[["a.0.0.0",-1,"",5]],"ended":[]})",
+              R"({"running":[["a.0.0.0",1,""]],"ended":[]})"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(body, !read(200, body).m_lists_error.empty());
+        }
+    }
+
+    void reply_with_percent_out_of_range_is_limited()
+    {
+        lease::upstream_reply const reply =
+            read(200, R"({"running":[["a.0.0.0",1,"",-3],["b.0.0.0",1,"",1e300]],)"
+                      R"("ended":[]})");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), reply.m_running.at(0).m_percent);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(100), reply.m_running.at(1).m_percent);
     }
 
     void reply_random_bytes_never_throws()
