Report a start refused by a fence or another upstream as not run

What callers saw: a job failed as unknown (502) although the start of its task had been refused.

Cause: the reply that ended the claim finished all runs at once, also the one whose start it had refused. A minion does nothing for a lower token, and another upstream at the address answers 421 instead of starting; so this run is known not to run.

Change: the outcome of the start itself is processed before the claim ends.

Tests: fenced_start_is_not_run and start_refused_by_other_upstream_is_not_run failed before (outcome unknown).

--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -481,16 +481,17 @@
         internal::log_session(context, "unexpected_clock", call.m_task.m_job,
                               internal::describe_clock(session, *reply.m_clock, now));
     }
-    if (internal::receive_session_failure(context, reply.m_outcome))
-    {
-        internal::drop_released(state, out);
-        return;
-    }
     if (is_start_or_stop)
     {
+        // Before the claim ends: a start that was refused is known not to run.
         internal::receive_start_or_stop_reply(context, call, reply.m_outcome, confirmed);
     }
-    else if (reply.m_outcome == call_outcome::accepted)
+    if (internal::receive_session_failure(context, reply.m_outcome) || is_start_or_stop)
+    {
+        internal::drop_released(state, out);
+        return;
+    }
+    if (reply.m_outcome == call_outcome::accepted)
     {
         internal::receive_renewal(context, reply, call.m_sent_at, current);
     }
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(claim_with_run_of_earlier_owner_stops_it_before_starts);
     CPPUNIT_TEST(start_before_claim_is_not_run);
     CPPUNIT_TEST(fenced_renewal_reports_runs_as_unknown);
+    CPPUNIT_TEST(fenced_start_is_not_run);
+    CPPUNIT_TEST(start_refused_by_other_upstream_is_not_run);
     CPPUNIT_TEST(fenced_upstream_is_claimed_again_with_higher_token);
     CPPUNIT_TEST(unassigned_upstream_with_run_is_released_after_its_end);
     CPPUNIT_TEST(unassigned_idle_upstream_is_released_at_once);
@@ -73,6 +75,32 @@
         CPPUNIT_ASSERT(!is_available());
     }
 
+    // Guards against a job that fails as unknown although its start was refused.
+    void fenced_start_is_not_run()
+    {
+        claim_upstream();
+        attempt_id const open = start_run(0);
+        attempt_id const refused = start_run(1);
+        take_call<start_call>();
+        reply(take_call<start_call>(), call_outcome::fenced);
+        CPPUNIT_ASSERT(outcome_of(refused) == dispatch::attempt_outcome::not_run);
+        CPPUNIT_ASSERT(outcome_of(open) == dispatch::attempt_outcome::unknown);
+        CPPUNIT_ASSERT(!is_available());
+    }
+
+    // Guards against a job that fails as unknown although its start was refused.
+    void start_refused_by_other_upstream_is_not_run()
+    {
+        claim_upstream();
+        attempt_id const open = start_run(0);
+        attempt_id const refused = start_run(1);
+        take_call<start_call>();
+        reply(take_call<start_call>(), call_outcome::other_incarnation);
+        CPPUNIT_ASSERT(outcome_of(refused) == dispatch::attempt_outcome::not_run);
+        CPPUNIT_ASSERT(outcome_of(open) == dispatch::attempt_outcome::unknown);
+        CPPUNIT_ASSERT(!is_available());
+    }
+
     void fenced_upstream_is_claimed_again_with_higher_token()
     {
         claim_upstream();
