--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -122,16 +122,29 @@
     return reply.m_outcome == call_outcome::other_incarnation ? 0 : reply.m_incarnation;
 }
 
-/// \returns true when \p reply does not tell the state of the session's incarnation: it
-/// is from an earlier one, or lists runs without saying whose they are.
+/// \returns why \p reply does not tell the state of the session's incarnation; empty when
+/// it does.
 /// \pre \p reply is not from a later incarnation.
-bool is_stale(upstream_session const & session, pending_call const & call,
-              upstream_reply const & reply) noexcept
+std::string find_defect(upstream_session const & session, pending_call const & call,
+                        upstream_reply const & reply)
 {
     bool const lists_runs =
         call.m_generation == 0 && reply.m_outcome == call_outcome::accepted;
+    if (lists_runs && !reply.m_lists_error.empty())
+    {
+        return reply.m_lists_error;
+    }
+    if (lists_runs && !reply.m_clock)
+    {
+        return "no clock";
+    }
     std::uint64_t const incarnation = reported_incarnation(reply);
-    return (lists_runs || incarnation != 0) && incarnation != session.m_incarnation;
+    if ((lists_runs || incarnation != 0) && incarnation != session.m_incarnation)
+    {
+        return fmt::format("incarnation={} expected={}", incarnation,
+                           session.m_incarnation);
+    }
+    return {};
 }
 
 /// \returns true when the session's incarnation of the upstream is known to have sent
@@ -497,11 +510,11 @@
             return;
         }
     }
-    if (internal::is_stale(session, call, reply))
+    std::string defect = internal::find_defect(session, call, reply);
+    if (!defect.empty())
     {
-        internal::log_session(context, "stale_reply", {},
-                              fmt::format("incarnation={} expected={}",
-                                          reply.m_incarnation, session.m_incarnation));
+        internal::log_session(context, "reply_ignored", call.m_task.m_job,
+                              std::move(defect));
         if (current)
         {
             internal::receive_lost_renewal(context);
@@ -519,16 +532,18 @@
         internal::log_session(context, "unexpected_clock", call.m_task.m_job,
                               internal::describe_clock(session, *reply.m_clock, now));
     }
-    if (internal::receive_session_failure(context, call, reply.m_outcome))
-    {
-        internal::drop_released(state, out);
-        return;
-    }
     if (is_start_or_stop)
     {
+        // Before the claim ends: a start that was refused is known not to run.
         internal::receive_start_or_stop_reply(context, call, reply.m_outcome, confirmed);
     }
-    else if (reply.m_outcome == call_outcome::accepted)
+    if (internal::receive_session_failure(context, call, reply.m_outcome) ||
+        is_start_or_stop)
+    {
+        internal::drop_released(state, out);
+        return;
+    }
+    if (reply.m_outcome == call_outcome::accepted)
     {
         internal::receive_renewal(context, reply, call.m_sent_at, current);
     }
