Refuse a job whose earlier runs have not ended

Cause: an instance that had answered a job, or whose caller had left, accepted the job again while its runs were still being stopped here or at a peer, and started the tasks on another upstream at once. The same held at an instance that ran the first copy for another one.

Change: such a job is refused as not run, with 503 and Retry-After, until the runs have ended (log line job_still_running).

--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -67,6 +67,10 @@
 void cancel_job(dispatch_state & state, job_key const & key, time_point now,
                 effects & out);
 
+/// \returns true while an attempt of an earlier job \p key (job_key::m_key) is cancelled
+/// but has not ended, or a task of that job is queued here for another instance.
+bool has_unfinished_attempts(dispatch_state const & state, std::string_view key);
+
 /// Processes the result of an attempt that was started here or forwarded to a peer. A
 /// result of an attempt that is not running (late, superseded, never started) is dropped
 /// and counted as a wasted message.
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -102,7 +102,8 @@
     double m_slots = 1;            ///< slots whose resources the task uses
     bool m_hedge_deferred = false; ///< the second delay of a straggler has begun
     bool m_probe = false;
-    bool m_cancelled = false; ///< its result is not needed; it still occupies its slot
+    bool m_cancelled = false;    ///< its result is not needed; it still occupies its slot
+    std::string m_cancelled_key; ///< job_key::m_key of its job, set when it is cancelled
 };
 
 /// Allocation and health of an upstream that this instance owns, or that still runs
--- a/include/cassiahub/lease/sessions.hpp
+++ b/include/cassiahub/lease/sessions.hpp
@@ -71,6 +71,10 @@
 /// \param token fencing token for sessions that have to claim their upstream again.
 void advance(lease_state & state, std::uint64_t token, time_point now, effects & out);
 
+/// \returns true while a run of \p job (task_name::m_job) that this instance has started,
+/// for itself or for another one, is not known to have ended.
+bool has_runs(lease_state const & state, std::string_view job);
+
 /// \returns the names of the upstreams that this instance claims or owns, sorted.
 std::vector<std::string> held_upstreams(lease_state const & state);
 
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -302,6 +302,15 @@
         refuse(context, route, job_errc::store_unavailable);
         return;
     }
+    if (lease::has_runs(state.m_leasing.m_sessions, spec.m_key.m_key) ||
+        dispatch::has_unfinished_attempts(state.m_dispatch, spec.m_key.m_key))
+    {
+        // Runs of an earlier submission of the job are being stopped.
+        context.m_actions.emplace_back(
+            log_event{"job_still_running", spec.m_key.m_key, {}, {}});
+        refuse(context, route, job_errc::overloaded);
+        return;
+    }
     if (std::error_code const error =
             dispatch::check_admission(state.m_dispatch, spec, context.m_now))
     {
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -215,6 +215,7 @@
         if (id.m_serial != 0)
         {
             cancel_attempt(state, id, out);
+            state.m_attempts.at(id).m_cancelled_key = job.m_spec.m_key.m_key;
             id = {};
             --job.m_running_count;
         }
--- a/src/dispatch/cancellation.cpp
+++ b/src/dispatch/cancellation.cpp
@@ -3,6 +3,8 @@
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
+#include <algorithm>
+
 namespace cassiahub::dispatch
 {
 
@@ -15,4 +17,16 @@
     }
 }
 
+bool has_unfinished_attempts(dispatch_state const & state, std::string_view key)
+{
+    return std::any_of(state.m_attempts.begin(), state.m_attempts.end(),
+                       [key](auto const & entry) {
+                           return entry.second.m_cancelled &&
+                                  entry.second.m_cancelled_key == key;
+                       }) ||
+           std::any_of(state.m_forwarded.begin(), state.m_forwarded.end(),
+                       [key](auto const & entry)
+                       { return entry.second.m_start.m_job.m_key == key; });
+}
+
 } // namespace cassiahub::dispatch
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -450,6 +450,18 @@
     internal::drop_released(state, out);
 }
 
+bool has_runs(lease_state const & state, std::string_view job)
+{
+    return std::any_of(state.m_sessions.begin(), state.m_sessions.end(),
+                       [job](auto const & entry)
+                       {
+                           auto const & runs = entry.second.m_runs;
+                           return std::any_of(runs.begin(), runs.end(),
+                                              [job](auto const & run)
+                                              { return run.first.m_job == job; });
+                       });
+}
+
 std::vector<std::string> held_upstreams(lease_state const & state)
 {
     std::vector<std::string> names;
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -628,6 +628,10 @@
     CPPUNIT_TEST(job_after_suspension_is_not_started_before_disconnects_are_seen);
     CPPUNIT_TEST(job_after_suspension_is_started_after_catch_up);
     CPPUNIT_TEST(job_whose_time_limit_ended_in_suspension_is_not_started);
+    CPPUNIT_TEST(job_submitted_again_while_its_run_is_stopped_is_refused_as_not_run);
+    CPPUNIT_TEST(job_submitted_again_after_end_of_its_run_is_started);
+    CPPUNIT_TEST(job_submitted_again_while_peer_stops_its_run_is_refused_as_not_run);
+    CPPUNIT_TEST(job_that_runs_here_for_peer_is_refused_as_not_run);
     CPPUNIT_TEST(run_of_disconnected_caller_with_lost_stops_ends_before_resubmission);
     CPPUNIT_TEST_SUITE_END();
 
@@ -718,6 +722,45 @@
         return outcomes;
     }
 
+    /// Makes the peer the only place with capacity.
+    void offer_peer_slots()
+    {
+        heartbeat message;
+        message.m_incarnation = 9;
+        message.m_domain = "north";
+        message.m_peer_address = "peer:1";
+        message.m_sent_at = m_now;
+        message.m_load.m_free_slots = 8;
+        handle(peer_message_received{{"peer"}, std::move(message)});
+        dispatch::set_upstream_available(m_state.m_dispatch, held_upstreams().at(0),
+                                         false);
+    }
+
+    /// Removes the messages to the peer.
+    /// \returns the attempt of the only task among them.
+    attempt_id take_forwarded_attempt()
+    {
+        std::vector<attempt_id> attempts;
+        for (send_peer const & sent : take_actions<send_peer>())
+        {
+            if (auto const * const task = std::get_if<forward_task>(&sent.m_message))
+            {
+                attempts.push_back(task->m_start.m_attempt);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), attempts.size());
+        return attempts[0];
+    }
+
+    void assert_refused_as_not_run(caller_id caller)
+    {
+        auto const answer = answer_to(caller);
+        CPPUNIT_ASSERT(answer && answer->m_error);
+        CPPUNIT_ASSERT(answer->m_ran == run_state::no);
+        CPPUNIT_ASSERT(answer->m_retry_after > 0ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+    }
+
     // Guards against a task that is started after its instance has failed, because its
     // message was read late.
     void task_of_failed_peer_is_refused_as_not_run()
@@ -751,22 +794,9 @@
     void forwarded_task_is_cancelled_at_peer_that_is_given_up()
     {
         start_with_peer();
-        heartbeat message;
-        message.m_incarnation = 9;
-        message.m_domain = "north";
-        message.m_peer_address = "peer:1";
-        message.m_sent_at = m_now;
-        message.m_load.m_free_slots = 8;
-        handle(peer_message_received{{"peer"}, std::move(message)});
-        dispatch::set_upstream_available(m_state.m_dispatch, held_upstreams().at(0),
-                                         false);
+        offer_peer_slots();
         caller_id const caller = submit("/q/1");
-        bool forwarded = false;
-        for (send_peer const & sent : take_actions<send_peer>())
-        {
-            forwarded |= std::holds_alternative<forward_task>(sent.m_message);
-        }
-        CPPUNIT_ASSERT(forwarded);
+        take_forwarded_attempt();
         advance_time(1100ms);
         CPPUNIT_ASSERT(answer_to(caller)->m_error == job_errc::outcome_unknown);
         bool cancelled = false;
@@ -818,6 +848,60 @@
         CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
     }
 
+    void job_submitted_again_while_its_run_is_stopped_is_refused_as_not_run()
+    {
+        start_without_peers();
+        caller_id const first = submit("/q/1");
+        reply(take_calls<lease::start_call>().at(0));
+        handle(caller_disconnected{first});
+        assert_refused_as_not_run(submit("/q/1"));
+        submit("/q/2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_calls<lease::start_call>().size());
+    }
+
+    void job_submitted_again_after_end_of_its_run_is_started()
+    {
+        start_without_peers();
+        caller_id const first = submit("/q/1");
+        auto const start = take_calls<lease::start_call>().at(0);
+        reply(start);
+        handle(caller_disconnected{first});
+        lease::run_name const run = std::get<lease::start_call>(start.m_body).m_run;
+        for (lease::upstream_call const & renewal : m_open_renewals)
+        {
+            if (renewal.m_upstream == start.m_upstream)
+            {
+                reply(renewal, {{1, run, lease::end_cause::stopped}});
+            }
+        }
+        submit("/q/1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_calls<lease::start_call>().size());
+    }
+
+    void job_submitted_again_while_peer_stops_its_run_is_refused_as_not_run()
+    {
+        start_with_peer();
+        offer_peer_slots();
+        caller_id const first = submit("/q/1");
+        attempt_id const attempt = take_forwarded_attempt();
+        handle(caller_disconnected{first});
+        take_actions<send_peer>();
+        assert_refused_as_not_run(submit("/q/1"));
+        task_reported ended;
+        ended.m_result = {attempt, dispatch::attempt_outcome::interrupted, {}, false};
+        handle(peer_message_received{{"peer"}, std::move(ended)});
+        submit("/q/1");
+        take_forwarded_attempt();
+    }
+
+    void job_that_runs_here_for_peer_is_refused_as_not_run()
+    {
+        start_with_peer();
+        receive_forwarded_task(1, "1");
+        reply(take_calls<lease::start_call>().at(0));
+        assert_refused_as_not_run(submit("/q/1"));
+    }
+
     void run_of_disconnected_caller_with_lost_stops_ends_before_resubmission()
     {
         start_with_peer();
