List no instance whose registration is odd

A row of another writer in the table of instances that was written again and again named an instance with an address that cannot exist. Upstreams were assigned to it for as long as its row changed and claimed by nobody. Addresses like unix:/path or a host name were passed to the peer exchange.

Change: parse_registration() requires a domain, the address and port of one host and, if it is there, a whole renewal time, and says what is wrong. An ignored row is logged once for each reason (instance_ignored).

Failed before: gateway_registration_test, instances_that_are_odd_own_no_upstreams (upstreams not claimed for 10 s beside seven such rows).

--- a/src/gateway/registration.hpp
+++ b/src/gateway/registration.hpp
@@ -2,9 +2,9 @@
 #define CASSIAHUB_SRC_GATEWAY_REGISTRATION_HPP
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 namespace cassiahub::gateway
 {
@@ -19,8 +19,10 @@
 
 std::string format_registration(registration const & entry);
 
-/// \returns nothing when \p text is malformed.
-std::optional<registration> parse_registration(std::string_view text);
+/// Parses \p text into \p entry. Its address can be connected to.
+/// \returns a registration_errc when \p text is no registration of an instance; \p entry
+/// is then unspecified.
+std::error_code parse_registration(std::string_view text, registration & entry);
 
 } // namespace cassiahub::gateway
 
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -2,6 +2,7 @@
 #include "gateway/event_loop.hpp"
 #include "gateway/registration.hpp"
 
+#include <cassiahub/gateway/error.hpp>
 #include <cassiahub/http/async_client.hpp>
 #include <cassiahub/http/error.hpp>
 #include <cassiahub/runtime/boot_clock.hpp>
@@ -77,6 +78,8 @@
     replicated_table m_configuration{};
     replicated_table m_upstreams{};
     std::map<std::string, decoded_registration> m_registrations{}; ///< by key
+    /// Rows of the last listing that are no registration, and why, by key.
+    std::map<std::string, std::error_code> m_ignored_instances{};
     boost::asio::steady_timer m_registration_timer{m_loop};
     boost::asio::steady_timer m_listing_timer{m_loop};
     bool m_store_reachable = true;  ///< the last store request succeeded
@@ -334,22 +337,45 @@
          });
 }
 
+/// Logs a row that is no registration when it is ignored for another reason than before.
+void log_ignored_instance(registry_state & state, store_row const & row,
+                          std::error_code error)
+{
+    auto const known = state.m_ignored_instances.find(row.m_key);
+    if (known == state.m_ignored_instances.end() || known->second != error)
+    {
+        record(state.m_context.m_daemon,
+               decision::log_event{"instance_ignored", row.m_key, error,
+                                   fmt::format("version={} bytes={}", row.m_version,
+                                               row.m_value.size())});
+    }
+}
+
 void publish_instances(registry_state & state, store_rows const & rows)
 {
     decision::instances_listed listed;
+    std::map<std::string, std::error_code> ignored;
     for (store_row const & row : rows.m_rows)
     {
-        if (auto entry = parse_registration(row.m_value))
+        registration entry;
+        std::error_code const error = row.m_key.empty()
+                                          ? make_error_code(registration_errc::bad_name)
+                                          : parse_registration(row.m_value, entry);
+        if (error)
         {
-            bool const has_age = entry->m_renewed_ms > 0 && rows.m_clock_ms > 0;
-            duration const age = std::chrono::milliseconds(
-                has_age ? std::max<std::int64_t>(0, rows.m_clock_ms - entry->m_renewed_ms)
-                        : 0);
-            listed.m_instances.push_back({row.m_key, std::move(entry->m_domain),
-                                          std::move(entry->m_peer_address), true, false,
-                                          row.m_version, age});
+            log_ignored_instance(state, row, error);
+            ignored.emplace(row.m_key, error);
+            continue;
         }
+        bool const has_age = entry.m_renewed_ms > 0 && rows.m_clock_ms > 0;
+        duration const age = std::chrono::milliseconds(
+            has_age ? std::max<std::int64_t>(0, rows.m_clock_ms - entry.m_renewed_ms)
+                    : 0);
+        listed.m_instances.push_back({row.m_key, std::move(entry.m_domain),
+                                      std::move(entry.m_peer_address), true, false,
+                                      row.m_version, age});
     }
+    state.m_ignored_instances = std::move(ignored);
     state.m_listed_count = listed.m_instances.size();
     push_event(state, std::move(listed));
 }
--- a/tests/gateway_registration_test.cpp
+++ b/tests/gateway_registration_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(list_with_odd_entries_is_followed_and_served);
     CPPUNIT_TEST(entries_that_are_odd_are_logged_once_for_each_reason);
     CPPUNIT_TEST(entry_that_turns_unreadable_names_no_upstream);
+    CPPUNIT_TEST(instances_that_are_odd_own_no_upstreams);
     CPPUNIT_TEST(entry_that_turns_odd_during_run_leaves_run_alone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -186,6 +187,53 @@
         CPPUNIT_ASSERT_EQUAL(200, run_job());
     }
 
+    // Guards against upstreams that wait for an instance which cannot exist.
+    void instances_that_are_odd_own_no_upstreams()
+    {
+        std::vector<std::string> const odd = {
+            R"({"domain":"north","peer_address":"127.0.0.1:99999","renewed_ms":1})",
+            R"({"domain":"north","peer_address":"nowhere"})",
+            R"({"domain":"north","peer_address":"unix:/nowhere"})",
+            R"({"domain":"north","peer_address":"127.0.0.1:1","renewed_ms":1.5})",
+            R"({"domain":"north","peer_address":"127.0.0.1:1","renewed_ms":-1})",
+            R"({"domain":"","peer_address":"127.0.0.1:1"})",
+            nested(100'000, "[", "]")};
+        time_point next_write{};
+        auto const write_due = [&]
+        {
+            if (runtime::read_boot_clock() < next_write)
+            {
+                return;
+            }
+            for (std::size_t index = 0; index < odd.size(); ++index)
+            {
+                m_platform.put("cassiahub-instances", fmt::format("odd-{}", index),
+                               odd[index]);
+            }
+            next_write = runtime::read_boot_clock() + 500ms;
+        };
+        time_point const listed_at = runtime::read_boot_clock() + 2s;
+        CPPUNIT_ASSERT(wait_for(
+            [&]
+            {
+                write_due();
+                return runtime::read_boot_clock() >= listed_at;
+            }));
+        for (int upstream = 1; upstream <= 6; ++upstream)
+        {
+            m_platform.add_upstream(fmt::format("up-{}", upstream));
+        }
+        CPPUNIT_ASSERT(wait_for(
+            [&]
+            {
+                write_due();
+                return m_gateway->log_lines("upstream_claimed").size() >= 7;
+            }));
+        CPPUNIT_ASSERT_EQUAL(200, run_job());
+        CPPUNIT_ASSERT_EQUAL(odd.size(), m_gateway->log_lines("instance_ignored").size());
+        CPPUNIT_ASSERT(m_gateway->log_lines("duty_failed").empty());
+    }
+
     // Guards against a second run of a task whose upstream did not restart.
     void entry_that_turns_odd_during_run_leaves_run_alone()
     {
