Keep numbers of an upstream's reply in range

A percentage outside 32 bits was converted from double, which is undefined, and a clock beyond 2^63 became negative and entered sums with lease times.

No upstream was seen to send such numbers.

--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -201,6 +201,7 @@
     CPPUNIT_TEST(reply_with_lists_is_decoded);
     CPPUNIT_TEST(reply_refused_decodes_to_its_reason);
     CPPUNIT_TEST(reply_with_malformed_rows_omits_them);
+    CPPUNIT_TEST(reply_with_numbers_out_of_range_keeps_its_runs);
     CPPUNIT_TEST(reply_random_bytes_never_throws);
     CPPUNIT_TEST(upstream_registration_valid_is_decoded);
     CPPUNIT_TEST(upstream_registration_malformed_is_ignored);
@@ -300,6 +301,21 @@
         CPPUNIT_ASSERT(reply.m_ended.empty());
     }
 
+    // Guards against a conversion that is undefined for the value.
+    void reply_with_numbers_out_of_range_keeps_its_runs()
+    {
+        for (char const * const percent : {"1e300", "-1", "101", "1e18"})
+        {
+            lease::upstream_reply const reply =
+                read(200, std::string(R"({"clock-ms":18446744073709551615,)"
+                                      R"("running":[["a.0.0.0",2,"",)") +
+                              percent + "]]}");
+            CPPUNIT_ASSERT(!reply.m_clock);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(percent, std::size_t(1), reply.m_running.size());
+            CPPUNIT_ASSERT_MESSAGE(percent, reply.m_running[0].m_percent <= 100);
+        }
+    }
+
     void reply_random_bytes_never_throws()
     {
         bool const property_holds =
