Count limits from the first of several gaps in scheduling

A job submitted again 1.3 s after its connection broke could run beside a run of its first copy.

Cause: after a gap in scheduling, the limits of leases and of stopped runs count from the start of the gap, for 40 ms in which the notices that arrived meanwhile are read. Another gap of over 40 ms within that time, which is likely just after a suspension on a busy machine, moved the start to the second gap, while the notices of the first one were still unread.

Change: the start stays with the first gap until there was time to read the backlog, at most 200 ms after the end of that gap, so that leases don't shrink on a machine that schedules the process rarely all the time.

Tests: stop_after_gap_in_backlog_counts_from_start_of_first_gap failed before (the lease ended later than 1.3 s after the start of the first gap). lease_of_process_with_steady_gaps_is_extended fails without the bound of 200 ms (the lease lapses).

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -116,7 +116,10 @@
     /// Until then, replies that arrived while this process was not scheduled may be
     /// unprocessed, so none counts as overdue.
     time_point m_backlog_until;
-    time_point m_gap_began; ///< last scan before the gap that set m_backlog_until
+    // Last scan before the gap that set m_backlog_until, or before the first of several
+    // gaps without time to process the backlog in between, and the end of that gap.
+    time_point m_gap_began;
+    time_point m_gap_ended;
     time_point m_last_loss; ///< when a reply to a start or a renewal was last overdue
     std::uint64_t m_expired = 0;   ///< number of runs whose lease has expired
     std::uint64_t m_stalled = 0;   ///< number of runs stopped for lack of progress
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -22,6 +22,9 @@
 constexpr duration max_scan_gap = std::chrono::milliseconds(40);
 /// Time after such a gap to process the replies that arrived in it.
 constexpr duration catch_up_time = std::chrono::milliseconds(40);
+/// Longest time for which further gaps prolong the catch_up_time after a gap. Leases do
+/// not shrink on a machine that schedules this process rarely all the time.
+constexpr duration max_catch_up_time = std::chrono::milliseconds(200);
 
 void set_available(session_context & context, bool available)
 {
@@ -475,7 +478,12 @@
     if (state.m_last_scan != time_point() &&
         now - state.m_last_scan > internal::max_scan_gap)
     {
-        state.m_gap_began = state.m_last_scan;
+        if (state.m_last_scan >= state.m_backlog_until ||
+            now - state.m_gap_ended >= internal::max_catch_up_time)
+        {
+            state.m_gap_began = state.m_last_scan;
+            state.m_gap_ended = now;
+        }
         state.m_backlog_until = now + internal::catch_up_time;
         state.m_last_scan = now;
     }
--- a/tests/lease_limit_test.cpp
+++ b/tests/lease_limit_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(lease_after_end_of_stopped_run_is_extended);
     CPPUNIT_TEST(lease_in_backlog_after_gap_ends_before_resubmission);
     CPPUNIT_TEST(stop_in_backlog_after_gap_counts_from_start_of_gap);
+    CPPUNIT_TEST(stop_after_gap_in_backlog_counts_from_start_of_first_gap);
+    CPPUNIT_TEST(lease_of_process_with_steady_gaps_is_extended);
     CPPUNIT_TEST(start_whose_limit_precedes_lease_end_is_refused);
     CPPUNIT_TEST(renewal_before_limit_leaves_time_for_another_one);
     CPPUNIT_TEST(unwanted_run_reaches_its_limit_with_few_renewals);
@@ -246,6 +248,39 @@
         CPPUNIT_ASSERT(m_lease_end < gap_began + resubmission_delay);
     }
 
+    // Guards against a limit that counts from a short gap, while the notices that arrived
+    // in the long one before it are still unread.
+    void stop_after_gap_in_backlog_counts_from_start_of_first_gap()
+    {
+        attempt_id const attempt = start_run(0);
+        renew_for(500ms, {make_run_name(0)});
+        time_point const gap_began = m_now;
+        m_now += 400ms;
+        detect_gap(m_state, m_now);
+        renew_for(10ms, {make_run_name(0)});
+        m_now += 60ms;
+        CPPUNIT_ASSERT(!has_lapsed());
+        detect_gap(m_state, m_now);
+        stop(m_state, attempt, m_now, m_out);
+        renew_for(1s, {make_run_name(0)});
+        CPPUNIT_ASSERT(m_lease_end < gap_began + resubmission_delay);
+    }
+
+    // Guards against leases that lapse on a machine that schedules the process rarely.
+    void lease_of_process_with_steady_gaps_is_extended()
+    {
+        start_run(0);
+        renew_for(100ms, {make_run_name(0)});
+        for (int gap = 0; gap < 50; ++gap)
+        {
+            m_now += 60ms;
+            CPPUNIT_ASSERT(!has_lapsed());
+            detect_gap(m_state, m_now);
+            renew_for(10ms, {make_run_name(0)});
+        }
+        CPPUNIT_ASSERT(m_lease_end > m_now + 600ms);
+    }
+
     void start_whose_limit_precedes_lease_end_is_refused()
     {
         start_run(0);
