Send no start whose lease would end at once

What callers saw: 502 for jobs that were started just after their instance had been suspended for over 1.2 s, and an upstream that was not served for 250 ms.

Cause: in the 40 ms after a gap, no lease is extended beyond 1.2 s after the start of the gap. After a longer gap a start was sent with a lease that was already over. The upstream would refuse it (late), but the next scan took the lease as lapsed, the start without a reply as unknown, and the claim as lost.

Change: such a start is refused as not run, without a call, so that the task waits.

Test: start_in_backlog_after_long_gap_is_refused failed before (outcome unknown, one lease_lapsed).

--- a/include/cassiahub/lease/sessions.hpp
+++ b/include/cassiahub/lease/sessions.hpp
@@ -47,7 +47,8 @@
                std::uint64_t token, time_point now, effects & out);
 
 /// Starts a run. Its attempt_result is added to the effects of this or a later call. The
-/// run is refused as not run if the lease of its upstream already exceeds its limit.
+/// run is refused as not run if the lease of its upstream already exceeds its limit, or
+/// if the lease cannot be extended while replies may be unprocessed (detect_gap()).
 void start(lease_state & state, start_request order, time_point now, effects & out);
 
 /// Stops the run of \p attempt. Its result is reported like that of any other run.
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -101,6 +101,13 @@
            session.m_lease_until > clock_not_after(session, limit);
 }
 
+bool may_hold_lease(session_context const & context) noexcept
+{
+    upstream_session const & session = context.m_session;
+    return std::max(session.m_lease_until, latest_lease_end(context)) >
+           current_clock(session, context.m_now);
+}
+
 duration limited_wait(session_context const & context) noexcept
 {
     upstream_clock const end =
--- a/src/lease/session_calls.hpp
+++ b/src/lease/session_calls.hpp
@@ -69,6 +69,9 @@
 /// \returns true when the lease of the session may end after \p limit.
 bool exceeds_limit(upstream_session const & session, time_point limit) noexcept;
 
+/// \returns true when a lease that is requested now does not end at once.
+bool may_hold_lease(session_context const & context) noexcept;
+
 /// \returns the longest wait of a renewal that leaves time for another one before the
 /// lease ends, if the limits of the runs (requested_run::m_lease_limit) allow no longer
 /// lease.
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -421,7 +421,8 @@
     if (found == state.m_sessions.end() ||
         found->second.m_phase != session_phase::serving ||
         found->second.m_runs.contains(order.m_run.m_task) ||
-        internal::exceeds_limit(found->second, order.m_lease_limit))
+        internal::exceeds_limit(found->second, order.m_lease_limit) ||
+        !internal::may_hold_lease({state, found->second, now, out}))
     {
         out.m_results.push_back(
             {order.m_attempt, dispatch::attempt_outcome::not_run, {}, false});
--- a/tests/lease_limit_test.cpp
+++ b/tests/lease_limit_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(stop_in_backlog_after_gap_counts_from_start_of_gap);
     CPPUNIT_TEST(stop_after_gap_in_backlog_counts_from_start_of_first_gap);
     CPPUNIT_TEST(lease_of_process_with_steady_gaps_is_extended);
+    CPPUNIT_TEST(start_in_backlog_after_long_gap_is_refused);
     CPPUNIT_TEST(start_whose_limit_precedes_lease_end_is_refused);
     CPPUNIT_TEST(renewal_before_limit_leaves_time_for_another_one);
     CPPUNIT_TEST(unwanted_run_reaches_its_limit_with_few_renewals);
@@ -281,6 +282,23 @@
         CPPUNIT_ASSERT(m_lease_end > m_now + 600ms);
     }
 
+    // Guards against a start with a lease that has ended: its run counted as lapsed, its
+    // outcome as unknown, and the upstream had to be claimed again.
+    void start_in_backlog_after_long_gap_is_refused()
+    {
+        renew_for(600ms, {});
+        m_now += 2s;
+        detect_gap(m_state, m_now);
+        attempt_id const attempt = start_run(0);
+        advance_by(20ms);
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::not_run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_calls<start_call>());
+        CPPUNIT_ASSERT(is_available());
+        renew_for(60ms, {});
+        CPPUNIT_ASSERT(!outcome_of(start_run(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_calls<start_call>());
+    }
+
     void start_whose_limit_precedes_lease_end_is_refused()
     {
         start_run(0);
