--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -152,6 +152,24 @@
         handle(std::move(discovered));
     }
 
+    /// Delivers a list in which \p name has the service \p service and another address.
+    void discover_other(std::string const & name, std::string const & service,
+                        std::uint64_t incarnation)
+    {
+        upstreams_discovered discovered;
+        for (std::string const & other : {std::string("up-1"), std::string("up-2"), name})
+        {
+            discovered_upstream upstream;
+            upstream.m_definition.m_name = other;
+            upstream.m_definition.m_address = other + (other == name ? ":2" : ":1");
+            upstream.m_definition.m_domain = "north";
+            upstream.m_definition.m_service = other == name ? service : "pool";
+            upstream.m_incarnation = other == name ? incarnation : 0;
+            discovered.m_upstreams.push_back(std::move(upstream));
+        }
+        handle(std::move(discovered));
+    }
+
     /// Delivers an instance list with one peer, with its registration renewed or not.
     void list_peer(bool renewed)
     {
@@ -438,6 +456,7 @@
     CPPUNIT_TEST(upstreams_of_silent_registered_peer_are_not_claimed);
     CPPUNIT_TEST(upstreams_of_peer_with_stale_registration_are_claimed);
     CPPUNIT_TEST(upstream_without_registration_is_used_for_grace_period);
+    CPPUNIT_TEST(registration_that_turns_to_unknown_service_leaves_run_alone);
     CPPUNIT_TEST(run_for_failed_peer_is_stopped);
     CPPUNIT_TEST(draining_instance_releases_its_upstreams);
     CPPUNIT_TEST(upstream_of_service_without_kind_is_claimed_once_a_kind_names_it);
@@ -578,6 +597,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), held_upstreams().size());
     }
 
+    // Guards against a run that is reported as ended because an entry of another writer
+    // replaces the registration of its upstream.
+    void registration_that_turns_to_unknown_service_leaves_run_alone()
+    {
+        start_without_peers();
+        submit("/q/1");
+        auto const starts = take_calls<lease::start_call>();
+        reply(starts.at(0));
+        discover_other(starts[0].m_upstream, "other", 1);
+        advance_time(100ms);
+        CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+    }
+
     void upstream_without_registration_is_used_for_grace_period()
     {
         start_without_peers();
