Check the processor time beside odd entries

gateway_registration_test limits the processor time of one second to 3.6% of a core after 18 odd entries and as many good ones.

--- a/tests/gateway_registration_test.cpp
+++ b/tests/gateway_registration_test.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr duration wait_timeout = 10s;
+/// Limit of the processor time for control, in one second: 3.6% of a core.
+constexpr duration max_idle_processor_time = 36ms;
 
 // Guards against an entry of another writer in the list of upstreams that ends the
 // process, stops it from following the list, or is used as an upstream.
@@ -156,6 +158,11 @@
             m_platform.put("servers", id, value);
             check_follows_list(id);
         }
+        duration const used = m_gateway->processor_time();
+        std::this_thread::sleep_for(1s);
+        duration const used_since = m_gateway->processor_time() - used;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} ms", to_milliseconds(used_since)),
+                               used_since < max_idle_processor_time);
         CPPUNIT_ASSERT_EQUAL(0, m_platform.misdirected_calls());
         CPPUNIT_ASSERT(m_gateway->log_lines("duty_failed").empty());
     }
