--- a/fuzz/platform_wire_fuzz.cpp
+++ b/fuzz/platform_wire_fuzz.cpp
@@ -1,5 +1,7 @@
-/// \file Fuzzes every parser of the platform adapter. The first byte selects the parser.
+/// \file Fuzzes every parser of the platform adapter, and that of the registrations of
+/// instances. The first byte selects the parser.
 
+#include "gateway/registration.hpp"
 #include "platform/wire_format.hpp"
 
 #include <cstddef>
@@ -9,7 +11,7 @@
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const * data, std::size_t size)
 {
     using namespace cassiahub;
-    constexpr unsigned parser_count = 5;
+    constexpr unsigned parser_count = 7;
 
     if (size == 0)
     {
@@ -22,6 +24,7 @@
     gateway::store_rows rows;
     decision::routed_request request;
     decision::discovered_upstream upstream;
+    gateway::registration registration;
     switch (data[0] % parser_count)
     {
     case 0:
@@ -37,6 +40,20 @@
     case 3:
         wire.m_decode_reply(received);
         break;
+    case 4:
+        gateway::parse_registration(text, registration);
+        break;
+    case 5:
+        // Each row of a reply is decoded like the registry does.
+        if (wire.m_decode_rows(received, rows) == gateway::store_status::done)
+        {
+            for (gateway::store_row const & row : rows.m_rows)
+            {
+                wire.m_decode_upstream(row.m_key, row.m_value, upstream);
+                wire.m_encode_read(gateway::store_table::upstreams, row.m_key);
+            }
+        }
+        break;
     default:
         wire.m_decode_request({"POST", "/queue/1", "", {{"Host", "h"}}, text}, request);
         break;
