Settle unconfirmed runs of a restarted upstream with the next claim

Cause: the outcome was reported before the restarted upstream was asked.

Change: when a reply or the registration shows the restart, unconfirmed runs are kept apart (m_unsettled) until the reply to the claim. Its token is higher than that of every earlier start, so a run that it does not list can no longer start: it is reported as interrupted, or with its listed end. Without a reply to the claim, with a fence, another upstream at the address, or when the upstream is no longer wanted, the outcome stays unknown.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -69,6 +69,9 @@
 
     std::uint64_t m_acknowledged = 0; ///< highest listed_end::m_number that was processed
     std::map<task_name, requested_run> m_runs;
+    /// Runs that the upstream may have after its restart. The reply to the next claim
+    /// shows whether it has them.
+    std::map<task_name, requested_run> m_unsettled;
 
     call_number m_renewal = 0;      ///< renewal in flight; 0: none
     time_point m_renewal_due;       ///< when the reply to m_renewal is overdue
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -63,6 +63,16 @@
                        context.m_session.m_incarnation);
 }
 
+void report_result(session_context & context, task_name const & task,
+                   requested_run const & run, attempt_outcome outcome)
+{
+    if (outcome != attempt_outcome::succeeded)
+    {
+        log_session(context, code_of(outcome), task.m_job, describe(context, task, run));
+    }
+    context.m_out.m_results.push_back({run.m_attempt, outcome, {}, false});
+}
+
 requested_run * find_run(upstream_session & session, task_name const & task,
                          std::uint64_t generation)
 {
@@ -180,15 +190,10 @@
     {
         return;
     }
-    attempt_id const attempt = found->second.m_attempt;
-    if (outcome != attempt_outcome::succeeded)
-    {
-        log_session(context, code_of(outcome), task.m_job,
-                    describe(context, task, found->second));
-    }
+    requested_run const run = found->second;
     context.m_session.m_runs.erase(found);
-    context.m_state.m_attempts.erase(attempt);
-    context.m_out.m_results.push_back({attempt, outcome, {}, false});
+    context.m_state.m_attempts.erase(run.m_attempt);
+    report_result(context, task, run, outcome);
 }
 
 void finish_all_runs(session_context & context, attempt_outcome outcome)
@@ -216,6 +221,53 @@
     }
 }
 
+void hold_unconfirmed_runs(session_context & context)
+{
+    upstream_session & session = context.m_session;
+    std::erase_if(session.m_runs,
+                  [&](auto const & entry)
+                  {
+                      if (entry.second.m_confirmed)
+                      {
+                          return false;
+                      }
+                      context.m_state.m_attempts.erase(entry.second.m_attempt);
+                      session.m_unsettled.insert(entry);
+                      return true;
+                  });
+}
+
+void settle_runs(session_context & context, upstream_reply const & reply)
+{
+    std::erase_if(
+        context.m_session.m_unsettled,
+        [&](auto const & entry)
+        {
+            auto const & [task, run] = entry;
+            if (is_listed(reply, task, run.m_generation))
+            {
+                return false;
+            }
+            run_name const name{task, run.m_generation};
+            auto const end = std::find_if(reply.m_ended.begin(), reply.m_ended.end(),
+                                          [&name](listed_end const & item)
+                                          { return item.m_run == name; });
+            report_result(context, task, run,
+                          end != reply.m_ended.end() ? outcome_of(end->m_cause)
+                                                     : attempt_outcome::interrupted);
+            return true;
+        });
+}
+
+void finish_unsettled_runs(session_context & context)
+{
+    for (auto const & [task, run] : context.m_session.m_unsettled)
+    {
+        report_result(context, task, run, attempt_outcome::unknown);
+    }
+    context.m_session.m_unsettled.clear();
+}
+
 void stop_run(session_context & context, task_name const & task, requested_run & run)
 {
     run.m_phase = run_phase::stopping;
--- a/src/lease/runs.hpp
+++ b/src/lease/runs.hpp
@@ -22,6 +22,18 @@
 /// in the session's incarnation of the upstream.
 void finish_unconfirmed_runs(session_context & context);
 
+/// Moves the runs that finish_unconfirmed_runs() would finish to
+/// upstream_session::m_unsettled.
+void hold_unconfirmed_runs(session_context & context);
+
+/// Reports the unsettled runs that \p reply does not list as running.
+/// \pre \p reply accepted a claim with a higher token than that of every earlier start,
+/// so that no further run can start.
+void settle_runs(session_context & context, upstream_reply const & reply);
+
+/// Finishes every unsettled run with attempt_outcome::unknown.
+void finish_unsettled_runs(session_context & context);
+
 /// Sends a stop of a run.
 void stop_run(session_context & context, task_name const & task, requested_run & run);
 
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -105,6 +105,10 @@
     bool const counts = session.m_incarnation == 0 || accepted_claim;
     if (!counts)
     {
+        if (session.m_wanted)
+        {
+            hold_unconfirmed_runs(context);
+        }
         lose_claim(context, attempt_outcome::interrupted, "upstream_restarted");
     }
     session.m_incarnation = incarnation;
@@ -195,6 +199,10 @@
         return;
     }
     session.m_renewal = 0;
+    if (claiming)
+    {
+        settle_runs(context, reply);
+    }
     if (claiming && foreign_runs > 0)
     {
         session.m_next_renewal = context.m_now + takeover_poll_period;
@@ -215,6 +223,7 @@
     upstream_session & session = context.m_session;
     session.m_renewal = 0;
     ++session.m_failures;
+    finish_unsettled_runs(context);
     if (session.m_phase == session_phase::serving)
     {
         log_session(context, "upstream_silent", {}, describe_session(context));
@@ -232,9 +241,11 @@
     {
     case call_outcome::fenced:
         // The new owner stops these runs at a time that is not known here.
+        finish_unsettled_runs(context);
         lose_claim(context, attempt_outcome::unknown, "upstream_fenced");
         return true;
     case call_outcome::other_incarnation:
+        finish_unsettled_runs(context);
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         return true;
     default:
@@ -346,6 +357,14 @@
     session.m_wanted = true;
     if (restarted || (moved && !comparable))
     {
+        if (restarted)
+        {
+            hold_unconfirmed_runs(context);
+        }
+        else
+        {
+            finish_unsettled_runs(context);
+        }
         lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
         session.m_address = owned.m_address;
         session.m_incarnation = std::max(session.m_incarnation, owned.m_incarnation);
@@ -378,6 +397,7 @@
         {
             internal::session_context context{state, session, now, out};
             session.m_wanted = false;
+            internal::finish_unsettled_runs(context);
             if (session.m_phase == session_phase::serving)
             {
                 internal::stop_serving(context, session_phase::releasing);
@@ -544,6 +564,10 @@
         {
             broken.emplace_back("run_on_unclaimed_upstream");
         }
+        if (session.m_phase != session_phase::claiming && !session.m_unsettled.empty())
+        {
+            broken.emplace_back("unsettled_run_on_claimed_upstream");
+        }
     }
     if (runs != state.m_attempts.size())
     {
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -74,6 +74,12 @@
     CPPUNIT_TEST(listed_run_without_start_reply_is_interrupted_by_restart);
     CPPUNIT_TEST(start_with_unexpected_clock_is_followed_by_renewal);
     CPPUNIT_TEST(clock_of_restarted_upstream_leaves_lease_unchanged);
+    CPPUNIT_TEST(
+        unconfirmed_run_that_restarted_upstream_has_ended_is_reported_with_its_end);
+    CPPUNIT_TEST(unconfirmed_run_without_reply_to_claim_is_unknown);
+    CPPUNIT_TEST(unconfirmed_run_on_fenced_or_unassigned_upstream_is_unknown);
+    CPPUNIT_TEST(
+        unconfirmed_run_on_upstream_restarted_twice_is_reported_after_last_claim);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +195,65 @@
             clock_at_start + 1000,
             std::get<start_call>(take_call<start_call>().m_body).m_lease_until);
     }
+
+    void unconfirmed_run_that_restarted_upstream_has_ended_is_reported_with_its_end()
+    {
+        claim_upstream();
+        take_call<renew_call>();
+        attempt_id const succeeded = start_run_after_restart(0);
+        attempt_id const absent = start_run(1);
+        assign_upstream(restarted);
+        CPPUNIT_ASSERT(!outcome_of(succeeded) && !outcome_of(absent));
+        take_call<renew_call>(); // sent because of the unexpected clock
+        reply_as_restarted(take_call<renew_call>(), {},
+                           {{1, make_run_name(0), end_cause::succeeded}});
+        CPPUNIT_ASSERT(outcome_of(succeeded) == dispatch::attempt_outcome::succeeded);
+        CPPUNIT_ASSERT(outcome_of(absent) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(is_available());
+    }
+
+    void unconfirmed_run_without_reply_to_claim_is_unknown()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        reply(take_call<renew_call>(), call_outcome::lost);
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::unknown);
+        advance_by(20ms);
+        reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_results.size());
+    }
+
+    void unconfirmed_run_on_fenced_or_unassigned_upstream_is_unknown()
+    {
+        claim_upstream();
+        attempt_id const fenced = start_run(0);
+        reply_as_restarted(take_call<renew_call>());
+        reply(take_call<renew_call>(), call_outcome::fenced);
+        CPPUNIT_ASSERT(outcome_of(fenced) == dispatch::attempt_outcome::unknown);
+        advance_by(300ms);
+        reply_as_restarted(take_call<renew_call>());
+        attempt_id const unassigned = start_run(1);
+        assign_upstream(restarted + 1);
+        CPPUNIT_ASSERT(!outcome_of(unassigned));
+        unassign_upstream();
+        CPPUNIT_ASSERT(outcome_of(unassigned) == dispatch::attempt_outcome::unknown);
+        CPPUNIT_ASSERT(held_upstreams(m_state).empty());
+    }
+
+    void unconfirmed_run_on_upstream_restarted_twice_is_reported_after_last_claim()
+    {
+        claim_upstream();
+        attempt_id const attempt = start_run(0);
+        reply_as_restarted(take_call<renew_call>());
+        auto const claim = take_call<renew_call>();
+        assign_upstream(restarted + 1);
+        reply_as_restarted(claim);
+        CPPUNIT_ASSERT(!outcome_of(attempt));
+        reply_as(restarted + 1, take_call<renew_call>(), 3);
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::interrupted);
+    }
 };
 
 // Guards against runs that start before the restarted upstream has accepted a new token,
