--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -64,7 +64,8 @@
 }
 
 /// Ends the tasks that were forwarded to \p peer and those that run here for it, and
-/// marks the requests sent to it to be sent again. \param code code of the logged event.
+/// marks the requests sent to it to be sent again.
+/// \param code code of the logged event.
 void remove_peer(step_context & context, instance_id const & peer, std::string_view code)
 {
     entry_state const & state = context.m_state;
