--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -25,7 +25,7 @@
     return number;
 }
 
-/// \returns a time on the upstream's clock that it does not show after \p limit.
+/// \returns a time that the upstream's clock has reached by \p limit, even if it is slow.
 upstream_clock clock_not_after(upstream_session const & session, time_point limit)
 {
     auto const passed =
