Record which tasks upstreams were lost under, with a verdict for each task

A crash of an upstream is counted nowhere: it ends the run as interrupted or unknown, and the attempts of a task are counted in one submission at one instance. crash_history counts losses by tenant, key of the job and task, so that the count can be shared between instances and outlives a submission.

Two codes of job errors tell callers: crashes_upstreams (502) and crash_suspected (503, not run).

--- a/include/cassiahub/core/error.hpp
+++ b/include/cassiahub/core/error.hpp
@@ -34,8 +34,12 @@
     no_configuration = 21,
     overloaded = 22,
     retries_exhausted = 23,
-    in_progress = 24, ///< answer to a status query: the job has not finished
-    unsupported = 25  ///< the job requires a feature that is not implemented
+    in_progress = 24,       ///< answer to a status query: the job has not finished
+    unsupported = 25,       ///< the job requires a feature that is not implemented
+    crashes_upstreams = 26, ///< upstreams crashed under a task of the job
+    /// Upstreams were lost under a task of the job, and it is not known whether they
+    /// crashed.
+    crash_suspected = 27
 };
 
 std::error_category const & job_category() noexcept;
--- a/include/cassiahub/dispatch.hpp
+++ b/include/cassiahub/dispatch.hpp
@@ -5,6 +5,7 @@
 
 #include <cassiahub/dispatch/attempt.hpp>
 #include <cassiahub/dispatch/counters.hpp>
+#include <cassiahub/dispatch/crash_history.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
 #include <cassiahub/dispatch/effects.hpp>
 #include <cassiahub/dispatch/state.hpp>
--- a/include/cassiahub/dispatch/attempt.hpp
+++ b/include/cassiahub/dispatch/attempt.hpp
@@ -57,6 +57,9 @@
     attempt_outcome m_outcome = attempt_outcome::unknown;
     std::string m_payload;
     bool m_upstream_leaving = false;
+    /// The upstream was lost while it had the attempt: it crashed or cannot be reached.
+    bool m_upstream_lost = false;
+    std::uint64_t m_upstream_incarnation = 0; ///< of a lost upstream; 0: not known
 };
 
 } // namespace cassiahub::dispatch
--- a/include/cassiahub/dispatch/counters.hpp
+++ b/include/cassiahub/dispatch/counters.hpp
@@ -10,7 +10,7 @@
 {
 
 /// One more than the largest job_errc.
-constexpr std::size_t job_errc_count = 26;
+constexpr std::size_t job_errc_count = 28;
 
 /// Events counted since the state was created.
 struct dispatch_counters
--- a/include/cassiahub/dispatch/effects.hpp
+++ b/include/cassiahub/dispatch/effects.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/core/job.hpp>
 #include <cassiahub/dispatch/attempt.hpp>
+#include <cassiahub/dispatch/crash_history.hpp>
 
 #include <vector>
 
@@ -44,6 +45,8 @@
     std::vector<attempt_cancel> m_cancels;
     std::vector<task_forward> m_forwards;
     std::vector<forward_cancel> m_forward_cancels;
+    /// Losses of upstreams, to be sent to every live instance before m_forward_results.
+    std::vector<upstream_loss> m_losses;
     std::vector<forward_result> m_forward_results;
     std::vector<job_outcome> m_finished;
 };
--- a/include/cassiahub/lease/effects.hpp
+++ b/include/cassiahub/lease/effects.hpp
@@ -2,6 +2,7 @@
 #define CASSIAHUB_LEASE_EFFECTS_HPP
 
 #include <cassiahub/dispatch/attempt.hpp>
+#include <cassiahub/dispatch/crash_history.hpp>
 #include <cassiahub/lease/call.hpp>
 
 #include <string>
@@ -32,6 +33,8 @@
 {
     std::vector<upstream_call> m_calls;
     std::vector<dispatch::attempt_result> m_results;
+    /// Fates of upstreams that were lost, without tasks; to be applied after m_results.
+    std::vector<dispatch::upstream_loss> m_fates;
     std::vector<availability> m_availability;
     std::vector<session_event> m_events;
 };
--- a/src/codec/job_json.cpp
+++ b/src/codec/job_json.cpp
@@ -229,6 +229,7 @@
     case job_errc::quota_exceeded:
         return 429;
     case job_errc::task_failed:
+    case job_errc::crashes_upstreams:
     case job_errc::retries_exhausted:
     case job_errc::outcome_unknown:
         return 502;
@@ -239,6 +240,7 @@
     case job_errc::draining:
     case job_errc::no_configuration:
     case job_errc::overloaded:
+    case job_errc::crash_suspected:
         return 503;
     case job_errc::deadline_exceeded:
         return 504;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -72,6 +72,10 @@
         return "in_progress";
     case job_errc::unsupported:
         return "unsupported";
+    case job_errc::crashes_upstreams:
+        return "crashes_upstreams";
+    case job_errc::crash_suspected:
+        return "crash_suspected";
     }
     return "unknown_error";
 }
