Count no lease end that a refused call requested

Callers saw 502 for jobs whose upstream had crashed: its runs were reported 2.2 to 4.0 s after they had started, when the next incarnation answered 421, long after the deadline of 1.5 s. Until then the tasks could not be started elsewhere.

Cause: every renewal extended the lease in this instance's reckoning when it was sent, also one that found no connection. A crashed upstream that refuses connections was renewed four times a second, so its lease never lapsed here.

A call that ends as call_outcome::unreachable was not sent: the client gives connect_failed only before the first write on a connection. So its requested lease end is taken back, and the session's is the latest of the calls that have ended otherwise or are in flight. A lost call counts as before, and so does everything that the upstream may have received.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -73,8 +73,10 @@
     upstream_clock m_clock = 0;
     time_point m_clock_at;
     time_point m_clock_asked_at;
-    /// Latest lease end that a call has requested.
+    /// Latest lease end requested by a call that the upstream may have received.
     upstream_clock m_lease_until = 0;
+    /// Latest lease end requested by a call that is no longer in flight, likewise.
+    upstream_clock m_settled_lease_until = 0;
 
     std::uint64_t m_acknowledged = 0; ///< highest listed_end::m_number that was processed
     std::map<task_name, requested_run> m_runs;
@@ -100,6 +102,7 @@
     /// renewal.
     std::uint64_t m_generation = 0;
     bool m_is_start = false;
+    upstream_clock m_lease_until = 0; ///< lease end that the call requests; 0: none
     time_point m_sent_at;
 };
 
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -124,6 +124,7 @@
     pending.m_generation = run.m_generation;
     pending.m_is_start = true;
     upstream_clock const until = extend_lease(context);
+    pending.m_lease_until = until;
     send_call(context, start_stop_timeout, std::move(pending),
               start_call{std::move(run), std::move(payload), until});
 }
@@ -139,6 +140,7 @@
 void send_renewal(session_context & context, duration wait, bool extend)
 {
     upstream_session & session = context.m_session;
+    pending_call pending;
     renew_call call;
     call.m_acknowledged = session.m_acknowledged;
     call.m_wait = wait;
@@ -148,13 +150,37 @@
         if (until > current_clock(session, context.m_now))
         {
             call.m_lease_until = until;
+            pending.m_lease_until = until;
         }
     }
-    session.m_renewal = send_call(context, wait + renewal_timeout_margin, {}, call);
+    session.m_renewal =
+        send_call(context, wait + renewal_timeout_margin, std::move(pending), call);
     session.m_renewal_due = context.m_now + wait + overdue_reply_time;
     session.m_renewal_repeats = false;
 }
 
+void settle_lease_end(session_context & context, pending_call const & call,
+                      call_outcome outcome)
+{
+    upstream_session & session = context.m_session;
+    if (outcome != call_outcome::unreachable)
+    {
+        session.m_settled_lease_until =
+            std::max(session.m_settled_lease_until, call.m_lease_until);
+        return;
+    }
+    session.m_lease_until = session.m_settled_lease_until;
+    for (auto const & [number, in_flight] : context.m_state.m_pending)
+    {
+        if (in_flight.m_upstream == session.m_name &&
+            in_flight.m_token == session.m_token)
+        {
+            session.m_lease_until =
+                std::max(session.m_lease_until, in_flight.m_lease_until);
+        }
+    }
+}
+
 void record_loss(session_context & context) noexcept
 {
     context.m_state.m_last_loss = context.m_now;
--- a/src/lease/session_calls.hpp
+++ b/src/lease/session_calls.hpp
@@ -90,6 +90,12 @@
 /// \param extend whether the lease of the runs on the upstream is extended.
 void send_renewal(session_context & context, duration wait, bool extend);
 
+/// Counts the lease end that \p call requested, unless its \p outcome shows that the
+/// upstream has not received it.
+/// \pre \p call was sent in this session and is no longer in lease_state::m_pending.
+void settle_lease_end(session_context & context, pending_call const & call,
+                      call_outcome outcome);
+
 /// Adds a session_event of the upstream.
 void log_session(session_context & context, std::string_view code, std::string job = {},
                  std::string detail = {});
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -51,6 +51,7 @@
     session.m_token = std::max(session.m_token, token);
     session.m_acknowledged = 0;
     session.m_lease_until = 0;
+    session.m_settled_lease_until = 0;
     session.m_next_renewal = context.m_now + renewal_retry_delay;
     send_renewal(context, duration::zero(), false);
 }
@@ -526,6 +527,7 @@
     }
     upstream_session & session = found->second;
     internal::session_context context{state, session, now, out};
+    internal::settle_lease_end(context, call, reply.m_outcome);
     bool const is_start_or_stop = call.m_generation != 0;
     bool const current = session.m_renewal == reply.m_number;
     if (internal::reported_incarnation(reply) > session.m_incarnation)
