Stand-in for an upstream that a task crashes

A fault of cassiahub-upstream-standin: a task whose payload contains a text crashes the upstream that runs it. Its connections break without an answer, new ones are refused for a time, and the worker then remembers no attempt and no fencing epoch. Tests of tasks that crash their upstreams need a crash that callers see as such; drop_answers only breaks the connection.

The sockets are shut down at once, since a CivetWeb server takes up to 2 s to stop. run_upstreams() waits on a ring of crashed upstreams, restarts them when their time is over, and does not spin.

--- a/include/cassiahub/standin/upstream_faults.hpp
+++ b/include/cassiahub/standin/upstream_faults.hpp
@@ -20,6 +20,10 @@
     /// Time from setting m_leave until the upstream refuses new tasks.
     duration m_leave_grace = std::chrono::seconds(3);
     double m_straggle_factor = 1; ///< multiplies the run time of new tasks
+    /// A task whose payload contains this text crashes the upstream when it has run: all
+    /// connections are closed, and new ones are refused for m_crash_time. Empty: none.
+    std::string m_crash_payload;
+    duration m_crash_time = std::chrono::seconds(3);
 };
 
 /// Reads the body of PUT /faults. Absent members take their default.
--- a/src/standin/listener.cpp
+++ b/src/standin/listener.cpp
@@ -4,10 +4,14 @@
 
 #include <civetweb.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <charconv>
+#include <filesystem>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace cassiahub::standin::internal
 {
@@ -125,6 +129,38 @@
     return started;
 }
 
+void close_sockets(std::uint32_t port)
+{
+    std::vector<int> connections;
+    // CivetWeb gives no access to its sockets.
+    for (auto const & entry : std::filesystem::directory_iterator("/proc/self/fd"))
+    {
+        auto const fd = static_cast<int>(to_number(entry.path().filename().string()));
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        if (getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length) != 0 ||
+            address.sin_family != AF_INET || ntohs(address.sin_port) != port)
+        {
+            continue;
+        }
+        int listens = 0;
+        length = sizeof listens;
+        getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &length);
+        if (listens != 0)
+        {
+            shutdown(fd, SHUT_RDWR);
+        }
+        else
+        {
+            connections.push_back(fd);
+        }
+    }
+    for (int const fd : connections)
+    {
+        shutdown(fd, SHUT_RDWR);
+    }
+}
+
 http::response make_text(int status, std::string text)
 {
     return {status, "text/plain", {}, std::move(text)};
--- a/src/standin/listener.hpp
+++ b/src/standin/listener.hpp
@@ -35,6 +35,11 @@
 listener start_listener(std::string const & address, std::uint32_t threads,
                         request_handler handler, std::error_code & error);
 
+/// Shuts down every socket of this process whose local port is \p port, so that new
+/// connections are refused and open ones break at once. A server that stops does so only
+/// after some time. Thread-safe.
+void close_sockets(std::uint32_t port);
+
 http::response make_text(int status, std::string text);
 http::response make_json(std::string text);
 
--- a/src/standin/settings_json.hpp
+++ b/src/standin/settings_json.hpp
@@ -35,6 +35,16 @@
     return true;
 }
 
+inline bool read_text(nlohmann::json const & value, std::string & target)
+{
+    if (!value.is_string())
+    {
+        return false;
+    }
+    target = value.get<std::string>();
+    return true;
+}
+
 template <typename Number>
 bool read_number(nlohmann::json const & value, double min, double max, Number & target)
 {
--- a/src/standin/upstream_faults.cpp
+++ b/src/standin/upstream_faults.cpp
@@ -52,6 +52,16 @@
      {
          return read_number(value, 1, max_straggle_factor, record.m_straggle_factor);
      }},
+    {"crash_payload", "text",
+     [](json const & value, upstream_faults & record)
+     {
+         return read_text(value, record.m_crash_payload);
+     }},
+    {"crash_ms", "whole milliseconds, 0 to 600000",
+     [](json const & value, upstream_faults & record)
+     {
+         return read_milliseconds(value, record.m_crash_time);
+     }},
 };
 
 } // namespace
@@ -78,7 +88,9 @@
                            {"drop_answers", faults.m_drop_answers},
                            {"leave", faults.m_leave},
                            {"leave_grace_ms", to_milliseconds(faults.m_leave_grace)},
-                           {"straggle_factor", faults.m_straggle_factor}})
+                           {"straggle_factor", faults.m_straggle_factor},
+                           {"crash_payload", faults.m_crash_payload},
+                           {"crash_ms", to_milliseconds(faults.m_crash_time)}})
         .dump();
 }
 
--- a/src/standin/upstream_reports.cpp
+++ b/src/standin/upstream_reports.cpp
@@ -108,6 +108,7 @@
                              {"finished", state.m_finished},
                              {"cancelled", state.m_cancelled},
                              {"dropped_answers", state.m_dropped_responses},
+                             {"crashes", state.m_crash_count},
                              {"refused", state.m_refused},
                              {"running", state.m_running},
                              {"highest_running", state.m_highest_running}});
--- a/src/standin/upstream_server.cpp
+++ b/src/standin/upstream_server.cpp
@@ -1,11 +1,12 @@
 #include "standin/upstream_state.hpp"
 
 #include <cassiahub/runtime/boot_clock.hpp>
-#include <cassiahub/runtime/stop_wait.hpp>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -130,6 +131,80 @@
     return serve_control(states, addressed, received);
 }
 
+listener listen(std::deque<upstream_state> & states, upstream_state & state,
+                std::error_code & error)
+{
+    upstream_options const & options = state.m_options;
+    return start_listener(
+        fmt::format("{}:{}", options.m_host, options.m_first_port + state.m_index),
+        options.m_connections,
+        [&states, &state](http::request const & received)
+        { return serve_upstream(states, state, received); },
+        error);
+}
+
+/// Ends the server of a crashed upstream.
+/// \returns when the upstream serves again.
+time_point take_down(upstream_state & state, listener & server)
+{
+    server.reset();
+    std::lock_guard<std::mutex> const lock(state.m_mutex);
+    return runtime::read_boot_clock() + state.m_faults.m_crash_time;
+}
+
+/// Serves again, as a worker that remembers no attempt and no fencing epoch.
+std::error_code bring_up(std::deque<upstream_state> & states, upstream_state & state,
+                         listener & server)
+{
+    {
+        std::lock_guard<std::mutex> const lock(state.m_mutex);
+        state.m_crashed = false;
+        state.m_attempts.clear();
+        state.m_attempt_order.clear();
+        state.m_epochs.clear();
+    }
+    std::error_code error;
+    server = listen(states, state, error);
+    return error;
+}
+
+/// Takes crashed upstreams down and brings them up again until \p stop is requested.
+std::error_code restart_crashed(std::deque<upstream_state> & states,
+                                std::vector<listener> & servers,
+                                runtime::bounded_ring<std::uint32_t> & crashes,
+                                std::stop_token const & stop)
+{
+    constexpr duration idle_wait = std::chrono::hours(1);
+    std::map<std::uint32_t, time_point> down; // until when, by index
+    while (!stop.stop_requested())
+    {
+        time_point const now = runtime::read_boot_clock();
+        duration wait = idle_wait;
+        for (auto const & [index, until] : down)
+        {
+            wait = std::min(wait, until - now);
+        }
+        if (wait > duration::zero())
+        {
+            if (auto const crashed = crashes.pop(wait, stop))
+            {
+                down[*crashed] = take_down(states[*crashed], servers[*crashed]);
+            }
+            continue;
+        }
+        auto const due =
+            std::find_if(down.begin(), down.end(),
+                         [now](auto const & item) { return item.second <= now; });
+        if (std::error_code const error =
+                bring_up(states, states[due->first], servers[due->first]))
+        {
+            return error;
+        }
+        down.erase(due);
+    }
+    return {};
+}
+
 /// Wakes every waiting request, so that the servers can stop.
 void wake_waiting_requests(std::deque<upstream_state> & states)
 {
@@ -149,29 +224,26 @@
                               std::stop_token const & stop)
 {
     internal::start_log starts;
+    runtime::bounded_ring<std::uint32_t> crashes(std::max(1U, options.m_count));
     std::deque<internal::upstream_state> states;
     for (std::uint32_t index = 0; index < options.m_count; ++index)
     {
-        states.emplace_back(options, index, starts);
+        states.emplace_back(options, index, starts, crashes);
     }
     std::vector<internal::listener> servers;
     for (internal::upstream_state & state : states)
     {
         std::error_code error;
-        servers.push_back(internal::start_listener(
-            fmt::format("{}:{}", options.m_host, options.m_first_port + state.m_index),
-            options.m_connections,
-            [&states, &state](http::request const & received)
-            { return internal::serve_upstream(states, state, received); },
-            error));
+        servers.push_back(internal::listen(states, state, error));
         if (error)
         {
             return error;
         }
     }
-    runtime::wait_for_stop(stop);
+    std::error_code const error =
+        internal::restart_crashed(states, servers, crashes, stop);
     internal::wake_waiting_requests(states);
-    return {};
+    return error;
 }
 
 } // namespace cassiahub::standin
--- a/src/standin/upstream_state.hpp
+++ b/src/standin/upstream_state.hpp
@@ -3,6 +3,7 @@
 
 #include "standin/listener.hpp"
 
+#include <cassiahub/runtime/bounded_ring.hpp>
 #include <cassiahub/standin/upstream_faults.hpp>
 #include <cassiahub/standin/upstream_server.hpp>
 
@@ -55,21 +56,23 @@
 
 /// One upstream and its worker, which enforces fencing epochs, slots and capacity. The
 /// HTTP threads share it under m_mutex. m_changed is notified on a cancellation, a change
-/// of the faults and a stop.
+/// of the faults, a crash and a stop.
 struct upstream_state
 {
     upstream_state(upstream_options const & options, std::uint32_t index,
-                   start_log & starts)
-        : m_options(options), m_index(index), m_starts(starts)
+                   start_log & starts, runtime::bounded_ring<std::uint32_t> & crashes)
+        : m_options(options), m_index(index), m_starts(starts), m_crashes(crashes)
     {
     }
 
     upstream_options const & m_options;
     std::uint32_t m_index;
     start_log & m_starts;
+    runtime::bounded_ring<std::uint32_t> & m_crashes; ///< indexes of crashed upstreams
     std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_stopping = false;
+    bool m_crashed = false; ///< sends no response and is about to close its connections
     upstream_faults m_faults;
     time_point m_leaving_since;
     std::uint32_t m_running = 0; ///< tasks that run now
@@ -78,6 +81,7 @@
     std::uint64_t m_finished = 0;
     std::uint64_t m_cancelled = 0;
     std::uint64_t m_dropped_responses = 0;
+    std::uint64_t m_crash_count = 0;
     std::map<std::string, std::uint64_t, std::less<>> m_refused; ///< by reason
     std::map<std::string, bool, std::less<>> m_attempts;         ///< true if cancelled
     std::deque<std::string> m_attempt_order;                     ///< oldest first
--- a/src/standin/upstream_tasks.cpp
+++ b/src/standin/upstream_tasks.cpp
@@ -150,12 +150,13 @@
 
 void wait_while_paused(upstream_state & state, std::unique_lock<std::mutex> & lock)
 {
-    state.m_changed.wait(lock,
-                         [&] { return state.m_stopping || !state.m_faults.m_pause; });
+    state.m_changed.wait(
+        lock,
+        [&] { return state.m_stopping || state.m_crashed || !state.m_faults.m_pause; });
 }
 
 /// Waits for the run time of a started task, then releases its slot and resources.
-/// \returns false when the task was cancelled or the upstream stops.
+/// \returns false when the task was cancelled or the upstream crashes or stops.
 bool run_task(upstream_state & state, task_request const & task,
               std::unique_lock<std::mutex> & lock)
 {
@@ -165,9 +166,12 @@
                                     std::chrono::duration<double, std::nano>(
                                         static_cast<double>(task.m_run_time.count()) *
                                         state.m_faults.m_straggle_factor));
-    bool const ended_early = state.m_changed.wait_for(
-        lock, run_time,
-        [&] { return state.m_stopping || is_cancelled(state, task.m_attempt); });
+    bool const ended_early =
+        state.m_changed.wait_for(lock, run_time,
+                                 [&] {
+                                     return state.m_stopping || state.m_crashed ||
+                                            is_cancelled(state, task.m_attempt);
+                                 });
     --state.m_running;
     subtract_resources(state.m_used, task.m_demand);
     sample_usage(state);
@@ -175,6 +179,25 @@
     return !ended_early;
 }
 
+bool crashes_upstream(upstream_faults const & faults, std::string_view payload)
+{
+    return !faults.m_crash_payload.empty() &&
+           payload.find(faults.m_crash_payload) != std::string_view::npos;
+}
+
+/// Breaks every connection and refuses new ones.
+/// \pre state.m_mutex is held
+void crash(upstream_state & state)
+{
+    state.m_crashed = true;
+    ++state.m_crash_count;
+    state.m_changed.notify_all();
+    close_sockets(state.m_options.m_first_port + state.m_index);
+    // The ring holds one item for each upstream, and an upstream crashes only once before
+    // its item is removed.
+    state.m_crashes.try_push(std::uint32_t(state.m_index));
+}
+
 } // namespace
 
 optional_response serve_task(upstream_state & state, http::request const & received)
@@ -182,6 +205,10 @@
     task_request const task = parse_task(state.m_options, received);
     std::unique_lock<std::mutex> lock(state.m_mutex);
     wait_while_paused(state, lock);
+    if (state.m_crashed)
+    {
+        return std::nullopt;
+    }
     std::string_view const reason = refusal_reason(state, task);
     if (!reason.empty())
     {
@@ -192,7 +219,15 @@
     start_task(state, task, received);
     bool const task_fails = state.m_faults.m_fail;
     bool const completed = run_task(state, task, lock);
+    if (completed && crashes_upstream(state.m_faults, received.m_body))
+    {
+        crash(state);
+    }
     wait_while_paused(state, lock);
+    if (state.m_crashed)
+    {
+        return std::nullopt;
+    }
     if (state.m_faults.m_drop_answers)
     {
         ++state.m_dropped_responses;
@@ -216,6 +251,10 @@
 {
     std::unique_lock<std::mutex> lock(state.m_mutex);
     wait_while_paused(state, lock);
+    if (state.m_crashed)
+    {
+        return std::nullopt;
+    }
     // Recorded even if unknown: an attempt cancelled before it arrives must not start.
     record_attempt(state, std::string(attempt), true);
     state.m_changed.notify_all();
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -286,6 +286,8 @@
     CPPUNIT_TEST(response_of_leaving_upstream_announces_leaving);
     CPPUNIT_TEST(task_during_pause_runs_after_resume);
     CPPUNIT_TEST(cancellation_before_start_prevents_start);
+    CPPUNIT_TEST(task_that_crashes_upstream_gets_no_response_and_connections_are_refused);
+    CPPUNIT_TEST(crashed_upstream_serves_again_without_memory_of_attempts);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<running_standin> m_upstream;
@@ -401,6 +403,36 @@
         call(m_upstream->m_address, "DELETE", "/v1/tasks/1-1");
         CPPUNIT_ASSERT_EQUAL(503, run("1-1").m_response.m_status);
     }
+
+    // Guards against a crash that callers can tell from none only by a timeout.
+    void task_that_crashes_upstream_gets_no_response_and_connections_are_refused()
+    {
+        put_faults(R"({"crash_payload":"deadly","crash_ms":60000})");
+        CPPUNIT_ASSERT_EQUAL(200, run("1-1").m_response.m_status);
+        CPPUNIT_ASSERT(run("1-2", "1", "run_ms=1 deadly").m_error ==
+                       http::http_errc::response_lost);
+        CPPUNIT_ASSERT(run("1-3").m_error == http::http_errc::connect_failed);
+    }
+
+    // Guards against a worker that refuses the tasks of its earlier life.
+    void crashed_upstream_serves_again_without_memory_of_attempts()
+    {
+        put_faults(R"({"crash_payload":"deadly","crash_ms":50})");
+        run("1-1", "2", "run_ms=1 deadly");
+        exchange_result again;
+        for (int attempt = 0; attempt < 500; ++attempt)
+        {
+            again = run("1-1", "1");
+            if (!again.m_error)
+            {
+                break;
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(200, again.m_response.m_status);
+        CPPUNIT_ASSERT(stats()["upstreams"][0]["crashes"] == 1);
+        CPPUNIT_ASSERT(stats()["starts"] == 2);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_standin_test);
