Tell which runs were lost with their upstream, and what became of it

A run that its upstream took with it ended as interrupted or unknown, like one that was stopped or whose list was lost. The dispatcher could not count the crashes under a task, so that a deadly task met one upstream after another.

The results of such runs now have m_upstream_lost and the incarnation: the lease lapsed without a word, a restart showed, or another upstream answers. Not those that the upstream listed as ended, refused, stopped or no longer lists, nor those of a fenced claim. A session remembers the incarnation that it lost with runs, and reports its fate once: crashed when another incarnation or upstream has taken its place or record_departure() says that it is gone, survived when it accepts the next claim. The fate is repeated with the result of a run that is settled after the restart, since a history drops the fate of an upstream under which it knows no loss.

--- a/include/cassiahub/lease/sessions.hpp
+++ b/include/cassiahub/lease/sessions.hpp
@@ -72,6 +72,11 @@
 /// \param token fencing token for sessions that have to claim their upstream again.
 void advance(lease_state & state, std::uint64_t token, time_point now, effects & out);
 
+/// Records that the registration of \p upstream is gone for good: an upstream that was
+/// lost with runs has crashed.
+void record_departure(lease_state & state, std::string_view upstream, time_point now,
+                      effects & out);
+
 /// \returns true while a run of \p job (task_name::m_job) that this instance has started,
 /// for itself or for another one, is not known to have ended.
 bool has_runs(lease_state const & state, std::string_view job);
--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -42,6 +43,10 @@
     time_point m_stop_sent_at;
     /// First call after the reply that accepted a stop; 0: no stop was accepted so far.
     call_number m_first_call_after_stop = 0;
+    bool m_stop_confirmed = false; ///< the session's incarnation has accepted a stop
+    /// Incarnation of the upstream that may have run it; only in m_unsettled of a
+    /// session.
+    std::uint64_t m_incarnation = 0;
     /// The lease is not extended beyond this time, by which the run has to end even if
     /// no stop takes effect.
     time_point m_lease_limit = time_point::max();
@@ -83,6 +88,8 @@
     /// Runs that the upstream may have after its restart. The reply to the next claim
     /// shows whether it has them.
     std::map<task_name, requested_run> m_unsettled;
+    /// Incarnation that was lost with runs and whose fate is not known.
+    std::optional<std::uint64_t> m_lost_incarnation;
 
     call_number m_renewal = 0;      ///< renewal in flight; 0: none
     time_point m_renewal_due;       ///< when the reply to m_renewal is overdue
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -73,6 +73,40 @@
     context.m_out.m_results.push_back({run.m_attempt, outcome, {}, false});
 }
 
+/// Reports a run that was lost with \p incarnation of the upstream, unless it had been
+/// stopped there.
+/// \returns true if it was lost.
+bool report_lost(session_context & context, task_name const & task,
+                 requested_run const & run, attempt_outcome outcome,
+                 std::uint64_t incarnation)
+{
+    report_result(context, task, run, outcome);
+    if (run.m_stop_confirmed)
+    {
+        return false;
+    }
+    dispatch::attempt_result & result = context.m_out.m_results.back();
+    result.m_upstream_lost = true;
+    result.m_upstream_incarnation = incarnation;
+    return true;
+}
+
+/// Reports an unsettled run that the session's incarnation neither runs nor has ended.
+void report_unsettled(session_context & context, task_name const & task,
+                      requested_run const & run, attempt_outcome outcome)
+{
+    upstream_session const & session = context.m_session;
+    if (run.m_incarnation == session.m_incarnation)
+    {
+        report_result(context, task, run, outcome);
+    }
+    else if (report_lost(context, task, run, outcome, run.m_incarnation))
+    {
+        context.m_out.m_fates.push_back(
+            {{session.m_name, run.m_incarnation}, dispatch::upstream_fate::crashed, {}});
+    }
+}
+
 requested_run * find_run(upstream_session & session, task_name const & task,
                          std::uint64_t generation)
 {
@@ -205,19 +239,27 @@
     }
 }
 
-void finish_unconfirmed_runs(session_context & context)
+void finish_lost_runs(session_context & context)
 {
-    std::vector<task_name> unconfirmed;
-    for (auto const & [task, run] : context.m_session.m_runs)
+    upstream_session & session = context.m_session;
+    for (auto const & [task, run] : std::exchange(session.m_runs, {}))
     {
-        if (!run.m_confirmed)
+        context.m_state.m_attempts.erase(run.m_attempt);
+        auto const outcome =
+            run.m_confirmed ? attempt_outcome::interrupted : attempt_outcome::unknown;
+        if (report_lost(context, task, run, outcome, session.m_incarnation))
         {
-            unconfirmed.push_back(task);
+            session.m_lost_incarnation = session.m_incarnation;
         }
     }
-    for (task_name const & task : unconfirmed)
+}
+
+void report_fate(session_context & context, dispatch::upstream_fate fate)
+{
+    upstream_session & session = context.m_session;
+    if (auto const lost = std::exchange(session.m_lost_incarnation, std::nullopt))
     {
-        finish_run(context, task, attempt_outcome::unknown);
+        context.m_out.m_fates.push_back({{session.m_name, *lost}, fate, {}});
     }
 }
 
@@ -232,13 +274,24 @@
                           return false;
                       }
                       context.m_state.m_attempts.erase(entry.second.m_attempt);
-                      session.m_unsettled.insert(entry);
+                      auto const held = session.m_unsettled.insert(entry);
+                      if (held.second)
+                      {
+                          held.first->second.m_incarnation = session.m_incarnation;
+                      }
                       return true;
                   });
 }
 
 void settle_runs(session_context & context, upstream_reply const & reply)
 {
+    for (auto & [task, run] : context.m_session.m_unsettled)
+    {
+        if (is_listed(reply, task, run.m_generation))
+        {
+            run.m_incarnation = context.m_session.m_incarnation;
+        }
+    }
     std::erase_if(
         context.m_session.m_unsettled,
         [&](auto const & entry)
@@ -252,9 +305,14 @@
             auto const end = std::find_if(reply.m_ended.begin(), reply.m_ended.end(),
                                           [&name](listed_end const & item)
                                           { return item.m_run == name; });
-            report_result(context, task, run,
-                          end != reply.m_ended.end() ? outcome_of(end->m_cause)
-                                                     : attempt_outcome::interrupted);
+            if (end != reply.m_ended.end())
+            {
+                report_result(context, task, run, outcome_of(end->m_cause));
+            }
+            else
+            {
+                report_unsettled(context, task, run, attempt_outcome::interrupted);
+            }
             return true;
         });
 }
@@ -263,7 +321,7 @@
 {
     for (auto const & [task, run] : context.m_session.m_unsettled)
     {
-        report_result(context, task, run, attempt_outcome::unknown);
+        report_unsettled(context, task, run, attempt_outcome::unknown);
     }
     context.m_session.m_unsettled.clear();
 }
@@ -316,6 +374,7 @@
     }
     else if (outcome == call_outcome::accepted)
     {
+        run->m_stop_confirmed = run->m_stop_confirmed || confirmed;
         if (run->m_first_call_after_stop == 0)
         {
             run->m_first_call_after_stop = context.m_state.m_next_call;
--- a/src/lease/runs.hpp
+++ b/src/lease/runs.hpp
@@ -18,11 +18,16 @@
 /// Finishes every run of the session with \p outcome.
 void finish_all_runs(session_context & context, dispatch::attempt_outcome outcome);
 
-/// Finishes, with attempt_outcome::unknown, every run that is not known to have started
-/// in the session's incarnation of the upstream.
-void finish_unconfirmed_runs(session_context & context);
+/// Finishes every run because the upstream was lost: as interrupted those that are known
+/// to have started in the session's incarnation, and the others, which a later
+/// incarnation may run, as unknown. Those whose stop was accepted do not count as lost
+/// with the upstream.
+void finish_lost_runs(session_context & context);
 
-/// Moves the runs that finish_unconfirmed_runs() would finish to
+/// Reports what became of the incarnation that was lost with runs, if there is one.
+void report_fate(session_context & context, dispatch::upstream_fate fate);
+
+/// Moves the runs that are not known to have started in the session's incarnation to
 /// upstream_session::m_unsettled.
 void hold_unconfirmed_runs(session_context & context);
 
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -78,17 +78,29 @@
                        current_clock(session, now), session.m_incarnation);
 }
 
-/// Finishes all runs because the claim on the upstream is lost: with \p outcome those
-/// that are known to have started in the session's incarnation, and the others, which a
-/// later incarnation may run, with attempt_outcome::unknown. The upstream is claimed
+/// Why a claim on an upstream is lost.
+enum class claim_end
+{
+    fenced,       ///< another instance has claimed the upstream
+    upstream_lost ///< the upstream crashed or cannot be reached
+};
+
+/// Finishes all runs because the claim on the upstream is lost. The upstream is claimed
 /// again later.
 /// \param code code of the logged event.
-void lose_claim(session_context & context, attempt_outcome outcome, std::string_view code)
+void lose_claim(session_context & context, claim_end reason, std::string_view code)
 {
     upstream_session & session = context.m_session;
     log_session(context, code, {}, describe_session(context));
-    finish_unconfirmed_runs(context);
-    finish_all_runs(context, outcome);
+    if (reason == claim_end::fenced)
+    {
+        // The new owner stops these runs at a time that is not known here.
+        finish_all_runs(context, attempt_outcome::unknown);
+    }
+    else
+    {
+        finish_lost_runs(context);
+    }
     stop_serving(context, session_phase::claiming);
     // Ends the processing of replies to earlier calls. The next claim fences starts that
     // are carried out late.
@@ -113,7 +125,11 @@
         {
             hold_unconfirmed_runs(context);
         }
-        lose_claim(context, attempt_outcome::interrupted, "upstream_restarted");
+        lose_claim(context, claim_end::upstream_lost, "upstream_restarted");
+    }
+    if (session.m_incarnation != 0)
+    {
+        report_fate(context, dispatch::upstream_fate::crashed);
     }
     session.m_incarnation = incarnation;
     session.m_clock_at = {};
@@ -229,6 +245,11 @@
                     describe_session(context));
         session.m_phase = session_phase::serving;
         set_available(context, true);
+        if (session.m_incarnation != 0 &&
+            session.m_lost_incarnation == session.m_incarnation)
+        {
+            report_fate(context, dispatch::upstream_fate::survived);
+        }
     }
     continue_renewal(context);
 }
@@ -256,9 +277,8 @@
     switch (outcome)
     {
     case call_outcome::fenced:
-        // The new owner stops these runs at a time that is not known here.
         finish_unsettled_runs(context);
-        lose_claim(context, attempt_outcome::unknown, "upstream_fenced");
+        lose_claim(context, claim_end::fenced, "upstream_fenced");
         return true;
     case call_outcome::other_incarnation:
         if (call.m_address != context.m_session.m_address)
@@ -266,7 +286,8 @@
             return false; // the runs continue at the address that has been registered
         }
         finish_unsettled_runs(context);
-        lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
+        lose_claim(context, claim_end::upstream_lost, "upstream_replaced");
+        report_fate(context, dispatch::upstream_fate::crashed);
         return true;
     default:
         return false;
@@ -312,7 +333,7 @@
     if (!session.m_runs.empty() && context.m_now >= lease_expiry(session))
     {
         context.m_state.m_expired += session.m_runs.size();
-        lose_claim(context, attempt_outcome::interrupted, "lease_lapsed");
+        lose_claim(context, claim_end::upstream_lost, "lease_lapsed");
     }
     if (session.m_phase != session_phase::claiming)
     {
@@ -390,7 +411,8 @@
         {
             finish_unsettled_runs(context);
         }
-        lose_claim(context, attempt_outcome::interrupted, "upstream_replaced");
+        lose_claim(context, claim_end::upstream_lost, "upstream_replaced");
+        report_fate(context, dispatch::upstream_fate::crashed);
         session.m_address = owned.m_address;
         session.m_incarnation = std::max(session.m_incarnation, owned.m_incarnation);
         session.m_clock_at = {};
@@ -602,6 +624,17 @@
     internal::drop_released(state, out);
 }
 
+void record_departure(lease_state & state, std::string_view upstream, time_point now,
+                      effects & out)
+{
+    auto const found = state.m_sessions.find(upstream);
+    if (found != state.m_sessions.end())
+    {
+        internal::session_context context{state, found->second, now, out};
+        internal::report_fate(context, dispatch::upstream_fate::crashed);
+    }
+}
+
 bool has_runs(lease_state const & state, std::string_view job)
 {
     return std::any_of(state.m_sessions.begin(), state.m_sessions.end(),
