Count crashes of upstreams under a task, and stop starting it

Callers saw one task crash an upstream after the other: a crash ends a run as interrupted or unknown, retry.cpp counted only "failed", and the count lived in one submission of the job.

The dispatcher keeps a crash_history. An attempt that ends with m_upstream_lost on an upstream of this instance, own or forwarded here, cancelled or not, is recorded there and reported in effects::m_losses. The history decides at admission, after an attempt without success, and where the head of the queue is placed: a convicted task ends its job with crashes_upstreams, a withheld one with outcome_unknown, or with crash_suspected when nothing of the job can have run. A queued task of another instance is returned as not run, so that its owner ends the job. A suspected task gets no hedge, which would put a second upstream at risk.

crash_history indexes tasks by upstream, so the fate of an upstream costs O(log n) for each of its tasks and not a pass over all suspects; a listed loss carries its age, so that restarted instances do not renew it; a later loss of a crashed upstream is a crash at once.

--- a/include/cassiahub/dispatch/counters.hpp
+++ b/include/cassiahub/dispatch/counters.hpp
@@ -27,6 +27,9 @@
     std::uint64_t m_late_results = 0;      ///< results of cancelled attempts that had run
     std::uint64_t m_ejections = 0;
     std::uint64_t m_shed_jobs = 0;
+    std::uint64_t m_losses = 0;         ///< attempts whose upstream was lost
+    std::uint64_t m_convicted_jobs = 0; ///< ended with crashes_upstreams
+    std::uint64_t m_withheld_jobs = 0;  ///< ended, as a task of them was withheld
     /// Jobs refused or failed, by job_errc.
     std::array<std::uint64_t, job_errc_count> m_jobs_by_error{};
 };
--- a/include/cassiahub/dispatch/crash_history.hpp
+++ b/include/cassiahub/dispatch/crash_history.hpp
@@ -66,6 +66,7 @@
     upstream_fate m_fate = upstream_fate::unknown;
     /// Tasks that it ran; empty when only the fate is new.
     std::vector<task_identity> m_tasks;
+    duration m_age{0}; ///< time since the last loss under these tasks
     bool operator==(upstream_loss const &) const = default;
 };
 
@@ -82,6 +83,8 @@
     std::map<task_identity, suspected_task> m_tasks;
     /// Tasks by their last loss, oldest first.
     std::set<std::pair<time_point, task_identity>> m_by_time;
+    /// Tasks under which each upstream was lost.
+    std::map<upstream_identity, std::set<task_identity>> m_by_upstream;
 };
 
 /// Whether a task may be started, as far as lost upstreams decide it.
@@ -94,7 +97,7 @@
 };
 
 /// Adds a loss, or what has become known about one. Losses that are known already change
-/// nothing, so a notice may arrive more than once.
+/// nothing, so a notice may arrive more than once. O(log n) for each task.
 void record_loss(crash_history & history, upstream_loss const & loss, time_point now);
 
 /// Removes the tasks whose last loss is older than loss_retention.
@@ -104,8 +107,17 @@
 crash_verdict judge_task(crash_history const & history, std::string_view tenant,
                          std::string_view job, std::uint32_t task);
 
+/// Losses of upstreams under one task.
+struct loss_count
+{
+    std::size_t m_losses = 0;  ///< crashes included
+    std::size_t m_crashes = 0; ///< known to be crashes
+};
+
+loss_count count_losses(crash_history const & history, task_identity const & task);
+
 /// \returns all losses of \p history, for an instance that does not know them.
-std::vector<upstream_loss> list_losses(crash_history const & history);
+std::vector<upstream_loss> list_losses(crash_history const & history, time_point now);
 
 } // namespace cassiahub::dispatch
 
--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -116,6 +116,10 @@
 /// \returns the load that this instance reports to its peers.
 peer_load current_load(dispatch_state const & state);
 
+/// Adds a loss that another instance has reported, or the fate of a lost upstream. Queued
+/// tasks that may not be started any more end their jobs when their turn comes.
+void record_loss(dispatch_state & state, upstream_loss const & loss, time_point now);
+
 /// Handles due timers, such as job deadlines, and starts nothing.
 void advance_timers(dispatch_state & state, time_point now, random_source & random,
                     effects & out);
--- a/include/cassiahub/dispatch/effects.hpp
+++ b/include/cassiahub/dispatch/effects.hpp
@@ -38,6 +38,13 @@
     attempt_result m_result;
 };
 
+/// Loss of an upstream under a task that this instance ran.
+struct task_loss
+{
+    upstream_loss m_loss;
+    instance_id m_from; ///< instance that forwarded the task, or empty
+};
+
 /// Actions for the caller to perform after an event, in order within each list.
 struct effects
 {
@@ -46,7 +53,7 @@
     std::vector<task_forward> m_forwards;
     std::vector<forward_cancel> m_forward_cancels;
     /// Losses of upstreams, to be sent to every live instance before m_forward_results.
-    std::vector<upstream_loss> m_losses;
+    std::vector<task_loss> m_losses;
     std::vector<forward_result> m_forward_results;
     std::vector<job_outcome> m_finished;
 };
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -7,6 +7,7 @@
 #include <cassiahub/dispatch/budget.hpp>
 #include <cassiahub/dispatch/capacity_index.hpp>
 #include <cassiahub/dispatch/counters.hpp>
+#include <cassiahub/dispatch/crash_history.hpp>
 #include <cassiahub/dispatch/fair_queue.hpp>
 #include <cassiahub/dispatch/health.hpp>
 #include <cassiahub/dispatch/run_time.hpp>
@@ -87,7 +88,7 @@
 struct running_attempt
 {
     std::uint64_t m_job = 0; ///< serial; 0 if a peer forwarded the task
-    std::uint32_t m_task = 0;
+    task_identity m_task;
     std::uint32_t m_kind = 0;
     std::uint32_t m_upstream = no_upstream; ///< no_upstream if forwarded to a peer
     instance_id m_to;                       ///< peer to which it was forwarded, or empty
@@ -102,8 +103,7 @@
     double m_slots = 1;            ///< slots whose resources the task uses
     bool m_hedge_deferred = false; ///< the second delay of a straggler has begun
     bool m_probe = false;
-    bool m_cancelled = false;    ///< its result is not needed; it still occupies its slot
-    std::string m_cancelled_key; ///< job_key::m_key of its job, set when it is cancelled
+    bool m_cancelled = false; ///< its result is not needed; it still occupies its slot
 };
 
 /// Allocation and health of an upstream that this instance owns, or that still runs
@@ -248,6 +248,9 @@
     /// Recently finished tasks of peers; duplicate forwards of them are ignored.
     std::unordered_set<attempt_id> m_finished_forwarded;
 
+    /// Losses of upstreams under tasks, here and at other instances.
+    crash_history m_crashes;
+
     attempt_budget m_retry_budget;
     attempt_budget m_hedge_budget;
     dispatch_counters m_counters;
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/shedding.hpp"
+#include "dispatch/verdict.hpp"
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -129,6 +130,10 @@
     {
         return error;
     }
+    if (std::error_code const error = internal::check_verdicts(state, spec))
+    {
+        return error;
+    }
     std::uint32_t const kind = state.m_kind_index.at(spec.m_kind);
     if (std::error_code const error =
             internal::check_limits(state, spec, state.m_kinds[kind]))
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -10,6 +10,7 @@
 #include "dispatch/retry.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
+#include "dispatch/verdict.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
@@ -87,6 +88,7 @@
         timers.erase(timers.begin());
         handle_timer(context, due);
     }
+    expire_losses(context.m_state.m_crashes, context.m_now);
 }
 
 /// Result of an attempt to place the head of a queue.
@@ -97,10 +99,8 @@
 };
 
 placement_request make_placement_request(dispatch_state const & state,
-                                         job_state const & job)
+                                         job_state const & job, std::uint32_t task)
 {
-    std::uint32_t const task =
-        job.m_retries.empty() ? job.m_next_task : job.m_retries.front();
     return {
         job.m_spec.m_tasks[task].m_demand,
         may_probe(state.m_kinds[job.m_kind].m_definition, job.m_tasks[task].m_failures),
@@ -111,7 +111,10 @@
 {
     dispatch_state & state = context.m_state;
     job_state & job = state.m_jobs.at(serial);
-    if (shed_if_unreachable(state, job, context.m_now, context.m_out))
+    std::uint32_t const next =
+        job.m_retries.empty() ? job.m_next_task : job.m_retries.front();
+    if (end_if_forbidden(state, job, next, context.m_out) ||
+        shed_if_unreachable(state, job, context.m_now, context.m_out))
     {
         return head_result::dequeued;
     }
@@ -120,7 +123,7 @@
         return head_result::no_capacity;
     }
     attempt_target target;
-    placement_request const request = make_placement_request(state, job);
+    placement_request const request = make_placement_request(state, job, next);
     if (auto const reserved = reserved_upstream(state, job, request.m_demand))
     {
         target.m_upstream = *reserved;
@@ -154,6 +157,13 @@
 {
     dispatch_state & state = context.m_state;
     forwarded_task const & task = state.m_forwarded.at(id);
+    job_key const & key = task.m_start.m_job;
+    if (forbids_start(
+            judge_task(state.m_crashes, key.m_tenant, key.m_key, task.m_start.m_task)))
+    {
+        refuse_forwarded(state, id, context.m_out);
+        return head_result::dequeued;
+    }
     placement_request const request{
         task.m_start.m_demand, may_probe(state.m_kinds[task.m_kind].m_definition, 0)};
     auto const upstream = pick_upstream(state, request, context.m_random);
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -46,7 +46,7 @@
                                      time_point now)
 {
     running_attempt attempt;
-    attempt.m_task = start.m_task;
+    attempt.m_task = {start.m_job.m_tenant, start.m_job.m_key, start.m_task};
     attempt.m_kind = kind;
     attempt.m_demand = start.m_demand;
     attempt.m_started = now;
@@ -215,7 +215,6 @@
         if (id.m_serial != 0)
         {
             cancel_attempt(state, id, out);
-            state.m_attempts.at(id).m_cancelled_key = job.m_spec.m_key.m_key;
             id = {};
             --job.m_running_count;
         }
@@ -314,20 +313,20 @@
                          effects & out)
 {
     job_state & job = state.m_jobs.at(attempt.m_job);
-    detach_attempt(job, attempt.m_task, result.m_attempt);
+    std::uint32_t const task = attempt.m_task.m_task;
+    detach_attempt(job, task, result.m_attempt);
     if (result.m_outcome == attempt_outcome::succeeded)
     {
-        complete_task(state, job, attempt.m_task, std::move(result.m_payload), out);
+        complete_task(state, job, task, std::move(result.m_payload), out);
     }
     else if (result.m_outcome == attempt_outcome::not_run &&
              !attempt.m_to.m_value.empty())
     {
-        handle_declined(state, job, attempt.m_task, now, random);
+        handle_declined(state, job, task, now, random);
     }
     else
     {
-        handle_unsuccessful(state, job, attempt.m_task, result.m_outcome, now, random,
-                            out);
+        handle_unsuccessful(state, job, task, result.m_outcome, now, random, out);
     }
 }
 
@@ -349,12 +348,31 @@
     end_attempt(state, {id, attempt_outcome::unknown, "", false}, now, random, out);
 }
 
+/// Records the loss of the upstream under an attempt, cancelled or not.
+void record_own_loss(dispatch_state & state, running_attempt const & attempt,
+                     attempt_result const & result, time_point now, effects & out)
+{
+    if (!result.m_upstream_lost)
+    {
+        return;
+    }
+    std::string const & name = state.m_upstreams[attempt.m_upstream].m_definition.m_name;
+    upstream_loss loss{{name, result.m_upstream_incarnation},
+                       upstream_fate::unknown,
+                       {attempt.m_task},
+                       {}};
+    record_loss(state.m_crashes, loss, now);
+    ++state.m_counters.m_losses;
+    out.m_losses.push_back({std::move(loss), attempt.m_from});
+}
+
 void end_attempt(dispatch_state & state, attempt_result result, time_point now,
                  random_source & random, effects & out)
 {
     running_attempt const attempt = remove_attempt(state, result.m_attempt);
     if (attempt.m_upstream != no_upstream)
     {
+        record_own_loss(state, attempt, result, now, out);
         release_upstream(state, attempt, result, now);
     }
     if (!attempt.m_from.m_value.empty())
--- a/src/dispatch/cancellation.cpp
+++ b/src/dispatch/cancellation.cpp
@@ -22,7 +22,7 @@
     return std::any_of(state.m_attempts.begin(), state.m_attempts.end(),
                        [key](auto const & entry) {
                            return entry.second.m_cancelled &&
-                                  entry.second.m_cancelled_key == key;
+                                  entry.second.m_task.m_job == key;
                        }) ||
            std::any_of(state.m_forwarded.begin(), state.m_forwarded.end(),
                        [key](auto const & entry)
--- a/src/dispatch/hedging.cpp
+++ b/src/dispatch/hedging.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/ejection.hpp"
 #include "dispatch/hedging.hpp"
 #include "dispatch/placement.hpp"
+#include "dispatch/verdict.hpp"
 
 namespace cassiahub::dispatch::internal
 {
@@ -58,7 +59,9 @@
 {
     running_attempt & attempt = state.m_attempts.at(id);
     job_state & job = state.m_jobs.at(attempt.m_job);
-    if (job.m_tasks[attempt.m_task].m_hedged || job.m_send_before <= now)
+    std::uint32_t const task = attempt.m_task.m_task;
+    if (job.m_tasks[task].m_hedged || job.m_send_before <= now ||
+        judge_task(state, job, task) != crash_verdict::unsuspected)
     {
         return;
     }
@@ -72,14 +75,13 @@
         schedule_again(state, job, attempt, id, now);
         return;
     }
-    placement_request const request{job.m_spec.m_tasks[attempt.m_task].m_demand, false,
+    placement_request const request{job.m_spec.m_tasks[task].m_demand, false,
                                     attempt.m_upstream, true};
     auto const target = pick_upstream(state, request, random);
     if (target && spend(state.m_hedge_budget))
     {
-        job.m_tasks[attempt.m_task].m_hedged = true;
-        start_attempt(state, job, attempt.m_task, {*target, {}}, attempt_role::hedge, now,
-                      out);
+        job.m_tasks[task].m_hedged = true;
+        start_attempt(state, job, task, {*target, {}}, attempt_role::hedge, now, out);
         return;
     }
     schedule_again(state, job, attempt, id, now);
@@ -97,7 +99,7 @@
 void schedule_hedge(dispatch_state & state, job_state const & job,
                     running_attempt & attempt, attempt_id const & id, time_point now)
 {
-    task_state const & task = job.m_tasks[attempt.m_task];
+    task_state const & task = job.m_tasks[attempt.m_task.m_task];
     bool const attempts_left =
         task.m_attempts < state.m_configuration->m_dispatch.m_max_attempts;
     if (!may_hedge(state, job, now) || task.m_hedged || !attempts_left)
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -61,9 +61,35 @@
                  running_attempt const & attempt)
 {
     auto const job = state.m_jobs.find(attempt.m_job);
-    return job != state.m_jobs.end() &&
-           (job->second.m_tasks[attempt.m_task].m_running[0] == id ||
-            job->second.m_tasks[attempt.m_task].m_running[1] == id);
+    if (job == state.m_jobs.end())
+    {
+        return false;
+    }
+    job_key const & key = job->second.m_spec.m_key;
+    auto const & running = job->second.m_tasks[attempt.m_task.m_task].m_running;
+    return attempt.m_task.m_tenant == key.m_tenant && attempt.m_task.m_job == key.m_key &&
+           (running[0] == id || running[1] == id);
+}
+
+void check_crashes(dispatch_state const & state, violation_names & violations)
+{
+    crash_history const & history = state.m_crashes;
+    std::size_t losses = 0;
+    for (auto const & [task, entry] : history.m_tasks)
+    {
+        losses += entry.m_upstreams.size();
+        add_if_violated(violations,
+                        entry.m_upstreams.empty() ||
+                            !history.m_by_time.contains({entry.m_last_loss, task}),
+                        "suspect_has_loss");
+    }
+    for (auto const & [upstream, tasks] : history.m_by_upstream)
+    {
+        losses -= tasks.size();
+    }
+    add_if_violated(violations,
+                    losses != 0 || history.m_by_time.size() != history.m_tasks.size(),
+                    "losses_counted");
 }
 
 void check_attempts(dispatch_state const & state, violation_names & violations)
@@ -165,6 +191,7 @@
     internal::check_attempts(state, violations);
     internal::check_jobs(state, violations);
     internal::check_queue(state, violations);
+    internal::check_crashes(state, violations);
     return violations;
 }
 
--- a/src/dispatch/retry.cpp
+++ b/src/dispatch/retry.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/baseline.hpp"
 #include "dispatch/jobs.hpp"
 #include "dispatch/retry.hpp"
+#include "dispatch/verdict.hpp"
 
 #include <algorithm>
 #include <random>
@@ -112,6 +113,10 @@
     {
         return; // a hedge of the same task may still succeed
     }
+    if (end_if_forbidden(state, job, task_index, out))
+    {
+        return;
+    }
     if (!may_repeat(state, job, task, outcome) ||
         has_reached_failure_limit(state, job, task))
     {
--- a/tests/dispatch_crash_history_test.cpp
+++ b/tests/dispatch_crash_history_test.cpp
@@ -93,6 +93,8 @@
     CPPUNIT_TEST(loss_older_than_retention_is_forgotten);
     CPPUNIT_TEST(full_history_forgets_oldest_task);
     CPPUNIT_TEST(listed_losses_give_another_history_the_same_verdicts);
+    CPPUNIT_TEST(listed_loss_expires_with_the_original);
+    CPPUNIT_TEST(loss_of_crashed_upstream_under_another_task_is_a_crash);
     CPPUNIT_TEST_SUITE_END();
 
     void loss_older_than_retention_is_forgotten()
@@ -123,13 +125,38 @@
         lose("a", {task(0), task(1)}, upstream_fate::crashed);
         lose("b", {task(0)}, upstream_fate::crashed);
         crash_history other;
-        for (upstream_loss const & loss : list_losses(m_history))
+        for (upstream_loss const & loss : list_losses(m_history, m_now))
         {
             record_loss(other, loss, m_now);
         }
         CPPUNIT_ASSERT(judge_task(other, "tenant", "job", 0) == crash_verdict::convicted);
         CPPUNIT_ASSERT(judge_task(other, "tenant", "job", 1) == crash_verdict::suspected);
     }
+
+    // Guards against a suspicion that instances restarted one after another pass on for
+    // ever.
+    void listed_loss_expires_with_the_original()
+    {
+        lose("a", {task(0)});
+        m_now += loss_retention / 2;
+        crash_history other;
+        for (upstream_loss const & loss : list_losses(m_history, m_now))
+        {
+            record_loss(other, loss, m_now);
+        }
+        expire_losses(other, m_now + loss_retention / 2);
+        CPPUNIT_ASSERT(other.m_tasks.empty());
+        CPPUNIT_ASSERT(other.m_by_upstream.empty());
+    }
+
+    // Guards against a crash that counts only for the tasks whose losses were reported
+    // before the fate of the upstream.
+    void loss_of_crashed_upstream_under_another_task_is_a_crash()
+    {
+        lose("a", {task(0)}, upstream_fate::crashed);
+        lose("a", {task(1)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_losses(m_history, task(1)).m_crashes);
+    }
 };
 
 } // namespace
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(request_of_each_method_decodes_to_its_operation);
     CPPUNIT_TEST(answer_of_completed_job_has_state_completed);
     CPPUNIT_TEST(answer_of_failed_job_has_state_failed);
+    CPPUNIT_TEST(answer_of_crashing_job_has_state_failed);
     CPPUNIT_TEST(answer_without_failed_run_has_no_state);
     CPPUNIT_TEST(answer_not_run_has_status_503_and_retry_after);
     CPPUNIT_TEST(answer_that_may_have_run_has_status_502_or_504);
@@ -166,6 +167,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"failed"})"), encoded.m_body);
     }
 
+    // Guards against a caller that submits a job again although the job has crashed the
+    // upstreams that started it.
+    void answer_of_crashing_job_has_state_failed()
+    {
+        http::response const encoded =
+            m_wire.m_encode_answer(decision::key_operation::submit,
+                                   {job_errc::crashes_upstreams, run_state::no, 1s, {}});
+        CPPUNIT_ASSERT_EQUAL(200, encoded.m_status);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"failed"})"), encoded.m_body);
+    }
+
     // Guards against a job that is reported as failed because its starts were lost or
     // refused: only failed runs make a job fail.
     void answer_without_failed_run_has_no_state()
