--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -988,6 +988,8 @@
     CPPUNIT_TEST(repeated_start_of_task_is_logged_with_its_upstream);
     CPPUNIT_TEST(caller_that_left_is_logged_with_its_starts);
     CPPUNIT_TEST(failed_peer_is_logged_with_its_silence_and_work);
+    CPPUNIT_TEST(registration_with_other_start_time_or_address_is_logged_with_both);
+    CPPUNIT_TEST(unchanged_registration_is_logged_once);
     CPPUNIT_TEST_SUITE_END();
 
     std::vector<log_event> take_events(std::string_view code)
@@ -1049,6 +1051,29 @@
         CPPUNIT_ASSERT(mentions(logged[0], "silent_ms=10"));
         CPPUNIT_ASSERT(mentions(logged[0], "running_here=0"));
     }
+
+    // Guards against a restart under the same name that leaves no trace.
+    void registration_with_other_start_time_or_address_is_logged_with_both()
+    {
+        start_without_peers();
+        take_actions<log_event>();
+        discover_other("up-1", "pool", 8);
+        auto const logged = take_events("upstream_registered");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("up-1"), logged[0].m_subject);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("address=up-1:2 incarnation=8 "
+                        "previous_address=up-1:1 previous_incarnation=0"),
+            logged[0].m_detail);
+    }
+
+    // Guards against a log that each reading of the list fills.
+    void unchanged_registration_is_logged_once()
+    {
+        start_without_peers();
+        discover({"up-1", "up-2"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), take_events("upstream_registered").size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leasing_job_test);
