Restart the soak's upstreams under a new id while orders are late

An upstream that restarts while orders are late now gets a new id; the former one stays in the list for three heartbeats and is answered with 421, as are late orders for it. Other restarts keep the id in half of the cases.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -117,7 +117,7 @@
         names = [gateway.name for gateway in self.gateways]
         self.upstreams = [Upstream(f"up-{index}", base + 500 + 2 * index * len(names),
                                    domain_of(index, options), names, 32_000, self.checks,
-                                   options.seed)
+                                   options.seed, options.kept_ids)
                           for index in range(options.upstreams)]
         self.gateways_by_name = {gateway.name: gateway for gateway in self.gateways}
         self.faults = collections.Counter()
@@ -348,6 +348,8 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--domains", type=int, default=2)
     parser.add_argument("--upstreams", type=int, default=12)
+    parser.add_argument("--kept-ids", action="store_true",
+                        help="upstreams restart under their id also while orders are late")
     parser.add_argument("--rate", type=float, default=12, help="jobs per second")
     parser.add_argument("--gap", type=float, default=0.8,
                         help="mean seconds between faults")
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -14,6 +14,7 @@
 HEARTBEAT_S = 1.5  # longest time from a change until it is registered
 LATE_ORDER_S = (2, 12)  # until an order that got no reply is carried out
 LATE_ORDER_SHARE = 0.5
+KEPT_ID_SHARE = 0.5  # of the restarts that no late order outlasts
 SLOW_FACTOR = 6  # run time while an upstream is slow
 RETRANSMISSION_S = 0.2  # delay of a lost packet
 LOSS_SHARE = 0.3
@@ -48,10 +49,16 @@
     late_renewals (so do some renewals, and their time counts from then), lag (does not
     write its registration)."""
 
-    def __init__(self, name, first_port, domain, gateways, cpu_limit, checks, seed):
+    def __init__(self, name, first_port, domain, gateways, cpu_limit, checks, seed,
+                 keeps_id):
+        """keeps_id: every restart is under the id of before."""
         self.name, self.first_port, self.domain = name, first_port, domain
         self.cpu_limit, self.checks = cpu_limit, checks
+        self.keeps_id = keeps_id
+        self.id, self.number_of_ids = name, 1
+        self.former_ids = {}  # still registered, with the time of their last heartbeat
         self.random = random.Random(f"{seed}-{name}")
+        self.id_random = random.Random(f"{seed}-{name}-ids")
         self.clock_rate = self.random.choice((1, 1, 0.98))
         self.links = [Link(self, gateway) for gateway in gateways]
         self.faults = collections.Counter()
@@ -87,7 +94,8 @@
         self.servers = [await serve(self.port() + number, link.accept)
                         for number, link in enumerate(self.links)]
         self.down = False
-        self.checks.trace(f"{self.name} began incarnation {self.incarnation_ms}")
+        self.checks.trace(f"{self.name} began incarnation {self.incarnation_ms} as "
+                          f"{self.id}")
 
     async def crash(self, down_s, connections, moved):
         """connections: those of before are reset now ("reset"), when they are used after
@@ -108,8 +116,18 @@
                 link.reset()
         await asyncio.sleep(down_s)
         self.side ^= moved
+        self.select_id()
         await self.start()
 
+    def select_id(self):
+        """Selects the id of the next incarnation. While orders are late, it is a new one,
+        for which they are not intended."""
+        keeps_id = self.id_random.random() < KEPT_ID_SHARE and not self.late_tasks
+        if not self.keeps_id and not keeps_id:
+            self.former_ids[self.id] = self.heartbeat_at
+            self.number_of_ids += 1
+            self.id = f"{self.name}-{self.number_of_ids}"
+
     def clock(self):
         return int((time.monotonic() - self.started) * 1000 * self.clock_rate)
 
@@ -201,7 +219,7 @@
         return None
 
     # The order may reach a later incarnation. It is lost if the upstream is down.
-    async def carry_out_late(self, target, message, gateway):
+    async def carry_out_late(self, target, message, gateway, expected_id):
         delay_s = self.random.uniform(*LATE_ORDER_S)
         if self.faults["late_renewals"] and target.endswith("hold") and (
                 "deadline-ms" in message):
@@ -209,20 +227,24 @@
         await asyncio.sleep(delay_s)
         if self.down:
             return
-        response = self.carry_out(target, message, gateway, True)
+        response = (self.reply(421) if expected_id != self.id
+                    else self.carry_out(target, message, gateway, True))
         self.checks.trace(f"{self.name} carried out late: {target} of {gateway} "
                           f"{message.get('task', '')} {message.get('run', '')} "
-                          f"{response and response[1]}")
+                          f"{response}")
 
     async def handle(self, gateway, target, headers, body):
         message = json.loads(body)
-        if headers.get("cassiahub-expect-instance", self.name) != self.name:
+        expected_id = headers.get("cassiahub-expect-instance", self.id)
+        if expected_id != self.id:
             return self.reply(421)
         renews = target.endswith("hold")
         if (self.faults["late_orders"] or (renews and self.faults["late_renewals"])) and (
                 self.random.random() < LATE_ORDER_SHARE):
-            task = asyncio.create_task(self.carry_out_late(target, message, gateway))
+            task = asyncio.create_task(
+                self.carry_out_late(target, message, gateway, expected_id))
             self.late_tasks.add(task)
+            task.add_done_callback(self.late_tasks.discard)
             self.checks.trace(f"{self.name} delays {target} of {gateway} "
                               f"{message.get('task', '')} {message.get('run', '')}")
             await asyncio.sleep(NO_REPLY_S)
@@ -238,12 +260,16 @@
         """Writes the registration if it has changed; removes it after three missed
         heartbeats."""
         now = time.monotonic()
+        for former_id, heartbeat_at in list(self.former_ids.items()):
+            if now - heartbeat_at > 3 * HEARTBEAT_S:
+                store.remove("servers", former_id)
+                del self.former_ids[former_id]
         if self.down or self.faults["lag"] or self.faults["silent"]:
             if now - self.heartbeat_at > 3 * HEARTBEAT_S:
-                store.remove("servers", self.name)
+                store.remove("servers", self.id)
         elif now >= self.register_from:
             self.heartbeat_at = now
-            store.put_if_changed("servers", self.name, {
+            store.put_if_changed("servers", self.id, {
                 "service": "pool", "address": f"127.0.0.1:{self.port()}", "zone": self.domain,
                 "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
                 "capacity": {"cpu": self.cpu_limit, "mem-mb": 65536, "gpu": 0},
