--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(request_without_response_at_its_deadline_fails_as_response_lost);
     CPPUNIT_TEST(request_waiting_at_its_deadline_fails_as_not_sent);
     CPPUNIT_TEST(request_at_its_deadline_while_written_is_lost);
+    CPPUNIT_TEST(response_while_request_is_written_closes_connection);
     CPPUNIT_TEST(client_that_disconnects_is_reported);
     CPPUNIT_TEST(request_of_connection_that_was_reset_is_not_served);
     CPPUNIT_TEST(body_beyond_limit_is_refused);
@@ -95,6 +96,26 @@
         return text;
     }
 
+    /// Reads while the client runs, until the client closes the connection, at most 5 s.
+    /// \returns the number of bytes read.
+    std::size_t read_until_closed(asio::ip::tcp::socket & socket)
+    {
+        std::string buffer(65'536, '\0');
+        std::size_t size = 0;
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        for (int poll = 0; poll < 2500; ++poll)
+        {
+            size += socket.read_some(asio::buffer(buffer), error);
+            if (error && error != asio::error::would_block)
+            {
+                break;
+            }
+            run_for(error ? 2ms : 0ms);
+        }
+        return size;
+    }
+
 public:
     void setUp() override
     {
@@ -201,6 +222,27 @@
         }
     }
 
+    // Guards against freeing a message that is still being written when its response
+    // arrives, and against reusing its connection.
+    void response_while_request_is_written_closes_connection()
+    {
+        m_server.reset();
+        asio::ip::tcp::acceptor acceptor(
+            m_loop, {asio::ip::make_address_v4("127.0.0.1"), m_port});
+        std::string const body(8'000'000, 'x');
+        send(body);
+        run_for(20ms);
+        asio::ip::tcp::socket accepted = acceptor.accept();
+        asio::write(accepted, asio::buffer(std::string(
+                                  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        wait_for(1);
+        CPPUNIT_ASSERT(!m_errors[0]);
+        CPPUNIT_ASSERT(read_until_closed(accepted) < body.size());
+        send("second");
+        run_for(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), http::opened_connections(*m_client));
+    }
+
     void client_that_disconnects_is_reported()
     {
         m_echo = false;
