Refuse jobs as not run while the room for them has shrunk

check_admission() answered never_fits, which callers see as the state "failed", for a job that fits no upstream at the moment, although an upstream had room for it shortly before and will have it again. The same happened to a job that fits only an upstream that is gone for a few seconds.

The dispatcher now keeps the largest capacities that upstreams have had for ten minutes after they are gone (m_former_capacities). A job that fits one of those, but none of today, is refused as not run (overloaded, 503); never_fits remains for a job that fitted no upstream in that time. It is refused rather than queued, since a job at the head of a queue that fits nowhere blocks the jobs behind it. apply_configuration() takes the time for that.

A process that starts while every upstream is smaller than usual knows only what it has seen and still answers never_fits.

--- a/bench/codec_capacity_bench.cpp
+++ b/bench/codec_capacity_bench.cpp
@@ -656,7 +656,7 @@
     {
         names.push_back(fleet->m_upstreams[index].m_name);
     }
-    dispatch::apply_configuration(state, std::move(fleet));
+    dispatch::apply_configuration(state, std::move(fleet), {});
     dispatch::set_owned_upstreams(state, names);
     return state;
 }
--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -108,7 +108,8 @@
         names.push_back(upstream.m_name);
     }
     apply_configuration(bench.m_state,
-                        std::make_shared<config::fleet_configuration>(std::move(fleet)));
+                        std::make_shared<config::fleet_configuration>(std::move(fleet)),
+                        bench.m_now);
     set_owned_upstreams(bench.m_state, names);
     // Fills every slot and queues one more job for each tenant and kind.
     std::size_t const jobs =
--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -27,9 +27,9 @@
 };
 
 /// Replaces the configuration. Attempts that run on a removed upstream continue.
-void apply_configuration(
-    dispatch_state & state,
-    std::shared_ptr<config::fleet_configuration const> configuration);
+void apply_configuration(dispatch_state & state,
+                         std::shared_ptr<config::fleet_configuration const> configuration,
+                         time_point now);
 
 /// Sets the upstreams that this instance owns, that is, whose slots it allocates.
 /// \param names sorted; names that the configuration lacks are ignored.
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -133,6 +133,14 @@
     resources m_demand;
 };
 
+/// A capacity that no upstream has any more. It counts as one that an upstream may have
+/// again until it is forgotten.
+struct former_capacity
+{
+    resources m_capacity;
+    time_point m_forgotten_at;
+};
+
 /// Load that an instance reports to its peers.
 struct peer_load
 {
@@ -240,6 +248,8 @@
     result_window m_all_results;             ///< results of all owned upstreams
     /// Capacities that no other capacity covers in every dimension.
     std::vector<resources> m_largest_capacities;
+    /// Earlier elements of m_largest_capacities that none of them covers now.
+    std::vector<former_capacity> m_former_capacities;
 
     std::map<instance_id, peer_state> m_peers;
     /// Peers with free slots: (in another domain, hash of the instance, instance).
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -101,7 +101,7 @@
             composed->m_upstreams.push_back(upstream.m_definition);
         }
     }
-    dispatch::apply_configuration(state.m_dispatch, std::move(composed));
+    dispatch::apply_configuration(state.m_dispatch, std::move(composed), context.m_now);
     schedule_upstream_assignment(context);
 }
 
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -438,7 +438,8 @@
                              changed.m_configuration->m_dispatch.m_resubmission_window);
     }
     state.m_document = std::move(changed.m_document);
-    dispatch::apply_configuration(state.m_dispatch, std::move(changed.m_configuration));
+    dispatch::apply_configuration(state.m_dispatch, std::move(changed.m_configuration),
+                                  context.m_now);
     state.m_assignments_valid = false;
     update_assignments(context);
 }
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/shedding.hpp"
+#include "dispatch/upstreams.hpp"
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -15,23 +16,37 @@
 /// An answer later than this multiple of the kind's objective is useless to the caller.
 constexpr int objective_multiple = 2;
 
-bool fits_some_worker(dispatch_state const & state, task_spec const & task)
+/// \returns true when an upstream has had room for \p demand lately.
+bool fitted_lately(dispatch_state const & state, resources const & demand, time_point now)
 {
-    return std::any_of(
-        state.m_largest_capacities.begin(), state.m_largest_capacities.end(),
-        [&task](resources const & capacity) { return fits(task.m_demand, capacity); });
+    return std::any_of(state.m_former_capacities.begin(), state.m_former_capacities.end(),
+                       [&demand, now](former_capacity const & item) {
+                           return now < item.m_forgotten_at &&
+                                  fits(demand, item.m_capacity);
+                       });
 }
 
-std::error_code check_size(dispatch_state const & state, job_spec const & spec)
+std::error_code check_size(dispatch_state const & state, job_spec const & spec,
+                           time_point now)
 {
     if (spec.m_tasks.empty() || spec.m_tasks.size() > max_tasks_per_job)
     {
         return job_errc::too_many_tasks;
     }
-    bool const all_fit = std::all_of(spec.m_tasks.begin(), spec.m_tasks.end(),
-                                     [&state](task_spec const & task)
-                                     { return fits_some_worker(state, task); });
-    return all_fit ? std::error_code() : job_errc::never_fits;
+    bool may_fit_later = false;
+    for (task_spec const & task : spec.m_tasks)
+    {
+        if (fits_some_upstream(state, task.m_demand))
+        {
+            continue;
+        }
+        if (!fitted_lately(state, task.m_demand, now))
+        {
+            return job_errc::never_fits;
+        }
+        may_fit_later = true;
+    }
+    return may_fit_later ? job_errc::overloaded : std::error_code();
 }
 
 std::error_code check_limits(dispatch_state const & state, job_spec const & spec,
@@ -125,7 +140,7 @@
     {
         return job_errc::unknown_kind;
     }
-    if (std::error_code const error = internal::check_size(state, spec))
+    if (std::error_code const error = internal::check_size(state, spec, now))
     {
         return error;
     }
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -6,6 +6,8 @@
 #include <boost/assert.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <utility>
 
 namespace cassiahub::dispatch
 {
@@ -13,6 +15,10 @@
 namespace internal
 {
 
+/// Time for which a job that an upstream had room for is not refused as one that never
+/// fits.
+constexpr duration capacity_memory = std::chrono::minutes(10);
+
 /// \returns true when \p upstream is owned and reachable and neither an operator, the
 /// platform nor the upstream itself is shutting it down. Ignores its health.
 bool accepts_attempts(upstream_state const & upstream) noexcept
@@ -27,6 +33,13 @@
            upstream.m_health.m_phase == health_phase::healthy;
 }
 
+bool fits_some_upstream(dispatch_state const & state, resources const & demand)
+{
+    return std::any_of(
+        state.m_largest_capacities.begin(), state.m_largest_capacities.end(),
+        [&demand](resources const & capacity) { return fits(demand, capacity); });
+}
+
 offered_capacity compute_offered_capacity(upstream_state const & upstream)
 {
     std::uint32_t const taken = upstream.m_running + upstream.m_withheld;
@@ -202,12 +215,30 @@
                        { return fits(capacity, other); });
 }
 
+/// Keeps the elements of \p before that no capacity covers any more.
+void remember_capacities(dispatch_state & state, std::vector<resources> const & before,
+                         time_point now)
+{
+    std::vector<former_capacity> & former = state.m_former_capacities;
+    std::erase_if(former, [now](former_capacity const & item)
+                  { return item.m_forgotten_at <= now; });
+    for (resources const & capacity : before)
+    {
+        if (!is_covered_by_any(state.m_largest_capacities, capacity))
+        {
+            std::erase_if(former, [&capacity](former_capacity const & item)
+                          { return fits(item.m_capacity, capacity); });
+            former.push_back({capacity, now + capacity_memory});
+        }
+    }
+}
+
 /// Stores the capacities that no other capacity covers in every dimension. Fleets have
 /// few machine types, so the list is short.
-void update_largest_capacities(dispatch_state & state)
+void update_largest_capacities(dispatch_state & state, time_point now)
 {
     std::vector<resources> & largest = state.m_largest_capacities;
-    largest.clear();
+    std::vector<resources> const before = std::exchange(largest, {});
     for (config::upstream const & upstream : state.m_configuration->m_upstreams)
     {
         if (is_covered_by_any(largest, upstream.m_capacity))
@@ -218,6 +249,7 @@
                       { return fits(other, upstream.m_capacity); });
         largest.push_back(upstream.m_capacity);
     }
+    remember_capacities(state, before, now);
 }
 
 void update_definitions(dispatch_state & state)
@@ -275,7 +307,8 @@
 } // namespace internal
 
 void apply_configuration(dispatch_state & state,
-                         std::shared_ptr<config::fleet_configuration const> configuration)
+                         std::shared_ptr<config::fleet_configuration const> configuration,
+                         time_point now)
 {
     bool const first = !state.m_configuration;
     state.m_configuration = std::move(configuration);
@@ -286,7 +319,7 @@
     internal::update_kinds(state);
     internal::update_tenants(state);
     internal::update_definitions(state);
-    internal::update_largest_capacities(state);
+    internal::update_largest_capacities(state, now);
     internal::recount_owned(state);
 }
 
--- a/src/load/experiment_simulation.cpp
+++ b/src/load/experiment_simulation.cpp
@@ -370,7 +370,7 @@
         entry.m_domain = index % domain_count;
         entry.m_state.m_domain = domain_name(entry.m_domain);
         entry.m_state.m_incarnation = index + 1;
-        dispatch::apply_configuration(entry.m_state, sim.m_fleet);
+        dispatch::apply_configuration(entry.m_state, sim.m_fleet, time_point());
     }
 }
 
--- a/tests/dispatch_fixture.hpp
+++ b/tests/dispatch_fixture.hpp
@@ -71,7 +71,8 @@
     void apply()
     {
         apply_configuration(
-            m_state, std::make_shared<config::fleet_configuration>(m_configuration));
+            m_state, std::make_shared<config::fleet_configuration>(m_configuration),
+            m_now);
         std::vector<std::string> names;
         for (config::upstream const & upstream : m_configuration.m_upstreams)
         {
