Refuse queued jobs that fit no upstream any more

A job that was queued when the room shrank stayed at the head of the queue of its kind and tenant until its objective or deadline passed, and the smaller jobs behind it waited with it, although upstreams had room for them.

At its turn, a job that has not run and whose next task fits no upstream of the fleet is now refused as not run (overloaded), as a new submission of it would be. It is no longer forwarded to a busy peer either, where it would wait in vain. A job that has run keeps its place until its deadline.

--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -121,6 +121,10 @@
     }
     attempt_target target;
     placement_request const request = make_placement_request(state, job);
+    if (refuse_if_oversized(state, job, request.m_demand, context.m_out))
+    {
+        return head_result::dequeued;
+    }
     if (auto const reserved = reserved_upstream(state, job, request.m_demand))
     {
         target.m_upstream = *reserved;
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -1,7 +1,9 @@
 #include "dispatch/jobs.hpp"
 #include "dispatch/shedding.hpp"
+#include "dispatch/upstreams.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cassiahub::dispatch::internal
 {
@@ -47,4 +49,17 @@
     return true;
 }
 
+bool refuse_if_oversized(dispatch_state & state, job_state & job,
+                         resources const & demand, effects & out)
+{
+    job_answer answer = failed_answer(job, job_errc::overloaded);
+    if (answer.m_ran != run_state::no || fits_some_upstream(state, demand))
+    {
+        return false;
+    }
+    ++state.m_counters.m_shed_jobs;
+    finish_job(state, job, std::move(answer), out);
+    return true;
+}
+
 } // namespace cassiahub::dispatch::internal
--- a/src/dispatch/shedding.hpp
+++ b/src/dispatch/shedding.hpp
@@ -13,6 +13,12 @@
 bool shed_if_unreachable(dispatch_state & state, job_state & job, time_point now,
                          effects & out);
 
+/// Refuses a job that has not run and whose next task, with \p demand, fits no upstream
+/// any more, so that it does not block the jobs behind it.
+/// \returns true when \p job was ended; the reference is then dangling.
+bool refuse_if_oversized(dispatch_state & state, job_state & job,
+                         resources const & demand, effects & out);
+
 /// \returns the part of \p time_limit to reserve for running a task of \p kind; zero when
 /// there are too few recent observations.
 duration reserved_run_time(kind_state const & kind, duration time_limit, time_point now);
--- a/tests/dispatch_capacity_test.cpp
+++ b/tests/dispatch_capacity_test.cpp
@@ -133,6 +133,8 @@
         admission_demand_above_capacity_of_removed_upstream_is_refused_as_not_run);
     CPPUNIT_TEST(admission_long_after_capacity_shrank_never_fits);
     CPPUNIT_TEST(admission_after_capacity_grew_again_passes);
+    CPPUNIT_TEST(queued_job_too_large_since_shrink_is_refused_at_its_turn_as_not_run);
+    CPPUNIT_TEST(queued_job_too_large_since_shrink_does_not_block_smaller_jobs);
     CPPUNIT_TEST_SUITE_END();
 
     void assert_admission(resources const & demand, std::error_code expected) const
@@ -178,6 +180,42 @@
         set_all_capacities({4000, 4096, 0});
         assert_admission({2000, 512, 0}, {});
     }
+
+    void queued_job_too_large_since_shrink_is_refused_at_its_turn_as_not_run()
+    {
+        job_key const first = submit("check", 12);
+        submit(make_spec_with_demand({3000, 512, 0}));
+        set_all_capacities({2000, 4096, 0});
+        cancel_job(m_state, first, m_now, m_out);
+        for (attempt_start const & start : take_starts())
+        {
+            m_out.m_finished.clear();
+            finish(start.m_attempt, attempt_outcome::interrupted);
+            if (!m_out.m_finished.empty())
+            {
+                break;
+            }
+        }
+        job_answer const answer = take_answer();
+        CPPUNIT_ASSERT(answer.m_error == job_errc::overloaded);
+        CPPUNIT_ASSERT(answer.m_ran == run_state::no);
+    }
+
+    // A job whose task fitted no upstream any more stayed at the head of its queue until
+    // its deadline, and the jobs behind it waited with it.
+    void queued_job_too_large_since_shrink_does_not_block_smaller_jobs()
+    {
+        submit("check", 12);
+        auto const starts = take_starts();
+        submit(make_spec_with_demand({3000, 512, 0}));
+        submit("check", 1);
+        set_all_capacities({2000, 4096, 0});
+        for (attempt_start const & start : starts)
+        {
+            finish(start.m_attempt, attempt_outcome::succeeded);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_starts().size());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(large_job_test);
 
