Give up the reservation of an upstream that has shrunk below the demand

An upstream that is reserved for a large task accepts no other task until that one fits. When it shrank below the task's demand it stayed closed to every task until the job ended, and the job got no reservation elsewhere.

reserved_upstream() now ends such a reservation, and the job may reserve another upstream at once. reservation_of_upstream_that_shrinks_moves_to_another_one failed before: the small task ran beside others on the upstream that should have been reserved, and the shrunk, idle one got nothing.

--- a/src/dispatch/reservation.cpp
+++ b/src/dispatch/reservation.cpp
@@ -57,12 +57,13 @@
         return std::nullopt;
     }
     std::uint32_t const id = state.m_reservation.m_upstream;
-    if (!is_usable(state.m_upstreams[id]))
+    upstream_state const & upstream = state.m_upstreams[id];
+    if (!is_usable(upstream) || !fits(demand, upstream.m_definition.m_capacity))
     {
         release_reservation(state);
         return std::nullopt;
     }
-    return has_capacity(state.m_upstreams[id], demand) ? std::optional(id) : std::nullopt;
+    return has_capacity(upstream, demand) ? std::optional(id) : std::nullopt;
 }
 
 void drop_reservation(dispatch_state & state, job_state const & job)
--- a/src/dispatch/reservation.hpp
+++ b/src/dispatch/reservation.hpp
@@ -21,7 +21,7 @@
                         time_point now, random_source & random);
 
 /// \returns the upstream reserved for \p job, if it now has capacity for \p demand. Ends
-/// the reservation of an upstream that is no longer usable.
+/// the reservation of an upstream that is no longer usable or too small.
 std::optional<std::uint32_t> reserved_upstream(dispatch_state & state,
                                                job_state const & job,
                                                resources const & demand);
--- a/tests/dispatch_capacity_test.cpp
+++ b/tests/dispatch_capacity_test.cpp
@@ -135,6 +135,7 @@
     CPPUNIT_TEST(admission_after_capacity_grew_again_passes);
     CPPUNIT_TEST(queued_job_too_large_since_shrink_is_refused_at_its_turn_as_not_run);
     CPPUNIT_TEST(queued_job_too_large_since_shrink_does_not_block_smaller_jobs);
+    CPPUNIT_TEST(reservation_of_upstream_that_shrinks_moves_to_another_one);
     CPPUNIT_TEST_SUITE_END();
 
     void assert_admission(resources const & demand, std::error_code expected) const
@@ -216,6 +217,32 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_starts().size());
     }
+
+    // A reserved upstream that had shrunk below the demand stayed closed to every task,
+    // and the job got no other upstream.
+    void reservation_of_upstream_that_shrinks_moves_to_another_one()
+    {
+        set_capacity(2, {0, 0, 0});
+        submit("check", 6);
+        auto const starts = take_starts();
+        submit(make_spec_with_demand({4000, 512, 0}));
+        step(1s);
+        step(1s);
+        CPPUNIT_ASSERT(m_state.m_reservation.m_job != 0);
+        std::uint32_t const reserved = m_state.m_reservation.m_upstream;
+        std::string const name = m_state.m_upstreams[reserved].m_definition.m_name;
+        set_capacity(name == "up-0" ? 0 : 1, {3000, 4096, 0});
+        for (attempt_start const & start : starts)
+        {
+            if (start.m_upstream == name)
+            {
+                finish(start.m_attempt, attempt_outcome::succeeded);
+            }
+        }
+        submit("bulk", 1);
+        CPPUNIT_ASSERT_EQUAL(name, take_one_start().m_upstream);
+        CPPUNIT_ASSERT(m_state.m_reservation.m_upstream != reserved);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(large_job_test);
 
