Probe the first ejected upstream that has room

Of the upstreams that may get a probe only the first was looked at. When it had no room for the task, because it had shrunk or was full, no probe went to the others, so they stayed ejected as long as that lasted.

pick_probe() now takes the first that has room and is not to be avoided; the set holds only ejected upstreams, so it is short. probe_target_without_capacity_does_not_hide_the_next_one failed before: no start.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -2,6 +2,8 @@
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
 
+#include <algorithm>
+
 namespace cassiahub::dispatch::internal
 {
 
@@ -26,16 +28,20 @@
 std::optional<std::uint32_t> pick_probe(dispatch_state const & state,
                                         placement_request const & request)
 {
-    if (!request.m_may_probe || state.m_probe_targets.empty())
+    if (!request.m_may_probe)
     {
         return std::nullopt;
     }
-    std::uint32_t const id = *state.m_probe_targets.begin();
-    upstream_state const & upstream = state.m_upstreams[id];
-    resources needed = upstream.m_used;
-    add_resources(needed, request.m_demand);
-    bool const has_capacity = fits(needed, upstream.m_definition.m_capacity);
-    return has_capacity && id != request.m_avoid ? std::optional(id) : std::nullopt;
+    auto const accepts = [&](std::uint32_t id)
+    {
+        upstream_state const & upstream = state.m_upstreams[id];
+        resources needed = upstream.m_used;
+        add_resources(needed, request.m_demand);
+        return id != request.m_avoid && fits(needed, upstream.m_definition.m_capacity);
+    };
+    auto const found =
+        std::find_if(state.m_probe_targets.begin(), state.m_probe_targets.end(), accepts);
+    return found != state.m_probe_targets.end() ? std::optional(*found) : std::nullopt;
 }
 
 /// \returns the better of two random upstreams with capacity (power of two choices).
--- a/tests/dispatch_capacity_test.cpp
+++ b/tests/dispatch_capacity_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(upstream_shrunk_below_its_use_gets_no_start_until_use_fits);
     CPPUNIT_TEST(upstream_shrunk_counts_cancelled_attempt_until_it_ends);
     CPPUNIT_TEST(upstream_grown_again_gets_starts);
+    CPPUNIT_TEST(probe_target_without_capacity_does_not_hide_the_next_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -119,6 +120,20 @@
         set_capacity(0, {4000, 4096, 0});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_starts().size());
     }
+
+    // Of several upstreams to probe only the first was looked at; without room it kept
+    // the others ejected.
+    void probe_target_without_capacity_does_not_hide_the_next_one()
+    {
+        for (char const * const name : {"up-0", "up-1", "up-2"})
+        {
+            upstream_named(name).m_health.m_phase = health_phase::probing;
+        }
+        upstream_named("up-0").m_definition.m_capacity = {0, 0, 0};
+        set_capacity(0, {0, 0, 0});
+        submit("check", 1);
+        CPPUNIT_ASSERT(take_one_start().m_upstream != "up-0");
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(shrunk_capacity_test);
 
