Offer no slots of an upstream without any free resource

An instance whose upstreams have all shrunk to nothing reported their slots as free, as long as it had seen no job itself, and zero as its largest free resources, which peers read as "not reported". They forwarded tasks of every size to it, each of which came back after forward_wait.

An upstream without any free resource now offers no slot. load_report_without_any_capacity_tells_no_free_slot failed before (24 free slots instead of 0).

--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -51,7 +51,7 @@
     }
     offered_capacity capacity{slots - taken, upstream.m_definition.m_capacity};
     subtract_resources(capacity.m_free, upstream.m_used);
-    return capacity;
+    return capacity.m_free == resources{} ? offered_capacity{} : capacity;
 }
 
 bool accepts_probe(upstream_state const & upstream)
--- a/tests/dispatch_capacity_test.cpp
+++ b/tests/dispatch_capacity_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(upstream_shrunk_below_its_use_gets_no_start_until_use_fits);
     CPPUNIT_TEST(upstream_shrunk_counts_cancelled_attempt_until_it_ends);
     CPPUNIT_TEST(upstream_grown_again_gets_starts);
+    CPPUNIT_TEST(load_report_without_any_capacity_tells_no_free_slot);
     CPPUNIT_TEST(probe_target_without_capacity_does_not_hide_the_next_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -121,6 +122,14 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_starts().size());
     }
 
+    // An instance without any capacity looked like one that reports no capacity, so its
+    // peers forwarded tasks of every size to it.
+    void load_report_without_any_capacity_tells_no_free_slot()
+    {
+        set_all_capacities({0, 0, 0});
+        CPPUNIT_ASSERT_EQUAL(0U, current_load(m_state).m_free_slots);
+    }
+
     // Of several upstreams to probe only the first was looked at; without room it kept
     // the others ejected.
     void probe_target_without_capacity_does_not_hide_the_next_one()
