Tell an upstream that crashed over a task from one that is slow

On the own interface a task that crashed its upstream ended as unknown, like one whose response timed out, so nothing could count the crash.

http::exchange() gave response_lost for both. It now gives connection_broken when the server ends the connection before it has sent any of the response and before the timeout. The upstream caller sets m_upstream_lost then; not for a timeout, a refused connection or a response that has begun. may_have_arrived() replaces the comparisons with response_lost in cassiahubctl, whose behaviour stays.

Two cases of standin_test expected response_lost from a server that closes the connection; they now expect the more exact code.

That the upstream caller sets the flag is not tested by itself.

--- a/include/cassiahub/http/client.hpp
+++ b/include/cassiahub/http/client.hpp
@@ -36,8 +36,9 @@
 
 /// Sends \p message and waits for the complete response.
 /// \param timeout longest time to wait for the response to begin.
-/// \returns no error; send_failed when nothing was sent; response_lost when the server
-/// may have processed the request. After an error \p used must be closed.
+/// \returns no error; send_failed when nothing was sent; connection_broken or
+/// response_lost when the server may have processed the request. After an error \p used
+/// must be closed.
 /// \pre used.m_handle is not empty
 std::error_code exchange(connection & used, request const & message,
                          std::string_view host, duration timeout, response & received);
--- a/include/cassiahub/http/error.hpp
+++ b/include/cassiahub/http/error.hpp
@@ -6,20 +6,27 @@
 namespace cassiahub::http
 {
 
-/// Errors of clients and of starting a server. Only after response_lost may the server
-/// have processed the request.
+/// Errors of clients and of starting a server. may_have_arrived() tells after which of
+/// them the server may have processed the request.
 enum class http_errc
 {
     bad_address = 1,    ///< not of the form "ip:port"
     connect_failed = 2, ///< also: timeout while waiting for a connection
     send_failed = 3,    ///< nothing was sent
     response_lost = 4,  ///< response incomplete, too large or not received in time
-    bind_failed = 5     ///< the server cannot listen on its address
+    bind_failed = 5,    ///< the server cannot listen on its address
+    /// The server broke the connection before it sent any of the response. Only the
+    /// blocking client tells this from response_lost.
+    connection_broken = 6
 };
 
 std::error_category const & http_category() noexcept;
 std::error_code make_error_code(http_errc value) noexcept;
 
+/// \returns true when the server may have processed the request that ended with
+/// \p error.
+bool may_have_arrived(std::error_code error) noexcept;
+
 } // namespace cassiahub::http
 
 template <>
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -123,7 +123,7 @@
 {
     http::response received;
     std::error_code const error = exchange_first_reachable(target, sent, received);
-    if (error == http::http_errc::response_lost && sent.m_method == "PUT")
+    if (http::may_have_arrived(error) && sent.m_method == "PUT")
     {
         json current;
         if (request_json(target, make_request("GET", section_path(section)), current) ==
--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -33,8 +33,7 @@
     {
         std::cerr << target.m_address << ": " << error.message() << '\n';
         // With any other error the request was not sent, so the job cannot have run.
-        return error == http::http_errc::response_lost ? runtime::exit_failed
-                                                       : exit_not_run;
+        return http::may_have_arrived(error) ? runtime::exit_failed : exit_not_run;
     }
     if (received.m_status >= 300)
     {
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -99,7 +99,7 @@
     for (std::string const & address : target.m_entries)
     {
         error = http::exchange_once(address, sent, request_timeout, received);
-        if (!error || error == http::http_errc::response_lost)
+        if (!error || http::may_have_arrived(error))
         {
             break;
         }
--- a/src/ctl/operator_client.hpp
+++ b/src/ctl/operator_client.hpp
@@ -12,7 +12,7 @@
 namespace cassiahub::ctl::internal
 {
 
-/// Sends \p sent to the first reachable instance of \p target. After response_lost no
+/// Sends \p sent to the first reachable instance of \p target. After a lost response no
 /// other instance is tried, because the request may have been executed.
 std::error_code exchange_first_reachable(operator_target const & target,
                                          http::request const & sent,
--- a/src/entry/upstream_duty.cpp
+++ b/src/entry/upstream_duty.cpp
@@ -116,10 +116,13 @@
     if (error)
     {
         bool const not_sent = error == http::http_errc::send_failed;
-        return {start.m_attempt,
-                not_sent ? attempt_outcome::not_run : attempt_outcome::unknown,
-                {},
-                false};
+        dispatch::attempt_result result{start.m_attempt,
+                                        not_sent ? attempt_outcome::not_run
+                                                 : attempt_outcome::unknown,
+                                        {},
+                                        false};
+        result.m_upstream_lost = error == http::http_errc::connection_broken;
+        return result;
     }
     dispatch::attempt_result result = read_task_response(start.m_attempt, received);
     // An upstream closes its connections when it shuts down, perhaps just as the next
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,4 +1,5 @@
 #include <cassiahub/http/client.hpp>
+#include <cassiahub/runtime/boot_clock.hpp>
 
 #include <civetweb.h>
 #include <fmt/format.h>
@@ -15,6 +16,10 @@
 {
 
 constexpr std::size_t error_text_size = 128;
+/// CivetWeb's message when a connection ends, or a timeout passes, without any data.
+constexpr std::string_view no_data_text = "No data received";
+/// A wait that ends less than this before its timeout counts as timed out.
+constexpr duration timeout_precision = std::chrono::milliseconds(5);
 
 bool split_address(std::string_view address, std::string & host, int & port)
 {
@@ -127,11 +132,17 @@
     }
     int const timeout_ms = static_cast<int>(std::max<std::int64_t>(
         1, std::min<std::int64_t>(to_milliseconds(timeout), 3'600'000)));
+    time_point const sent_at = runtime::read_boot_clock();
     char error_text[internal::error_text_size] = {};
     if (mg_get_response(used.m_handle.get(), error_text, sizeof error_text, timeout_ms) <
         0)
     {
-        return http_errc::response_lost;
+        bool const in_time =
+            runtime::read_boot_clock() - sent_at + internal::timeout_precision <
+            std::chrono::milliseconds(timeout_ms);
+        return in_time && error_text == internal::no_data_text
+                   ? http_errc::connection_broken
+                   : http_errc::response_lost;
     }
     return internal::read_response(used.m_handle.get(), used.m_max_body_bytes, received);
 }
--- a/src/http/error.cpp
+++ b/src/http/error.cpp
@@ -24,6 +24,8 @@
         return "response_lost";
     case http_errc::bind_failed:
         return "bind_failed";
+    case http_errc::connection_broken:
+        return "connection_broken";
     }
     return "unknown_error";
 }
@@ -42,4 +44,9 @@
     return {static_cast<int>(value), http_category()};
 }
 
+bool may_have_arrived(std::error_code error) noexcept
+{
+    return error == http_errc::response_lost || error == http_errc::connection_broken;
+}
+
 } // namespace cassiahub::http
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -168,7 +168,7 @@
     {
         put_faults(R"({"lose_answers":1})");
         CPPUNIT_ASSERT(call(m_platform->m_address, "PUT", "/table/row", "1").m_error ==
-                       http::http_errc::response_lost);
+                       http::http_errc::connection_broken);
         CPPUNIT_ASSERT_EQUAL(
             std::string("1"),
             call(m_platform->m_address, "GET", "/table/row").m_response.m_body);
@@ -410,7 +410,7 @@
         put_faults(R"({"crash_payload":"deadly","crash_ms":60000})");
         CPPUNIT_ASSERT_EQUAL(200, run("1-1").m_response.m_status);
         CPPUNIT_ASSERT(run("1-2", "1", "run_ms=1 deadly").m_error ==
-                       http::http_errc::response_lost);
+                       http::http_errc::connection_broken);
         CPPUNIT_ASSERT(run("1-3").m_error == http::http_errc::connect_failed);
     }
 
