Share losses of upstreams under tasks between instances

Callers that submitted a job again after a 502, at the same or another instance, met a count that began at zero, so one task crashed upstreams through every submission and every instance.

A peer message loss_notice carries an upstream, its fate and its tasks. Losses go to every live member before the results of forwarded tasks; fates that a lease finds out are recorded and sent the same way. Every instance takes an incarnation that a later one has replaced, or whose registration is gone for the grace period without a drain, for crashed. A convicted job is refused as failed and run (an earlier submission has run).

An instance that does not know the message breaks the session that carries it: all instances of a fleet are to be replaced before a task is suspected, or sessions to older ones are set up again.

--- a/include/cassiahub/codec/peer_codec.hpp
+++ b/include/cassiahub/codec/peer_codec.hpp
@@ -25,7 +25,8 @@
 std::error_category const & peer_codec_category() noexcept;
 std::error_code make_error_code(peer_codec_errc value) noexcept;
 
-/// Longest list of shards or upstreams in a heartbeat and of keys in a key notice.
+/// Longest list of shards or upstreams in a heartbeat, of keys in a key notice and of
+/// tasks in a loss notice.
 constexpr std::size_t max_listed_items = 65'536;
 /// Longest duration accepted in a peer message, such as the time limit of a forwarded
 /// job.
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/core/job.hpp>
 #include <cassiahub/dispatch/attempt.hpp>
+#include <cassiahub/dispatch/crash_history.hpp>
 #include <cassiahub/dispatch/state.hpp>
 
 #include <cstdint>
@@ -113,9 +114,16 @@
     std::string m_document;
 };
 
-using peer_message = std::variant<forward_request, request_answered, forward_task,
-                                  task_reported, cancel_task, heartbeat, load_report,
-                                  key_notice, key_notice_received, configuration_notice>;
+/// Reports upstreams that were lost while they ran tasks, or the fate of a lost upstream.
+struct loss_notice
+{
+    dispatch::upstream_loss m_loss;
+};
+
+using peer_message =
+    std::variant<forward_request, request_answered, forward_task, task_reported,
+                 cancel_task, heartbeat, load_report, key_notice, key_notice_received,
+                 configuration_notice, loss_notice>;
 
 } // namespace cassiahub::decision
 
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -281,6 +281,37 @@
     return {};
 }
 
+std::error_code decode(protocol::TaskIdentity::Reader source,
+                       dispatch::task_identity & target)
+{
+    target.m_task = source.getTask();
+    if (target.m_task >= max_tasks_per_job)
+    {
+        return peer_codec_errc::out_of_range;
+    }
+    return first_error({decode_name(source.getTenant(), false, target.m_tenant),
+                        decode_name(source.getJob(), false, target.m_job)});
+}
+
+std::error_code decode(protocol::LossNotice::Reader source,
+                       decision::loss_notice & target)
+{
+    dispatch::upstream_loss & loss = target.m_loss;
+    auto const tasks = source.getTasks();
+    loss.m_upstream.m_incarnation = source.getIncarnation();
+    std::error_code error =
+        first_error({decode_name(source.getUpstream(), false, loss.m_upstream.m_name),
+                     decode_enumerator(source.getFate(),
+                                       dispatch::upstream_fate::survived, loss.m_fate),
+                     decode_duration(source.getAgeNs(), loss.m_age),
+                     check_count(tasks.size(), max_listed_items)});
+    for (unsigned index = 0; !error && index < tasks.size(); ++index)
+    {
+        error = decode(tasks[index], loss.m_tasks.emplace_back());
+    }
+    return error;
+}
+
 /// Decodes one alternative of the union and stores it in \p message when it is valid.
 template <typename Alternative, typename Reader>
 std::error_code decode_alternative(Reader source, decision::peer_message & message)
@@ -327,6 +358,8 @@
     case protocol::Message::CONFIGURATION_NOTICE:
         return decode_alternative<decision::configuration_notice>(
             source.getConfigurationNotice(), message);
+    case protocol::Message::LOSS_NOTICE:
+        return decode_alternative<decision::loss_notice>(source.getLossNotice(), message);
     }
     return peer_codec_errc::unknown_message;
 }
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -209,6 +209,23 @@
     part.setDocument(to_text(message.m_document));
 }
 
+void encode(decision::loss_notice const & message, protocol::Message::Builder target)
+{
+    dispatch::upstream_loss const & loss = message.m_loss;
+    auto part = target.initLossNotice();
+    part.setUpstream(to_text(loss.m_upstream.m_name));
+    part.setIncarnation(loss.m_upstream.m_incarnation);
+    part.setFate(static_cast<std::uint8_t>(loss.m_fate));
+    part.setAgeNs(loss.m_age.count());
+    auto tasks = part.initTasks(narrow_size(loss.m_tasks.size()));
+    for (unsigned index = 0; index < tasks.size(); ++index)
+    {
+        tasks[index].setTenant(to_text(loss.m_tasks[index].m_tenant));
+        tasks[index].setJob(to_text(loss.m_tasks[index].m_job));
+        tasks[index].setTask(loss.m_tasks[index].m_task);
+    }
+}
+
 } // namespace internal
 
 void encode_peer_message(decision::peer_message const & message,
--- a/src/codec/peer_message_size.cpp
+++ b/src/codec/peer_message_size.cpp
@@ -69,6 +69,15 @@
     return message.m_document.size();
 }
 
+std::size_t variable_size(decision::loss_notice const & message) noexcept
+{
+    return std::accumulate(message.m_loss.m_tasks.begin(), message.m_loss.m_tasks.end(),
+                           message.m_loss.m_upstream.m_name.size(),
+                           [](std::size_t sum, dispatch::task_identity const & task) {
+                               return sum + task.m_tenant.size() + task.m_job.size() + 40;
+                           });
+}
+
 /// The remaining messages have only fixed-size parts.
 template <typename Other>
 std::size_t variable_size(Other const &) noexcept
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -116,6 +116,30 @@
 /// heartbeats and load reports.
 void advance_peers(step_context & context);
 
+// Losses of upstreams under tasks.
+
+/// Logs losses that the dispatcher has recorded and sends them to every live member.
+void report_losses(step_context & context, std::vector<dispatch::task_loss> losses);
+
+/// Records the fate of an upstream that this instance leases and sends it to every live
+/// member.
+void report_fate(step_context & context, dispatch::upstream_loss fate);
+
+/// Records that an incarnation of an upstream has crashed, which every member observes.
+void observe_crash(step_context & context, dispatch::upstream_identity upstream);
+
+void receive_loss(step_context & context, dispatch::upstream_loss const & loss);
+
+/// Sends all known losses to \p peer, which may have missed some.
+void send_known_losses(step_context & context, instance_id const & peer);
+
+/// Logs which upstreams were lost under the tasks of job \p key that may not be started.
+void log_forbidden_tasks(step_context & context, job_key const & key);
+
+/// Answers a submission that did not pass dispatch::check_admission().
+void refuse_submission(step_context & context, answer_route const & route,
+                       job_key const & key, std::error_code error);
+
 // Conversions between messages to the store and the types of ownership.
 
 ownership::stored_row to_stored_row(table_row const & row);
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -65,6 +65,12 @@
     {
         return;
     }
+    if (outcome.m_answer.m_error == job_errc::crashes_upstreams ||
+        outcome.m_answer.m_error == job_errc::crash_suspected ||
+        outcome.m_answer.m_error == job_errc::outcome_unknown)
+    {
+        log_forbidden_tasks(context, outcome.m_key);
+    }
     if (found->second.m_abort_error)
     {
         outcome.m_answer =
@@ -243,6 +249,7 @@
             report_unsent_attempt(context, task.m_start.m_attempt);
         }
     }
+    report_losses(context, std::move(effects.m_losses));
     for (dispatch::forward_result & result : effects.m_forward_results)
     {
         send(context, result.m_to, task_reported{std::move(result.m_result)});
@@ -269,8 +276,7 @@
     }
     if (error)
     {
-        dispatch::record_refusal(state.m_dispatch, error);
-        refuse(context, route, error);
+        refuse_submission(context, route, spec.m_key, error);
         return;
     }
     open_job job;
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -69,6 +69,10 @@
                                  context.m_random, finished);
         internal::apply(context, std::move(finished));
     }
+    for (dispatch::upstream_loss & fate : effects.m_fates)
+    {
+        report_fate(context, std::move(fate));
+    }
 }
 
 /// \returns true when a kind of work may run on upstreams of \p service. An entry of
@@ -148,18 +152,27 @@
 {
     leasing_state & leasing = context.m_state.m_leasing;
     std::size_t const before = leasing.m_upstreams.size();
-    std::erase_if(leasing.m_unregistered_since,
-                  [&](auto const & item)
-                  {
-                      if (context.m_now - item.second < unregistered_grace_period)
-                      {
-                          return false;
-                      }
-                      leasing.m_upstreams.erase(item.first);
-                      context.m_actions.emplace_back(
-                          log_event{"upstream_gone", item.first, {}, {}});
-                      return true;
-                  });
+    std::erase_if(
+        leasing.m_unregistered_since,
+        [&](auto const & item)
+        {
+            if (context.m_now - item.second < unregistered_grace_period)
+            {
+                return false;
+            }
+            auto const gone = leasing.m_upstreams.find(item.first);
+            if (gone != leasing.m_upstreams.end())
+            {
+                if (!gone->second.m_definition.m_draining)
+                {
+                    observe_crash(context, {item.first, gone->second.m_incarnation});
+                }
+                leasing.m_upstreams.erase(gone);
+            }
+            context.m_actions.emplace_back(
+                log_event{"upstream_gone", item.first, {}, {}});
+            return true;
+        });
     if (leasing.m_upstreams.size() != before)
     {
         compose_configuration(context);
@@ -333,9 +346,8 @@
     if (std::error_code const error =
             dispatch::check_admission(state.m_dispatch, spec, context.m_now))
     {
-        dispatch::record_refusal(state.m_dispatch, error);
         log_refusal(context, spec.m_key.m_key, spec.m_kind, error);
-        refuse(context, route, error);
+        refuse_submission(context, route, spec.m_key, error);
         return;
     }
     open_job job;
@@ -417,6 +429,10 @@
         discovered_upstream & known = leasing.m_upstreams[upstream.m_definition.m_name];
         if (known != upstream)
         {
+            if (known.m_incarnation != 0 && upstream.m_incarnation > known.m_incarnation)
+            {
+                observe_crash(context, {known.m_definition.m_name, known.m_incarnation});
+            }
             bool const has_other_service =
                 known.m_definition.m_service != upstream.m_definition.m_service;
             known = std::move(upstream);
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -223,6 +223,7 @@
     {
         // The peer claims nothing before it knows what this instance holds.
         send(context, from, make_heartbeat(context));
+        send_known_losses(context, from);
     }
 }
 
@@ -253,6 +254,7 @@
     if (restore)
     {
         dispatch::set_peer(state.m_dispatch, std::move(capacity));
+        send_known_losses(context, peer);
     }
 }
 
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -176,6 +176,11 @@
     receive_configuration(context, message);
 }
 
+void handle_message(step_context & context, instance_id const &, loss_notice & message)
+{
+    receive_loss(context, message.m_loss);
+}
+
 void handle(step_context & context, peer_message_received & received)
 {
     std::visit([&](auto & message) { handle_message(context, received.m_from, message); },
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -112,6 +112,20 @@
   document @1 :Text;
 }
 
+struct TaskIdentity {
+  tenant @0 :Text;
+  job @1 :Text;             # key of the job
+  task @2 :UInt32;
+}
+
+struct LossNotice {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;   # of the upstream; 0: not known
+  fate @2 :UInt8;           # upstream_fate
+  ageNs @3 :Int64;          # time since the loss
+  tasks @4 :List(TaskIdentity);
+}
+
 struct Message {
   union {
     forwardRequest @0 :ForwardRequest;
@@ -124,6 +138,7 @@
     keyNotice @7 :KeyNotice;
     keyNoticeReceived @8 :UInt64;
     configurationNotice @9 :ConfigurationNotice;
+    lossNotice @10 :LossNotice;
   }
 }
 
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(key_notice_keys_are_preserved);
     CPPUNIT_TEST(key_notice_received_request_is_preserved);
     CPPUNIT_TEST(configuration_notice_document_is_preserved);
+    CPPUNIT_TEST(loss_notice_all_fields_are_preserved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +171,15 @@
         CPPUNIT_ASSERT(decoded.m_keys == std::vector<job_key>({key, {"t", "d", "k"}}));
     }
 
+    void loss_notice_all_fields_are_preserved()
+    {
+        dispatch::upstream_loss const loss{{"up", 1'700'000'000'123},
+                                           dispatch::upstream_fate::crashed,
+                                           {{"t", "k", 0}, {"t", "k", 229}},
+                                           std::chrono::seconds(2)};
+        CPPUNIT_ASSERT(round_trip(loss_notice{loss}).m_loss == loss);
+    }
+
     void key_notice_received_request_is_preserved()
     {
         CPPUNIT_ASSERT_EQUAL(peer_request_number(4),
@@ -194,6 +204,7 @@
     CPPUNIT_TEST(shard_with_line_break_is_rejected);
     CPPUNIT_TEST(too_many_tasks_are_rejected);
     CPPUNIT_TEST(submission_without_tasks_is_rejected);
+    CPPUNIT_TEST(loss_notice_out_of_range_is_rejected);
     CPPUNIT_TEST(rejected_message_leaves_target_unchanged);
     CPPUNIT_TEST_SUITE_END();
 
@@ -246,6 +257,28 @@
         assert_rejected(peer_codec_errc::bad_name, sent);
     }
 
+    void loss_notice_out_of_range_is_rejected()
+    {
+        loss_notice const sent{
+            {{"up", 1}, dispatch::upstream_fate::unknown, {{"t", "k", 0}}, 1s}};
+        assert_rejected(peer_codec_errc::bad_enumerator, sent,
+                        [](auto root) { root.getLossNotice().setFate(3); });
+        assert_rejected(peer_codec_errc::out_of_range, sent,
+                        [](auto root) { root.getLossNotice().setAgeNs(-1); });
+        assert_rejected(peer_codec_errc::out_of_range, sent,
+                        [](auto root) {
+                            root.getLossNotice().getTasks()[0].setTask(max_tasks_per_job);
+                        });
+        assert_rejected(peer_codec_errc::bad_name, sent,
+                        [](auto root) { root.getLossNotice().setUpstream(""); });
+        assert_rejected(peer_codec_errc::bad_name, sent,
+                        [](auto root)
+                        { root.getLossNotice().getTasks()[0].setJob("k\n"); });
+        assert_rejected(peer_codec_errc::too_many_items, sent,
+                        [](auto root)
+                        { root.getLossNotice().initTasks(codec::max_listed_items + 1); });
+    }
+
     void too_many_tasks_are_rejected()
     {
         forward_request sent = m_request;
