Run a suspected task apart from other tasks

A sound task that shared two upstreams with a task that crashes upstreams was lost twice and given up with it: two crashes under a task convict it, and a retry could land beside the same crashing task again.

A task under which an upstream was lost is placed on an upstream that runs nothing, if there is one (a scan of at most 1,024 of the instance's upstreams, only for such tasks), otherwise as usual. An upstream that runs such a task offers no capacity and takes no probe until the attempt has ended, so two of them never meet, and a second crash tells on its task alone. It does not serve as a probe itself.

--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -103,6 +103,7 @@
     double m_slots = 1;            ///< slots whose resources the task uses
     bool m_hedge_deferred = false; ///< the second delay of a straggler has begun
     bool m_probe = false;
+    bool m_suspected = false; ///< its upstream takes no other task until it ends
     bool m_cancelled = false; ///< its result is not needed; it still occupies its slot
 };
 
@@ -113,6 +114,7 @@
     config::upstream m_definition;
     std::uint32_t m_running = 0;
     std::uint32_t m_withheld = 0; ///< free slots withheld after a fast failure
+    std::uint32_t m_suspects = 0; ///< running attempts of suspected tasks
     resources m_used;             ///< sum of the demands of the running attempts
     bool m_owned = true;
     bool m_leaving = false;      ///< shutting down
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -104,7 +104,8 @@
     return {
         job.m_spec.m_tasks[task].m_demand,
         may_probe(state.m_kinds[job.m_kind].m_definition, job.m_tasks[task].m_failures),
-        job.m_tasks[task].m_last_upstream, false};
+        job.m_tasks[task].m_last_upstream, false,
+        judge_task(state, job, task) != crash_verdict::unsuspected};
 }
 
 head_result try_start_job_task(advance_context & context, std::uint64_t serial)
@@ -158,14 +159,16 @@
     dispatch_state & state = context.m_state;
     forwarded_task const & task = state.m_forwarded.at(id);
     job_key const & key = task.m_start.m_job;
-    if (forbids_start(
-            judge_task(state.m_crashes, key.m_tenant, key.m_key, task.m_start.m_task)))
+    crash_verdict const verdict =
+        judge_task(state.m_crashes, key.m_tenant, key.m_key, task.m_start.m_task);
+    if (forbids_start(verdict))
     {
         refuse_forwarded(state, id, context.m_out);
         return head_result::dequeued;
     }
     placement_request const request{
-        task.m_start.m_demand, may_probe(state.m_kinds[task.m_kind].m_definition, 0)};
+        task.m_start.m_demand, may_probe(state.m_kinds[task.m_kind].m_definition, 0),
+        no_upstream, false, verdict != crash_verdict::unsuspected};
     auto const upstream = pick_upstream(state, request, context.m_random);
     if (!upstream)
     {
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -48,6 +48,9 @@
     running_attempt attempt;
     attempt.m_task = {start.m_job.m_tenant, start.m_job.m_key, start.m_task};
     attempt.m_kind = kind;
+    attempt.m_suspected =
+        judge_task(state.m_crashes, attempt.m_task.m_tenant, attempt.m_task.m_job,
+                   attempt.m_task.m_task) != crash_verdict::unsuspected;
     attempt.m_demand = start.m_demand;
     attempt.m_started = now;
     attempt.m_timeout = std::max(start.m_deadline, now) +
@@ -96,7 +99,7 @@
     charge_attempt(state, attempt, tenant);
     attempt.m_probe = upstream.m_health.m_phase == health_phase::probing;
     upstream.m_health.m_probe_running |= attempt.m_probe;
-    occupy_slot(state, upstream_id, attempt.m_demand);
+    occupy_slot(state, upstream_id, attempt);
     start.m_upstream = upstream.m_definition.m_name;
     start.m_upstream_address = upstream.m_definition.m_address;
     out.m_starts.push_back(std::move(start));
@@ -267,7 +270,7 @@
     double const actual = std::chrono::duration<double>(now - attempt.m_started).count();
     correct_charge(state.m_queue, attempt.m_kind,
                    actual * attempt.m_slots - attempt.m_charge);
-    vacate_slot(state, attempt.m_upstream, attempt.m_demand);
+    vacate_slot(state, attempt.m_upstream, attempt);
 }
 
 /// Counts the result of a cancelled attempt. An attempt that was cancelled before it ran
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -12,6 +12,7 @@
 struct recomputed_usage
 {
     std::uint32_t m_running = 0;
+    std::uint32_t m_suspects = 0;
     resources m_used;
 };
 
@@ -35,6 +36,7 @@
         if (attempt.m_upstream != no_upstream)
         {
             ++counted[attempt.m_upstream].m_running;
+            counted[attempt.m_upstream].m_suspects += attempt.m_suspected ? 1 : 0;
             add_resources(counted[attempt.m_upstream].m_used, attempt.m_demand);
         }
     }
@@ -46,6 +48,7 @@
             state.m_free_capacity.m_nodes[state.m_free_capacity.m_leaves + id].m_slots;
         add_if_violated(violations,
                         upstream.m_running != counted[id].m_running ||
+                            upstream.m_suspects != counted[id].m_suspects ||
                             upstream.m_used != counted[id].m_used,
                         "slots_accounted");
         add_if_violated(violations,
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -2,6 +2,8 @@
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
 
+#include <algorithm>
+
 namespace cassiahub::dispatch::internal
 {
 
@@ -54,6 +56,37 @@
                : first;
 }
 
+/// Upstreams that one search for an idle one examines.
+constexpr std::size_t max_examined_upstreams = 1024;
+
+/// \returns an upstream that runs nothing and offers all of its slots, other than the one
+/// to avoid.
+std::optional<std::uint32_t> pick_idle(dispatch_state const & state,
+                                       placement_request const & request,
+                                       random_source & random)
+{
+    std::size_t const count = state.m_upstreams.size();
+    if (count == 0 || state.m_offered_slots == 0)
+    {
+        return std::nullopt;
+    }
+    std::size_t const first = random() % count;
+    for (std::size_t step = 0; step < std::min(count, max_examined_upstreams); ++step)
+    {
+        std::size_t const id = (first + step) % count;
+        upstream_state const & upstream = state.m_upstreams[id];
+        auto const & offered =
+            state.m_free_capacity.m_nodes[state.m_free_capacity.m_leaves + id];
+        if (upstream.m_running == 0 && offered.m_slots > 0 &&
+            offered.m_slots == upstream.m_definition.m_slots && id != request.m_avoid &&
+            fits(request.m_demand, offered.m_free))
+        {
+            return static_cast<std::uint32_t>(id);
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 bool may_probe(config::work_kind const & kind, std::uint32_t failures) noexcept
@@ -65,7 +98,14 @@
                                            placement_request const & request,
                                            random_source & random)
 {
-    if (auto const probe = pick_probe(state, request))
+    if (request.m_suspected)
+    {
+        if (auto const idle = pick_idle(state, request, random))
+        {
+            return idle;
+        }
+    }
+    else if (auto const probe = pick_probe(state, request))
     {
         return probe;
     }
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -17,6 +17,7 @@
     /// Upstream to use only if no other has capacity.
     std::uint32_t m_avoid = no_upstream;
     bool m_avoid_strictly = false; ///< true: m_avoid is excluded altogether
+    bool m_suspected = false;      ///< to run apart from other tasks, if possible
 };
 
 /// \returns true when a task of \p kind that has failed \p failures times may run on a
--- a/src/dispatch/reservation.cpp
+++ b/src/dispatch/reservation.cpp
@@ -13,7 +13,8 @@
 {
     resources needed = upstream.m_used;
     add_resources(needed, demand);
-    return upstream.m_running + upstream.m_withheld < upstream.m_definition.m_slots &&
+    return upstream.m_suspects == 0 &&
+           upstream.m_running + upstream.m_withheld < upstream.m_definition.m_slots &&
            fits(needed, upstream.m_definition.m_capacity);
 }
 
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -31,7 +31,7 @@
 {
     std::uint32_t const taken = upstream.m_running + upstream.m_withheld;
     std::uint32_t const slots = upstream.m_definition.m_slots;
-    if (!is_usable(upstream) || taken >= slots ||
+    if (!is_usable(upstream) || upstream.m_suspects > 0 || taken >= slots ||
         !fits(upstream.m_used, upstream.m_definition.m_capacity))
     {
         return {};
@@ -45,7 +45,7 @@
 {
     return accepts_attempts(upstream) &&
            upstream.m_health.m_phase == health_phase::probing &&
-           !upstream.m_health.m_probe_running &&
+           !upstream.m_health.m_probe_running && upstream.m_suspects == 0 &&
            upstream.m_running < upstream.m_definition.m_slots;
 }
 
@@ -99,20 +99,24 @@
     }
 }
 
-void occupy_slot(dispatch_state & state, std::uint32_t id, resources const & demand)
+void occupy_slot(dispatch_state & state, std::uint32_t id,
+                 running_attempt const & attempt)
 {
     upstream_state & upstream = state.m_upstreams[id];
     ++upstream.m_running;
-    add_resources(upstream.m_used, demand);
+    upstream.m_suspects += attempt.m_suspected ? 1 : 0;
+    add_resources(upstream.m_used, attempt.m_demand);
     update_offered_capacity(state, id);
 }
 
-void vacate_slot(dispatch_state & state, std::uint32_t id, resources const & demand)
+void vacate_slot(dispatch_state & state, std::uint32_t id,
+                 running_attempt const & attempt)
 {
     upstream_state & upstream = state.m_upstreams[id];
     BOOST_ASSERT(upstream.m_running > 0);
     --upstream.m_running;
-    subtract_resources(upstream.m_used, demand);
+    upstream.m_suspects -= attempt.m_suspected ? 1 : 0;
+    subtract_resources(upstream.m_used, attempt.m_demand);
     update_offered_capacity(state, id);
     remove_if_unowned(state, id);
 }
--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -14,8 +14,10 @@
 void update_offered_capacity(dispatch_state & state, std::uint32_t id);
 
 /// Update slots and resources in use when an attempt starts or ends on upstream \p id.
-void occupy_slot(dispatch_state & state, std::uint32_t id, resources const & demand);
-void vacate_slot(dispatch_state & state, std::uint32_t id, resources const & demand);
+void occupy_slot(dispatch_state & state, std::uint32_t id,
+                 running_attempt const & attempt);
+void vacate_slot(dispatch_state & state, std::uint32_t id,
+                 running_attempt const & attempt);
 
 /// Withholds one free slot of upstream \p id until \p until; release_withheld_slot()
 /// frees it again.
--- a/tests/decision_crash_test.cpp
+++ b/tests/decision_crash_test.cpp
@@ -305,6 +305,7 @@
     CPPUNIT_TEST(job_whose_task_crashed_upstreams_at_another_instance_is_failed);
     CPPUNIT_TEST(forwarded_task_that_crashed_two_upstreams_is_returned_without_start);
     CPPUNIT_TEST(restarted_instance_learns_losses_from_peer);
+    CPPUNIT_TEST(neighbour_of_crashing_task_completes);
     CPPUNIT_TEST(upstream_whose_registration_is_gone_counts_as_crashed);
     CPPUNIT_TEST(losses_are_sent_again_after_the_connection_was_lost);
     CPPUNIT_TEST_SUITE_END();
@@ -400,6 +401,48 @@
         CPPUNIT_ASSERT(take_last_answer().m_error == job_errc::crashes_upstreams);
     }
 
+    void neighbour_of_crashing_task_completes()
+    {
+        m_registered = {{"up-1", 100}, {"up-2", 100}};
+        start_instance();
+        // Two tasks fill each upstream, so the deadly one has a neighbour.
+        for (char const * path : {"/q/deadly", "/q/sound-1", "/q/sound-2", "/q/sound-3"})
+        {
+            submit(path);
+        }
+        std::size_t completed = 0;
+        for (int round = 0; round < 20 && completed < 3; ++round)
+        {
+            auto const starts = await_starts();
+            auto const deadly = std::find_if(starts.begin(), starts.end(),
+                                             [](auto const & start)
+                                             { return job_of(start) == "deadly"; });
+            std::string const crashed =
+                deadly == starts.end() ? std::string() : deadly->m_upstream;
+            for (lease::upstream_call const & start : starts)
+            {
+                if (start.m_upstream == crashed)
+                {
+                    lose(start);
+                }
+                else
+                {
+                    finish(start, {{}, dispatch::attempt_outcome::succeeded});
+                    ++completed;
+                }
+            }
+            if (!crashed.empty())
+            {
+                restart(crashed);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), completed);
+        for (answer_caller const & answer : take_actions<answer_caller>())
+        {
+            CPPUNIT_ASSERT(!answer.m_answer.m_error || answer.m_caller == 1);
+        }
+    }
+
     // Guards against a crash that stays of unknown fate because the upstream does not
     // come back.
     void upstream_whose_registration_is_gone_counts_as_crashed()
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch_fixture.hpp"
 
+#include <set>
+
 namespace cassiahub::dispatch
 {
 
@@ -311,7 +313,100 @@
     }
 };
 
+// Guards against sound tasks that are lost, and in the end given up, beside a task that
+// crashes upstreams.
+class crash_isolation_test : public crash_fixture
+{
+    CPPUNIT_TEST_SUITE(crash_isolation_test);
+    CPPUNIT_TEST(suspected_task_starts_on_idle_upstream_that_takes_no_other_task);
+    CPPUNIT_TEST(upstream_takes_tasks_again_after_suspected_task_has_ended);
+    CPPUNIT_TEST(suspected_task_without_idle_upstream_starts_beside_no_suspect);
+    CPPUNIT_TEST(suspected_forwarded_task_starts_on_idle_upstream);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Submits a job whose task is suspected.
+    void submit_suspect()
+    {
+        learn_crash("far", {"acme", "north", std::to_string(m_next_key)});
+        submit("check", 1);
+    }
+
+    /// Occupies one slot of each of two upstreams.
+    std::string leave_one_upstream_idle()
+    {
+        submit("check", 2);
+        auto const starts = take_starts();
+        CPPUNIT_ASSERT(starts[0].m_upstream != starts[1].m_upstream);
+        for (char const * name : {"up-0", "up-1", "up-2"})
+        {
+            if (starts[0].m_upstream != name && starts[1].m_upstream != name)
+            {
+                return name;
+            }
+        }
+        return {};
+    }
+
+public:
+    void suspected_task_starts_on_idle_upstream_that_takes_no_other_task()
+    {
+        std::string const idle = leave_one_upstream_idle();
+        submit_suspect();
+        CPPUNIT_ASSERT_EQUAL(idle, take_one_start().m_upstream);
+        submit("check", 4);
+        auto const starts = take_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), starts.size());
+        for (attempt_start const & start : starts)
+        {
+            CPPUNIT_ASSERT(start.m_upstream != idle);
+        }
+    }
+
+    void upstream_takes_tasks_again_after_suspected_task_has_ended()
+    {
+        leave_one_upstream_idle();
+        submit_suspect();
+        attempt_start const suspect = take_one_start();
+        submit("check", 4);
+        take_starts();
+        m_now += 2s;
+        finish(suspect.m_attempt, attempt_outcome::succeeded);
+        auto const starts = take_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), starts.size());
+        CPPUNIT_ASSERT_EQUAL(suspect.m_upstream, starts.front().m_upstream);
+    }
+
+    void suspected_task_without_idle_upstream_starts_beside_no_suspect()
+    {
+        submit("check", 6);
+        std::set<std::string> finished;
+        for (attempt_start const & start : take_starts())
+        {
+            if (finished.insert(start.m_upstream).second)
+            {
+                finish(start.m_attempt, attempt_outcome::succeeded);
+            }
+        }
+        std::set<std::string> upstreams;
+        for (int count = 0; count < 3; ++count)
+        {
+            submit_suspect();
+            upstreams.insert(take_one_start().m_upstream);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), upstreams.size());
+    }
+
+    void suspected_forwarded_task_starts_on_idle_upstream()
+    {
+        std::string const idle = leave_one_upstream_idle();
+        learn_crash("far", {"acme", "north", "theirs"});
+        receive_forwarded(1, "theirs");
+        CPPUNIT_ASSERT_EQUAL(idle, take_one_start().m_upstream);
+    }
+};
+
 } // namespace cassiahub::dispatch
 
+CPPUNIT_TEST_SUITE_REGISTRATION(cassiahub::dispatch::crash_isolation_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(cassiahub::dispatch::crash_retry_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(cassiahub::dispatch::crash_start_test);
