--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -17,8 +17,10 @@
 void update_offered_capacity(dispatch_state & state, std::uint32_t id);
 
 /// Update slots and resources in use when an attempt starts or ends on upstream \p id.
-void occupy_slot(dispatch_state & state, std::uint32_t id, resources const & demand);
-void vacate_slot(dispatch_state & state, std::uint32_t id, resources const & demand);
+void occupy_slot(dispatch_state & state, std::uint32_t id,
+                 running_attempt const & attempt);
+void vacate_slot(dispatch_state & state, std::uint32_t id,
+                 running_attempt const & attempt);
 
 /// Withholds one free slot of upstream \p id until \p until; release_withheld_slot()
 /// frees it again.
