Count each crash of an upstream that reports no start time

A loss without a start time now takes its identity from the attempt. upstream_without_start_time_that_crashes_twice_counts_twice fails without it, as both losses then have the identity (name, 0).

--- a/include/cassiahub/dispatch/crash_history.hpp
+++ b/include/cassiahub/dispatch/crash_history.hpp
@@ -55,7 +55,8 @@
 struct upstream_identity
 {
     std::string m_name;
-    std::uint64_t m_incarnation = 0; ///< start time; 0: not known
+    /// Start time; of an upstream that reports none, a number that no other loss has.
+    std::uint64_t m_incarnation = 0;
     auto operator<=>(upstream_identity const &) const = default;
 };
 
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -360,10 +360,11 @@
         return;
     }
     std::string const & name = state.m_upstreams[attempt.m_upstream].m_definition.m_name;
-    upstream_loss loss{{name, result.m_upstream_incarnation},
-                       upstream_fate::unknown,
-                       {attempt.m_task},
-                       {}};
+    // An upstream that reports no start time may crash several times under one name.
+    std::uint64_t const incarnation = result.m_upstream_incarnation != 0
+                                          ? result.m_upstream_incarnation
+                                          : std::hash<attempt_id>()(result.m_attempt);
+    upstream_loss loss{{name, incarnation}, upstream_fate::unknown, {attempt.m_task}, {}};
     record_loss(state.m_crashes, loss, now);
     ++state.m_counters.m_losses;
     out.m_losses.push_back({std::move(loss), attempt.m_from});
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -3,6 +3,7 @@
 #include "dispatch_fixture.hpp"
 
 #include <set>
+#include <utility>
 
 namespace cassiahub::dispatch
 {
@@ -81,6 +82,7 @@
     CPPUNIT_TEST(neighbour_on_crashed_upstream_completes);
     CPPUNIT_TEST(cancelled_attempt_counts_as_loss);
     CPPUNIT_TEST(suspected_task_gets_no_hedge);
+    CPPUNIT_TEST(upstream_without_start_time_that_crashes_twice_counts_twice);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +103,20 @@
         CPPUNIT_ASSERT(take_starts().empty());
     }
 
+    // Guards against counting the crashes of an upstream under one name as one.
+    void upstream_without_start_time_that_crashes_twice_counts_twice()
+    {
+        submit("check", 1);
+        attempt_start const first = take_one_start();
+        lose(first, 0);
+        attempt_start second = take_next_start();
+        lose(second, 0);
+        std::vector<task_loss> const losses = std::exchange(m_out.m_losses, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), losses.size());
+        CPPUNIT_ASSERT(losses[0].m_loss.m_upstream.m_incarnation !=
+                       losses[1].m_loss.m_upstream.m_incarnation);
+    }
+
     void task_that_lost_three_upstreams_is_not_started_again()
     {
         m_configuration.m_dispatch.m_max_attempts = 10;
