--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -8,6 +8,7 @@
 #include <cassiahub/ownership/effects.hpp>
 #include <cassiahub/ownership/owner.hpp>
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -119,11 +120,11 @@
 // Losses of upstreams under tasks.
 
 /// Logs losses that the dispatcher has recorded and sends them to every live member.
-void report_losses(step_context & context, std::vector<dispatch::task_loss> losses);
+void report_losses(step_context & context, std::span<dispatch::task_loss const> losses);
 
 /// Records the fate of an upstream that this instance leases and sends it to every live
 /// member.
-void report_fate(step_context & context, dispatch::upstream_loss fate);
+void report_fate(step_context & context, dispatch::upstream_loss const & fate);
 
 /// Records that an incarnation of an upstream has crashed, which every member observes.
 void observe_crash(step_context & context, dispatch::upstream_identity upstream);
--- a/src/decision/crashes.cpp
+++ b/src/decision/crashes.cpp
@@ -81,7 +81,7 @@
 
 } // namespace
 
-void report_losses(step_context & context, std::vector<dispatch::task_loss> losses)
+void report_losses(step_context & context, std::span<dispatch::task_loss const> losses)
 {
     for (dispatch::task_loss const & loss : losses)
     {
@@ -91,7 +91,7 @@
     }
 }
 
-void report_fate(step_context & context, dispatch::upstream_loss fate)
+void report_fate(step_context & context, dispatch::upstream_loss const & fate)
 {
     if (context.m_state.m_dispatch.m_crashes.m_by_upstream.contains(fate.m_upstream))
     {
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -249,7 +249,7 @@
             report_unsent_attempt(context, task.m_start.m_attempt);
         }
     }
-    report_losses(context, std::move(effects.m_losses));
+    report_losses(context, effects.m_losses);
     for (dispatch::forward_result & result : effects.m_forward_results)
     {
         send(context, result.m_to, task_reported{std::move(result.m_result)});
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -69,9 +69,9 @@
                                  context.m_random, finished);
         internal::apply(context, std::move(finished));
     }
-    for (dispatch::upstream_loss & fate : effects.m_fates)
+    for (dispatch::upstream_loss const & fate : effects.m_fates)
     {
-        report_fate(context, std::move(fate));
+        report_fate(context, fate);
     }
 }
 
