Fence a start that was given up with the next call

A start without a reply was stopped and reported as not run. The next incarnation under the same id does not know the stop, and accepted the start until a claim with a higher token had arrived, which needs the reply to the renewal that shows the restart and one more call. Each of these may be lost.

The token is now raised when a run is reported as not run on the ground of a stop, so any call that reaches the next incarnation fences the start. Replies to calls since the last claim still count, and a call that the raised token fences has done nothing and ends no claim.

call_after_start_was_reported_as_not_run_has_higher_token fails on the code before.

It is no proof: a start that arrives before any call still runs.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -65,6 +65,8 @@
     std::string m_address;
     std::uint64_t m_incarnation = 0; ///< 0: not known yet
     std::uint64_t m_token = 0;       ///< fencing token
+    /// Token of the last claim. A call with a lower one belongs to an earlier session.
+    std::uint64_t m_claim_token = 0;
     session_phase m_phase = session_phase::claiming;
     bool m_wanted = true; ///< this instance should own the upstream
 
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -174,10 +174,18 @@
                                                       : attempt_outcome::interrupted);
         }
     }
+    bool fence = false;
     for (auto const & [task, outcome] : absent)
     {
+        fence = fence || outcome == attempt_outcome::not_run;
         finish_run(context, task, outcome);
     }
+    if (fence)
+    {
+        // A later incarnation does not know the stop. The next call fences the start
+        // there.
+        ++context.m_session.m_token;
+    }
 }
 
 } // namespace
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -49,6 +49,7 @@
     BOOST_ASSERT(session.m_runs.empty());
     stop_serving(context, session_phase::claiming);
     session.m_token = std::max(session.m_token, token);
+    session.m_claim_token = session.m_token;
     session.m_acknowledged = 0;
     session.m_lease_until = 0;
     session.m_next_renewal = context.m_now + renewal_retry_delay;
@@ -91,7 +92,7 @@
     stop_serving(context, session_phase::claiming);
     // Ends the processing of replies to earlier calls. The next claim fences starts that
     // are carried out late.
-    ++session.m_token;
+    session.m_claim_token = ++session.m_token;
     session.m_renewal = 0;
     session.m_next_renewal = context.m_now + renewal_retry_delay;
 }
@@ -206,10 +207,15 @@
 {
     upstream_session & session = context.m_session;
     bool const claiming = session.m_phase == session_phase::claiming;
+    std::uint64_t const token = session.m_token;
     std::size_t const foreign_runs = receive_run_lists(context, reply, sent_at);
     session.m_failures = 0;
     if (!current)
     {
+        if (session.m_token != token)
+        {
+            send_renewal(context, duration::zero(), true);
+        }
         return;
     }
     session.m_renewal = 0;
@@ -255,6 +261,10 @@
     switch (outcome)
     {
     case call_outcome::fenced:
+        if (call.m_token < context.m_session.m_token)
+        {
+            return false; // a later call of this session has raised the token
+        }
         // The new owner stops these runs at a time that is not known here.
         finish_unsettled_runs(context);
         lose_claim(context, attempt_outcome::unknown, "upstream_fenced");
@@ -520,7 +530,7 @@
     }
     pending_call const & call = pending.mapped();
     auto const found = state.m_sessions.find(call.m_upstream);
-    if (found == state.m_sessions.end() || found->second.m_token != call.m_token)
+    if (found == state.m_sessions.end() || call.m_token < found->second.m_claim_token)
     {
         return; // the reply belongs to an earlier session
     }
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -61,6 +61,72 @@
     }
 };
 
+// Guards against a task that runs twice: a start that was reported as not run is carried
+// out late by the next incarnation, which does not know the stop.
+class lease_restart_fence_test : public lease_restart_fixture
+{
+    CPPUNIT_TEST_SUITE(lease_restart_fence_test);
+    CPPUNIT_TEST(call_after_start_was_reported_as_not_run_has_higher_token);
+    CPPUNIT_TEST(earlier_call_that_higher_token_fences_leaves_claim);
+    CPPUNIT_TEST(earlier_call_that_is_accepted_before_higher_token_counts);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Lets a start get no reply, until its run is reported as not run.
+    /// \returns the token of the start.
+    std::uint64_t give_up_start(std::uint32_t index)
+    {
+        attempt_id const attempt = start_run(index);
+        std::uint64_t const token = take_call<start_call>().m_token;
+        advance_by(70ms);
+        reply(take_call<stop_call>());
+        while (count_calls<renew_call>() > 0 && !outcome_of(attempt))
+        {
+            reply_to_renewal(take_call<renew_call>(), {});
+        }
+        CPPUNIT_ASSERT(outcome_of(attempt) == dispatch::attempt_outcome::not_run);
+        return token;
+    }
+
+public:
+    void call_after_start_was_reported_as_not_run_has_higher_token()
+    {
+        claim_upstream();
+        std::uint64_t const token = give_up_start(0);
+        CPPUNIT_ASSERT(take_call<renew_call>().m_token > token);
+        start_run(1);
+        CPPUNIT_ASSERT(take_call<start_call>().m_token > token);
+    }
+
+    void earlier_call_that_higher_token_fences_leaves_claim()
+    {
+        claim_upstream();
+        start_run(0);
+        take_call<start_call>();
+        advance_by(70ms);
+        auto const stop = take_call<stop_call>();
+        attempt_id const fenced = start_run(1);
+        auto const start = take_call<start_call>();
+        reply(stop);
+        reply_to_renewal(take_call<renew_call>(), {});
+        reply_to_renewal(take_call<renew_call>(), {});
+        reply(start, call_outcome::fenced);
+        CPPUNIT_ASSERT(outcome_of(fenced) == dispatch::attempt_outcome::not_run);
+        CPPUNIT_ASSERT(is_available());
+    }
+
+    void earlier_call_that_is_accepted_before_higher_token_counts()
+    {
+        claim_upstream();
+        attempt_id const running = start_run(1);
+        auto const start = take_call<start_call>();
+        give_up_start(0);
+        reply(start);
+        reply_to_renewal(take_call<renew_call>(), {},
+                         {{1, make_run_name(1), end_cause::succeeded}});
+        CPPUNIT_ASSERT(outcome_of(running) == dispatch::attempt_outcome::succeeded);
+    }
+};
+
 // Guards against a task that runs twice: a run that may belong to the restarted upstream
 // was reported as interrupted, and its task was started elsewhere while it ran there.
 class lease_restart_run_test : public lease_restart_fixture
@@ -493,6 +559,7 @@
     }
 };
 
+CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_fence_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_run_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(lease_restart_claim_test);
 
