--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -173,7 +173,7 @@
     for (auto const & [number, in_flight] : context.m_state.m_pending)
     {
         if (in_flight.m_upstream == session.m_name &&
-            in_flight.m_token == session.m_token)
+            in_flight.m_token >= session.m_claim_token)
         {
             session.m_lease_until =
                 std::max(session.m_lease_until, in_flight.m_lease_until);
