Keep the wait for the last messages to peers within the time of the stop

Cause: the drain ends 800 ms before the end of the grace period, and the process ends itself 200 ms before it, which leaves 600 ms for the other duties. The peer duty alone waited up to 1 s for messages that a peer had not answered, after up to 200 ms for the registration. A peer that is silent or has just ended is enough, as heartbeats are queued for it all the time.

The drain is as long as before.

--- a/include/cassiahub/runtime/program.hpp
+++ b/include/cassiahub/runtime/program.hpp
@@ -19,6 +19,9 @@
 constexpr int exit_cut_short = 4; ///< stop requested, but work was still in progress at
                                   ///< the end of the grace period
 
+/// Subtracted from the grace period, so that the process exits before it is killed.
+constexpr duration exit_margin = std::chrono::milliseconds(200);
+
 /// Runs \p body until it returns. SIGINT, SIGTERM or SIGHUP requests a stop from it.
 /// \param program name of the program, printed before each error message.
 /// \param body the work of the program, called on the calling thread. Must return soon
--- a/src/entry/listener_duty.cpp
+++ b/src/entry/listener_duty.cpp
@@ -1,5 +1,6 @@
 #include "entry/duties.hpp"
 #include "entry/operator_endpoints.hpp"
+#include "entry/stop_times.hpp"
 
 #include <cassiahub/codec.hpp>
 #include <cassiahub/core/error.hpp>
@@ -24,8 +25,6 @@
 /// Time after a stop request in which new connections are still accepted, and their jobs
 /// refused as not run, until the platform's load balancer has seen that /readyz changed.
 constexpr duration accept_time_after_stop = std::chrono::milliseconds(500);
-/// Part of the grace period reserved for stopping the other duties.
-constexpr duration stop_margin = std::chrono::milliseconds(800);
 /// Longest wait for the answers that decision::drain_expired causes.
 constexpr duration last_answers_timeout = std::chrono::milliseconds(300);
 
@@ -290,7 +289,7 @@
     }
     runtime::wait_for_stop(stop);
     time_point const deadline =
-        runtime::read_boot_clock() + context.m_settings.m_grace - internal::stop_margin;
+        runtime::read_boot_clock() + context.m_settings.m_grace - stop_margin;
     // From now on the decision thread refuses new jobs and completes those in progress.
     context.m_events.push(decision::drain_requested{}, {});
     std::this_thread::sleep_for(internal::accept_time_after_stop);
--- a/src/entry/peer_duty.cpp
+++ b/src/entry/peer_duty.cpp
@@ -1,4 +1,5 @@
 #include "entry/duties.hpp"
+#include "entry/stop_times.hpp"
 
 #include <cassiahub/peer.hpp>
 
@@ -13,6 +14,7 @@
     options.m_incarnation = context.m_incarnation;
     options.m_listen_address = context.m_settings.m_peer_address;
     options.m_secret = context.m_settings.m_peer_secret;
+    options.m_limits.m_drain_timeout = last_messages_timeout;
     return peer::run_exchange(
         options, {context.m_peer_messages, context.m_events, context.m_peer_wake.get()},
         context.m_peer_counters, stop);
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -1,3 +1,4 @@
+#include "entry/stop_times.hpp"
 #include "gateway/context.hpp"
 #include "gateway/event_loop.hpp"
 
@@ -23,8 +24,6 @@
 /// Time that the load balancer needs to detect that the instance is not ready: two failed
 /// readiness checks, one each second.
 constexpr duration load_balancer_detection_time = std::chrono::milliseconds(2500);
-/// Part of the grace period reserved for stopping the other duties and the process.
-constexpr duration stop_margin = std::chrono::milliseconds(800);
 /// Interval at which a draining instance checks whether it is idle.
 constexpr duration idle_check_period = std::chrono::milliseconds(50);
 /// Longest wait for the telemetry duty to format the metrics.
@@ -200,7 +199,7 @@
     entry::daemon_context & daemon = service.m_context.m_daemon;
     time_point const drain_start = runtime::read_boot_clock();
     time_point const drain_deadline =
-        drain_start + service.m_context.m_settings.m_grace - stop_margin;
+        drain_start + service.m_context.m_settings.m_grace - entry::stop_margin;
     daemon.m_events.push(decision::drain_requested{}, {});
     service.m_loop.restart();
     while (runtime::read_boot_clock() < drain_deadline)
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -1,3 +1,4 @@
+#include "entry/stop_times.hpp"
 #include "gateway/context.hpp"
 #include "gateway/event_loop.hpp"
 #include "gateway/registration.hpp"
@@ -407,7 +408,9 @@
          duration::zero(),
          [&replied](store_status, store_rows const &) { replied = true; });
     state.m_loop.restart();
-    auto const limit = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+    auto const limit = std::chrono::steady_clock::now() +
+                       std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                           entry::deregistration_timeout);
     while (!replied && std::chrono::steady_clock::now() < limit)
     {
         state.m_loop.run_one_until(limit);
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -12,14 +12,6 @@
 namespace cassiahub::runtime
 {
 
-namespace internal
-{
-
-/// Subtracted from the grace period, so that the process exits before it is killed.
-constexpr duration exit_margin = std::chrono::milliseconds(200);
-
-} // namespace internal
-
 int run_until_signal(std::string_view program,
                      std::function<std::error_code(std::stop_token const &)> const & body,
                      std::function<void()> const & on_hangup, duration grace_period)
@@ -36,7 +28,7 @@
             }
             stop.request_stop();
             if (grace_period > duration::zero() &&
-                !body_returned.pop(grace_period - internal::exit_margin))
+                !body_returned.pop(grace_period - exit_margin))
             {
                 std::cerr << program
                           << ": grace period expired with work still in progress\n";
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -399,7 +399,8 @@
 class gateway_process
 {
 public:
-    explicit gateway_process(std::string const & store_address)
+    explicit gateway_process(std::string const & store_address,
+                             std::string const & grace = "6s")
     {
         std::filesystem::create_directories(m_folder);
         std::ofstream(m_folder / "gateway.ini")
@@ -407,9 +408,9 @@
                            "caller_address = {}\nready_address = {}\n"
                            "metrics_address = {}\npeer_address = {}\n"
                            "peer_secret = secret-of-the-test\nstore_address = {}\n"
-                           "grace = 6s\n",
+                           "grace = {}\n",
                            m_caller_address, m_ready_address, free_address(),
-                           free_address(), store_address);
+                           free_address(), store_address, grace);
         std::string program = std::string(CASSIAHUB_BIN_DIR) + "/cassiahub-gateway";
         std::string option = "--settings";
         std::string settings = m_folder / "gateway.ini";
@@ -448,6 +449,25 @@
         return m_pid > 0;
     }
 
+    /// Sends SIGTERM and waits for the end of the process, at most 30 s.
+    /// \returns its exit code, or -1 when it did not exit by itself.
+    int stop()
+    {
+        constexpr int polls = 3000;
+        int status = 0;
+        kill(m_pid, SIGTERM);
+        for (int poll = 0; poll < polls; ++poll)
+        {
+            if (waitpid(m_pid, &status, WNOHANG) == m_pid)
+            {
+                m_pid = -1;
+                return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        return -1;
+    }
+
     bool is_ready() const
     {
         return send(m_ready_address, {"GET", "/cassiahub/ready", {}, {}, {}}) == 200;
