Export the counts of losses; report the fate of upstreams that are gone

The counters of losses, convicted and withheld jobs were not on the metrics page. An upstream whose registration is gone for good without a drain told its lease session nothing, so a loss that was known to the session only kept the fate unknown; lease::record_departure() now reports it.

--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -172,6 +172,7 @@
 {
     leasing_state & leasing = context.m_state.m_leasing;
     std::size_t const before = leasing.m_upstreams.size();
+    lease::effects effects;
     std::erase_if(
         leasing.m_unregistered_since,
         [&](auto const & item)
@@ -186,6 +187,8 @@
                 if (!gone->second.m_definition.m_draining)
                 {
                     observe_crash(context, {item.first, gone->second.m_incarnation});
+                    lease::record_departure(leasing.m_sessions, item.first, context.m_now,
+                                            effects);
                 }
                 leasing.m_upstreams.erase(gone);
             }
@@ -193,6 +196,7 @@
                 log_event{"upstream_gone", item.first, {}, {}});
             return true;
         });
+    apply(context, std::move(effects));
     if (leasing.m_upstreams.size() != before)
     {
         compose_configuration(context);
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -99,6 +99,9 @@
     set_total(target, "cassiahub_wasted_messages_total", wasted_messages(counters));
     set_total(target, "cassiahub_ejections_total", counters.m_ejections);
     set_total(target, "cassiahub_shed_jobs_total", counters.m_shed_jobs);
+    set_total(target, "cassiahub_upstream_losses_total", counters.m_losses);
+    set_total(target, "cassiahub_convicted_jobs_total", counters.m_convicted_jobs);
+    set_total(target, "cassiahub_withheld_jobs_total", counters.m_withheld_jobs);
     daemon_context & daemon = context.m_daemon;
     set_total(target, "cassiahub_telemetry_dropped_total", daemon.m_telemetry_dropped);
     set_total(target, "cassiahub_peer_messages_sent_total",
