Do not restart a task lost at its start once its objective is missed

A task that had just crashed an upstream was started again for an answer that was late anyway, and took the next upstream away for 3 s.

A result now says whether the upstream was lost before it had reported progress of the run, in peer messages too. Such a task is not started again in this submission once a start can no longer meet the objective: its job ends as outcome_unknown (502), at once, and its caller may submit it again; the losses are remembered. A run that had made progress is started again as before.

With the rule disabled task_lost_at_its_start_is_not_restarted_past_the_objective fails, and with every lost run taken as lost at its start run_with_reported_progress_is_not_lost_at_start.

--- a/include/cassiahub/dispatch/attempt.hpp
+++ b/include/cassiahub/dispatch/attempt.hpp
@@ -60,6 +60,9 @@
     /// The upstream was lost while it had the attempt: it crashed or cannot be reached.
     bool m_upstream_lost = false;
     std::uint64_t m_upstream_incarnation = 0; ///< of a lost upstream; 0: not known
+    /// The upstream was lost before it had reported progress of the attempt, so the start
+    /// of the task may have crashed it.
+    bool m_lost_at_start = false;
 };
 
 } // namespace cassiahub::dispatch
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -221,6 +221,7 @@
 {
     target.m_result.m_attempt = to_attempt_id(source.getAttempt());
     target.m_result.m_payload = to_string(source.getPayload());
+    target.m_result.m_lost_at_start = source.getLostAtStart();
     return decode_enumerator(source.getOutcome(), dispatch::attempt_outcome::unknown,
                              target.m_result.m_outcome);
 }
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -146,6 +146,7 @@
     encode(message.m_result.m_attempt, part.initAttempt());
     part.setOutcome(static_cast<std::uint8_t>(message.m_result.m_outcome));
     part.setPayload(to_data(message.m_result.m_payload));
+    part.setLostAtStart(message.m_result.m_lost_at_start);
 }
 
 void encode(decision::cancel_task const & message, protocol::Message::Builder target)
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -329,7 +329,7 @@
     }
     else
     {
-        handle_unsuccessful(state, job, task, result.m_outcome, now, random, out);
+        handle_unsuccessful(state, job, task, result, now, random, out);
     }
 }
 
--- a/src/dispatch/retry.cpp
+++ b/src/dispatch/retry.cpp
@@ -60,6 +60,12 @@
     return limit > 0 && task.m_failures >= limit;
 }
 
+/// \returns true when a start at \p now cannot meet the objective of the job's kind.
+bool has_missed_objective(job_state const & job, time_point now)
+{
+    return job.m_on_time_until != time_point() && now > job.m_on_time_until;
+}
+
 /// \returns the delay before the next attempt: zero before the second attempt, then
 /// exponential backoff with jitter, so that tasks refused together are not retried
 /// together.
@@ -104,10 +110,11 @@
 } // namespace
 
 void handle_unsuccessful(dispatch_state & state, job_state & job,
-                         std::uint32_t task_index, attempt_outcome outcome,
+                         std::uint32_t task_index, attempt_result const & result,
                          time_point now, random_source & random, effects & out)
 {
     task_state & task = job.m_tasks[task_index];
+    attempt_outcome const outcome = result.m_outcome;
     record_outcome(state, job, task, outcome);
     if (is_running(task))
     {
@@ -122,6 +129,11 @@
     {
         finish_job(state, job, failed_answer(job, error_for(outcome)), out);
     }
+    else if (result.m_lost_at_start && has_missed_objective(job, now))
+    {
+        // Another start would risk another upstream for an answer that is late anyway.
+        finish_job(state, job, failed_answer(job, job_errc::outcome_unknown), out);
+    }
     else if (task.m_attempts >= state.m_configuration->m_dispatch.m_max_attempts ||
              !spend_retry_budget(state))
     {
--- a/src/dispatch/retry.hpp
+++ b/src/dispatch/retry.hpp
@@ -9,8 +9,8 @@
 
 /// Handles an attempt that did not succeed: retries its task, or fails the job.
 void handle_unsuccessful(dispatch_state & state, job_state & job, std::uint32_t task,
-                         attempt_outcome outcome, time_point now, random_source & random,
-                         effects & out);
+                         attempt_result const & result, time_point now,
+                         random_source & random, effects & out);
 
 /// Retries a forwarded task that the peer returned as not run. The task was never sent to
 /// an upstream, so it neither counts as an attempt nor uses the retry budget; the retry
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -88,6 +88,7 @@
     dispatch::attempt_result & result = context.m_out.m_results.back();
     result.m_upstream_lost = true;
     result.m_upstream_incarnation = incarnation;
+    result.m_lost_at_start = run.m_percent == 0;
     return true;
 }
 
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -74,6 +74,7 @@
   attempt @0 :AttemptId;
   outcome @1 :UInt8;        # attempt_outcome
   payload @2 :Data;
+  lostAtStart @3 :Bool;
 }
 
 struct PeerLoad {
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -116,8 +116,11 @@
 
     void task_reported_all_fields_are_preserved()
     {
-        auto const decoded = round_trip(
-            task_reported{{{1, 2}, dispatch::attempt_outcome::failed, "out", false}});
+        dispatch::attempt_result result{
+            {1, 2}, dispatch::attempt_outcome::failed, "out", false};
+        result.m_lost_at_start = true;
+        auto const decoded = round_trip(task_reported{result});
+        CPPUNIT_ASSERT(decoded.m_result.m_lost_at_start);
         CPPUNIT_ASSERT(decoded.m_result.m_attempt == attempt_id({1, 2}));
         CPPUNIT_ASSERT(decoded.m_result.m_outcome == dispatch::attempt_outcome::failed);
         CPPUNIT_ASSERT_EQUAL(std::string("out"), decoded.m_result.m_payload);
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -20,6 +20,15 @@
             m_now, m_random, m_out);
     }
 
+    /// Ends an attempt with the loss of its upstream before any progress.
+    void lose_at_start(attempt_start const & start)
+    {
+        attempt_result result{
+            start.m_attempt, attempt_outcome::interrupted, "", false, true, 1};
+        result.m_lost_at_start = true;
+        finish_attempt(m_state, result, m_now, m_random, m_out);
+    }
+
     /// Ends an attempt with a crash of its upstream.
     void crash(attempt_start const & start)
     {
@@ -75,6 +84,18 @@
 // crash was counted as no failure (BUDGET).
 class crash_retry_test : public crash_fixture
 {
+    static constexpr duration objective = 300ms;
+
+    void set_objectives()
+    {
+        for (config::work_kind & kind : m_configuration.m_kinds)
+        {
+            kind.m_expected_run_time = 100ms;
+            kind.m_objective_stretch = 3;
+        }
+        apply();
+    }
+
     CPPUNIT_TEST_SUITE(crash_retry_test);
     CPPUNIT_TEST(task_that_crashed_two_upstreams_is_not_started_again);
     CPPUNIT_TEST(task_that_lost_three_upstreams_is_not_started_again);
@@ -83,6 +104,9 @@
     CPPUNIT_TEST(cancelled_attempt_counts_as_loss);
     CPPUNIT_TEST(suspected_task_gets_no_hedge);
     CPPUNIT_TEST(upstream_without_start_time_that_crashes_twice_counts_twice);
+    CPPUNIT_TEST(task_lost_at_its_start_is_not_restarted_past_the_objective);
+    CPPUNIT_TEST(task_lost_at_its_start_is_restarted_within_the_objective);
+    CPPUNIT_TEST(task_lost_after_progress_is_restarted_past_the_objective);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +127,37 @@
         CPPUNIT_ASSERT(take_starts().empty());
     }
 
+    // Guards against a second upstream that crashes for an answer that is late anyway.
+    void task_lost_at_its_start_is_not_restarted_past_the_objective()
+    {
+        set_objectives();
+        submit("check", 1);
+        attempt_start const start = take_one_start();
+        step(objective + 100ms);
+        lose_at_start(start);
+        job_answer const answer = take_answer();
+        CPPUNIT_ASSERT(answer.m_error == job_errc::outcome_unknown);
+        CPPUNIT_ASSERT(answer.m_ran == run_state::yes);
+    }
+
+    void task_lost_at_its_start_is_restarted_within_the_objective()
+    {
+        set_objectives();
+        submit("check", 1);
+        lose_at_start(take_one_start());
+        take_next_start();
+    }
+
+    void task_lost_after_progress_is_restarted_past_the_objective()
+    {
+        set_objectives();
+        submit("check", 1);
+        attempt_start const start = take_one_start();
+        step(objective + 100ms);
+        lose(start);
+        take_next_start();
+    }
+
     // Guards against counting the crashes of an upstream under one name as one.
     void upstream_without_start_time_that_crashes_twice_counts_twice()
     {
--- a/tests/lease_lost_upstream_test.cpp
+++ b/tests/lease_lost_upstream_test.cpp
@@ -110,6 +110,7 @@
 {
     CPPUNIT_TEST_SUITE(lost_run_test);
     CPPUNIT_TEST(runs_of_lapsed_lease_are_lost);
+    CPPUNIT_TEST(run_with_reported_progress_is_not_lost_at_start);
     CPPUNIT_TEST(runs_interrupted_by_restart_in_reply_are_lost);
     CPPUNIT_TEST(runs_interrupted_by_registration_of_restart_are_lost);
     CPPUNIT_TEST(runs_on_upstream_whose_address_another_one_has_are_lost);
@@ -139,6 +140,18 @@
         expect_no_fate();
     }
 
+    void run_with_reported_progress_is_not_lost_at_start()
+    {
+        claim_upstream();
+        attempt_id const old = start_accepted_run(0);
+        reply_to_renewal(take_call<renew_call>(), {{make_run_name(0), 30}});
+        attempt_id const young = start_accepted_run(1);
+        lapse_lease();
+        CPPUNIT_ASSERT(result_of(old).m_upstream_lost);
+        CPPUNIT_ASSERT(!result_of(old).m_lost_at_start);
+        CPPUNIT_ASSERT(result_of(young).m_lost_at_start);
+    }
+
     void runs_interrupted_by_restart_in_reply_are_lost()
     {
         claim_upstream();
