Count no loss of an upstream that leaves as planned

Found by review: a run that is left on an upstream when that leaves ends with it, and the loss counted as a crash as soon as the next upstream answered at the address. Two such leaves within 120 s gave a sound task up (crashes_upstreams).

Only the path over a missing registration asked whether the upstream was draining. An instance that has not read that the upstream drains still counts it.

--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -355,16 +355,20 @@
 void record_own_loss(dispatch_state & state, running_attempt const & attempt,
                      attempt_result const & result, time_point now, effects & out)
 {
-    if (!result.m_upstream_lost)
+    upstream_state const & upstream = state.m_upstreams[attempt.m_upstream];
+    bool const leaves_as_planned = upstream.m_leaving || upstream.m_definition.m_draining;
+    if (!result.m_upstream_lost || leaves_as_planned)
     {
         return;
     }
-    std::string const & name = state.m_upstreams[attempt.m_upstream].m_definition.m_name;
     // An upstream that reports no start time may crash several times under one name.
     std::uint64_t const incarnation = result.m_upstream_incarnation != 0
                                           ? result.m_upstream_incarnation
                                           : std::hash<attempt_id>()(result.m_attempt);
-    upstream_loss loss{{name, incarnation}, upstream_fate::unknown, {attempt.m_task}, {}};
+    upstream_loss loss{{upstream.m_definition.m_name, incarnation},
+                       upstream_fate::unknown,
+                       {attempt.m_task},
+                       {}};
     record_loss(state.m_crashes, loss, now);
     ++state.m_counters.m_losses;
     out.m_losses.push_back({std::move(loss), attempt.m_from});
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(cancelled_attempt_counts_as_loss);
     CPPUNIT_TEST(suspected_task_gets_no_hedge);
     CPPUNIT_TEST(upstream_without_start_time_that_crashes_twice_counts_twice);
+    CPPUNIT_TEST(task_of_upstream_that_leaves_as_planned_is_not_suspected);
     CPPUNIT_TEST(task_lost_at_its_start_is_not_restarted_past_the_objective);
     CPPUNIT_TEST(task_lost_at_its_start_is_restarted_within_the_objective);
     CPPUNIT_TEST(task_lost_after_progress_is_restarted_past_the_objective);
@@ -127,6 +128,24 @@
         CPPUNIT_ASSERT(take_starts().empty());
     }
 
+    // Guards against giving up a task whose upstreams left as planned while it ran.
+    void task_of_upstream_that_leaves_as_planned_is_not_suspected()
+    {
+        submit("check", 1);
+        attempt_start const first = take_one_start();
+        for (config::upstream & upstream : m_configuration.m_upstreams)
+        {
+            upstream.m_draining = upstream.m_name == first.m_upstream;
+        }
+        apply();
+        lose(first);
+        attempt_start const second = take_next_start();
+        set_upstream_leaving(m_state, second.m_upstream, true);
+        lose(second);
+        CPPUNIT_ASSERT(m_out.m_losses.empty());
+        CPPUNIT_ASSERT(m_state.m_crashes.m_tasks.empty());
+    }
+
     // Guards against a second upstream that crashes for an answer that is late anyway.
     void task_lost_at_its_start_is_not_restarted_past_the_objective()
     {
