Start no convicted task that waits at its upstream

Found by review: the baseline policy assigns tasks to upstreams and starts them without a look at the history of losses, so a task that was convicted while it waited crashed one more upstream. start_assigned_on() now asks as the fair queue does. task_assigned_by_baseline_policy_that_becomes_convicted_is_not_started fails without the change (1 of 24 cases); 24 of 24 pass with it.

--- a/src/dispatch/baseline.cpp
+++ b/src/dispatch/baseline.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/attempts.hpp"
 #include "dispatch/baseline.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/verdict.hpp"
 
 #include <algorithm>
 
@@ -32,7 +33,7 @@
     {
         auto const [serial, task] = assigned.front();
         job_state * const job = find_job_by_serial(state, serial);
-        if (job != nullptr)
+        if (job != nullptr && !end_if_forbidden(state, *job, task, out))
         {
             if (!has_capacity(state.m_upstreams[id], job->m_spec.m_tasks[task].m_demand))
             {
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -289,6 +289,7 @@
     CPPUNIT_TEST(submission_with_convicted_task_is_refused);
     CPPUNIT_TEST(submission_with_withheld_task_is_refused);
     CPPUNIT_TEST(queued_task_that_becomes_convicted_is_not_started);
+    CPPUNIT_TEST(task_assigned_by_baseline_policy_that_becomes_convicted_is_not_started);
     CPPUNIT_TEST(queued_task_that_becomes_withheld_is_not_started);
     CPPUNIT_TEST(queued_forwarded_task_that_becomes_convicted_is_returned);
     CPPUNIT_TEST(loss_under_forwarded_task_names_the_job_of_its_owner);
@@ -340,6 +341,33 @@
         CPPUNIT_ASSERT(take_answer().m_error == job_errc::crashes_upstreams);
     }
 
+    // Guards against the start of a convicted task that waits at its upstream.
+    void task_assigned_by_baseline_policy_that_becomes_convicted_is_not_started()
+    {
+        m_configuration.m_dispatch.m_policy = config::dispatch_policy::baseline;
+        apply();
+        submit("check", 60);
+        std::vector<attempt_start> const others = take_starts();
+        job_key const key = submit("check", 1);
+        CPPUNIT_ASSERT(take_starts().empty());
+        learn_crash("far-0", key);
+        learn_crash("far-1", key);
+        for (attempt_start const & other : others)
+        {
+            finish(other.m_attempt, attempt_outcome::succeeded);
+        }
+        std::vector<attempt_start> running;
+        do
+        {
+            running = take_starts();
+            for (attempt_start const & start : running)
+            {
+                CPPUNIT_ASSERT(start.m_job != key);
+                finish(start.m_attempt, attempt_outcome::succeeded);
+            }
+        } while (!running.empty());
+    }
+
     void queued_task_that_becomes_withheld_is_not_started()
     {
         std::vector<attempt_start> const others = fill_upstreams();
