--- a/tests/decision_crash_test.cpp
+++ b/tests/decision_crash_test.cpp
@@ -1,6 +1,8 @@
 /// \file Tasks that crash upstreams, over submissions and instances. One instance leases
 /// upstreams; the test simulates its peer, its upstreams and their registrations.
 
+#include "decision_actions.hpp"
+
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -58,38 +60,13 @@
     template <typename Action>
     std::vector<Action> take_actions()
     {
-        std::vector<Action> taken;
-        std::erase_if(m_actions,
-                      [&taken](action const & item)
-                      {
-                          auto const * const found = std::get_if<Action>(&item);
-                          if (found != nullptr)
-                          {
-                              taken.push_back(*found);
-                          }
-                          return found != nullptr;
-                      });
-        return taken;
+        return decision::take_actions<Action>(m_actions);
     }
 
     template <typename Call>
     std::vector<lease::upstream_call> take_calls()
     {
-        std::vector<lease::upstream_call> taken;
-        std::erase_if(m_actions,
-                      [&taken](action const & item)
-                      {
-                          auto const * const call =
-                              std::get_if<lease::upstream_call>(&item);
-                          bool const matches = call != nullptr &&
-                                               std::holds_alternative<Call>(call->m_body);
-                          if (matches)
-                          {
-                              taken.push_back(*call);
-                          }
-                          return matches;
-                      });
-        return taken;
+        return decision::take_calls<Call>(m_actions);
     }
 
     void reply(lease::upstream_call const & call, lease::call_outcome outcome)
@@ -106,17 +83,7 @@
 
     void configure()
     {
-        auto result = std::make_shared<config::fleet_configuration>();
-        result->m_version = 1;
-        config::work_kind kind;
-        kind.m_name = "check";
-        kind.m_restartable = true;
-        kind.m_service = "pool";
-        result->m_kinds = {kind};
-        config::tenant tenant;
-        tenant.m_name = "pool";
-        result->m_tenants = {tenant};
-        result->m_routes = {{"host", "/q/", "check", "pool"}};
+        auto result = make_leased_configuration();
         result->m_dispatch.m_max_attempts = 10;
         handle(configuration_changed{std::move(result), "document"});
     }
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -1,5 +1,7 @@
 /// \file One instance that leases upstreams; the test simulates its peers and upstreams.
 
+#include "decision_actions.hpp"
+
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -54,39 +56,14 @@
     template <typename Action>
     std::vector<Action> take_actions()
     {
-        std::vector<Action> taken;
-        std::erase_if(m_actions,
-                      [&taken](action const & item)
-                      {
-                          auto const * const found = std::get_if<Action>(&item);
-                          if (found != nullptr)
-                          {
-                              taken.push_back(*found);
-                          }
-                          return found != nullptr;
-                      });
-        return taken;
+        return decision::take_actions<Action>(m_actions);
     }
 
     /// Removes and returns the upstream calls of one type.
     template <typename Call>
     std::vector<lease::upstream_call> take_calls()
     {
-        std::vector<lease::upstream_call> taken;
-        std::erase_if(m_actions,
-                      [&taken](action const & item)
-                      {
-                          auto const * const call =
-                              std::get_if<lease::upstream_call>(&item);
-                          bool const matches = call != nullptr &&
-                                               std::holds_alternative<Call>(call->m_body);
-                          if (matches)
-                          {
-                              taken.push_back(*call);
-                          }
-                          return matches;
-                      });
-        return taken;
+        return decision::take_calls<Call>(m_actions);
     }
 
     void reply(lease::upstream_call const & call,
@@ -122,17 +99,7 @@
 
     void configure(std::uint64_t version = 1, std::string const & service = "pool")
     {
-        auto result = std::make_shared<config::fleet_configuration>();
-        result->m_version = version;
-        config::work_kind kind;
-        kind.m_name = "check";
-        kind.m_restartable = true;
-        kind.m_service = service;
-        result->m_kinds = {kind};
-        config::tenant tenant;
-        tenant.m_name = "pool";
-        result->m_tenants = {tenant};
-        result->m_routes = {{"host", "/q/", "check", "pool"}};
+        auto result = make_leased_configuration(version, service);
         handle(configuration_changed{std::move(result), "document"});
     }
 
--- a/tests/decision_resubmission_test.cpp
+++ b/tests/decision_resubmission_test.cpp
@@ -1,6 +1,8 @@
 /// \file A job that is submitted again at another instance: two instances and their
 /// upstreams, in virtual time.
 
+#include "decision_actions.hpp"
+
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/decision.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -245,17 +247,7 @@
 
     void configure(instance_double & item)
     {
-        auto result = std::make_shared<config::fleet_configuration>();
-        result->m_version = 1;
-        config::work_kind kind;
-        kind.m_name = "check";
-        kind.m_restartable = true;
-        kind.m_service = "pool";
-        result->m_kinds = {kind};
-        config::tenant tenant;
-        tenant.m_name = "pool";
-        result->m_tenants = {tenant};
-        result->m_routes = {{"host", "/q/", "check", "pool"}};
+        auto result = make_leased_configuration();
         handle(item, configuration_changed{std::move(result), "document"});
         upstreams_discovered discovered;
         for (std::string const name : {"up-1", "up-2", "up-3", "up-4"})
