--- a/include/cassiahub/dispatch/crash_history.hpp
+++ b/include/cassiahub/dispatch/crash_history.hpp
@@ -28,8 +28,7 @@
 /// Losses of upstreams under one task, crashes or not, after which it is not started
 /// again until the fate of those upstreams is known.
 constexpr std::size_t max_losses = 3;
-/// Time for which a loss is remembered; longer than a caller takes to submit its job
-/// again.
+/// Time for which a loss is remembered.
 constexpr duration loss_retention = std::chrono::seconds(120);
 /// Most tasks in a history; the one with the oldest loss is dropped for a new one.
 constexpr std::size_t max_suspects = 16'384;
--- a/src/decision/leasing.hpp
+++ b/src/decision/leasing.hpp
@@ -36,6 +36,16 @@
 /// \returns the store's clock at \p now in ms, or 0 when it is not known.
 std::int64_t fleet_clock(leasing_state const & leasing, time_point now) noexcept;
 
+/// Performs the effects of the lease sessions.
+void apply(step_context & context, lease::effects effects);
+
+/// \returns true when a kind of work may run on upstreams of \p service. An entry of
+/// another writer may name any service.
+bool is_used_service(leasing_state const & leasing, std::string_view service);
+
+/// Removes upstreams whose registration has been gone for unregistered_grace_period.
+void remove_unregistered_upstreams(step_context & context);
+
 void receive_upstreams(step_context & context, upstreams_discovered & discovered);
 void receive_clock(step_context & context, std::int64_t milliseconds);
 void receive_reply(step_context & context, lease::upstream_reply const & reply);
--- a/tests/decision_crash_test.cpp
+++ b/tests/decision_crash_test.cpp
@@ -394,7 +394,7 @@
                 }
                 else
                 {
-                    finish(start, {{}, dispatch::attempt_outcome::succeeded});
+                    finish(start, {{}, dispatch::attempt_outcome::succeeded, {}, false});
                     ++completed;
                 }
             }
