Clear the losses of an upstream that accepts runs again

Found by review: an upstream that was cut off for longer than its registration lasts counted as crashed for good, and survived was reported only by the session that had lost it, not by another instance that took the upstream over. Two such cuts within 120 s gave a sound task up, three withheld it.

When an upstream accepts runs, the instance now clears what its history holds against that incarnation and tells the others.

--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -164,6 +164,26 @@
     apply(context, std::move(effects));
 }
 
+/// Reports that the incarnation of \p upstream that accepts runs now has not crashed.
+/// Another instance may have lost it, or its registration may have been gone.
+void report_survival(step_context & context, std::string const & upstream)
+{
+    auto const & sessions = context.m_state.m_leasing.m_sessions.m_sessions;
+    auto const found = sessions.find(upstream);
+    if (found == sessions.end())
+    {
+        return;
+    }
+    dispatch::upstream_loss const fate{{upstream, found->second.m_incarnation},
+                                       dispatch::upstream_fate::survived,
+                                       {},
+                                       {}};
+    if (context.m_state.m_dispatch.m_crashes.m_by_upstream.contains(fate.m_upstream))
+    {
+        report_fate(context, fate);
+    }
+}
+
 } // namespace
 
 void apply(step_context & context, lease::effects effects)
@@ -200,6 +220,13 @@
     {
         report_fate(context, fate);
     }
+    for (lease::availability const & change : effects.m_availability)
+    {
+        if (change.m_available)
+        {
+            report_survival(context, change.m_upstream);
+        }
+    }
 }
 
 std::int64_t fleet_clock(leasing_state const & leasing, time_point now) noexcept
--- a/tests/decision_crash_test.cpp
+++ b/tests/decision_crash_test.cpp
@@ -274,6 +274,8 @@
     CPPUNIT_TEST(restarted_instance_learns_losses_from_peer);
     CPPUNIT_TEST(neighbour_of_crashing_task_completes);
     CPPUNIT_TEST(upstream_whose_registration_is_gone_counts_as_crashed);
+    CPPUNIT_TEST(upstream_that_answers_after_its_registration_was_gone_has_survived);
+    CPPUNIT_TEST(upstream_that_another_instance_lost_has_survived_when_it_is_claimed);
     CPPUNIT_TEST(losses_are_sent_again_after_the_connection_was_lost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -290,7 +292,54 @@
         CPPUNIT_ASSERT(starts.empty());
     }
 
+    /// Removes the registration of an upstream for good.
+    void unregister(std::string const & upstream)
+    {
+        m_registered.erase(upstream);
+        discover();
+        advance_time(4s);
+    }
+
+    void expect_survived(std::string const & upstream)
+    {
+        CPPUNIT_ASSERT(m_state.m_dispatch.m_crashes.m_tasks.empty());
+        auto const notices = take_messages<loss_notice>();
+        CPPUNIT_ASSERT(!notices.empty());
+        dispatch::upstream_loss const & last = notices.back().m_loss;
+        CPPUNIT_ASSERT(last.m_fate == dispatch::upstream_fate::survived);
+        CPPUNIT_ASSERT_EQUAL(upstream, last.m_upstream.m_name);
+    }
+
 public:
+    // Guards against giving up a sound task whose upstreams were cut off for longer than
+    // their registrations last.
+    void upstream_that_answers_after_its_registration_was_gone_has_survived()
+    {
+        submit("/q/sound");
+        lease::upstream_call const first = await_start();
+        lose(first);
+        finish(await_start(), {{}, dispatch::attempt_outcome::succeeded, {}, false});
+        unregister(first.m_upstream);
+        CPPUNIT_ASSERT(!m_state.m_dispatch.m_crashes.m_tasks.empty());
+        m_registered[first.m_upstream] = 100;
+        discover();
+        advance_time(1500ms);
+        expect_survived(first.m_upstream);
+    }
+
+    // Guards against a fate that stays unknown when another instance takes over.
+    void upstream_that_another_instance_lost_has_survived_when_it_is_claimed()
+    {
+        unregister("up-1");
+        dispatch::upstream_loss const loss{
+            {"up-1", 100}, dispatch::upstream_fate::unknown, {{"pool", "theirs", 0}}, {}};
+        handle(peer_message_received{{"peer"}, loss_notice{loss}});
+        m_registered["up-1"] = 100;
+        discover();
+        advance_time(1500ms);
+        expect_survived("up-1");
+    }
+
     void resubmitted_job_whose_task_crashed_two_upstreams_is_failed_without_start()
     {
         crash_three_upstreams("/q/deadly");
