Assign upstreams without ranking the whole fleet

items_of_owner() examines only domains whose items may go to the instance, and takes the best candidate below its share in one pass with one hash for each candidate. The assignment is the same as before.

membership_test (21 cases, 2 of them new for 100 instances and 540 upstreams), decision_test (18) and decision_leasing_test (46) pass; the saving was not measured apart.

--- a/include/cassiahub/membership/rendezvous.hpp
+++ b/include/cassiahub/membership/rendezvous.hpp
@@ -31,10 +31,12 @@
 
 /// Assigns the items of each domain to the owners in that domain, or to all owners when
 /// the domain has none. No owner gets more than an equal share of the items of a domain,
-/// rounded up.
-/// \returns for each item an index into \p owners; empty when \p owners is empty.
-std::vector<std::size_t> assign_in_domains(std::span<placed_name const> owners,
-                                           std::span<placed_name const> items);
+/// rounded up. Only domains whose items may go to \p owner are examined.
+/// \returns the indices of the items assigned to \p owner, ascending; empty when \p owner
+/// is not in \p owners.
+std::vector<std::size_t> items_of_owner(std::span<placed_name const> owners,
+                                        std::span<placed_name const> items,
+                                        std::string_view owner);
 
 } // namespace cassiahub::membership
 
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -110,17 +110,15 @@
             upstreams.push_back({name, upstream.m_definition.m_domain});
         }
     }
-    std::vector<std::size_t> const assigned =
-        membership::assign_in_domains(candidates, upstreams);
     bool const heard_listed_members =
         membership::has_heard_listed_members(state.m_membership, context.m_now);
     std::vector<lease::owned_upstream> owned;
-    for (std::size_t index = 0; index < assigned.size(); ++index)
+    for (std::size_t const index : membership::items_of_owner(
+             candidates, upstreams, state.m_identity.m_instance.m_value))
     {
         std::string const & name = upstreams[index].m_name;
         bool const held = state.m_leasing.m_sessions.m_sessions.contains(name);
-        if (candidates[assigned[index]].m_name == state.m_identity.m_instance.m_value &&
-            (held || (heard_listed_members && !is_held_by_live_peer(state, name))))
+        if (held || (heard_listed_members && !is_held_by_live_peer(state, name)))
         {
             discovered_upstream const & upstream = state.m_leasing.m_upstreams.at(name);
             owned.push_back(
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -270,9 +270,74 @@
     CPPUNIT_TEST_SUITE(rendezvous_test);
     CPPUNIT_TEST(owner_after_removal_of_another_member_is_unchanged);
     CPPUNIT_TEST(assignment_of_shards_gives_each_member_its_share);
+    CPPUNIT_TEST(each_item_of_large_fleet_has_one_owner_in_its_domain);
+    CPPUNIT_TEST(items_of_domain_without_owner_are_shared_by_all);
     CPPUNIT_TEST_SUITE_END();
 
+    /// \returns \p count names in each of the domains a to e.
+    static std::vector<placed_name> place(std::string const & prefix, int count)
+    {
+        std::vector<placed_name> names;
+        for (char domain = 'a'; domain <= 'e'; ++domain)
+        {
+            for (int index = 0; index < count; ++index)
+            {
+                names.push_back({prefix + domain + std::to_string(index), {domain}});
+            }
+        }
+        return names;
+    }
+
+    /// \returns how many owners each item has.
+    /// \param max_share receives the largest number of items of one owner.
+    static std::vector<int> count_owners(std::span<placed_name const> owners,
+                                         std::span<placed_name const> items,
+                                         std::size_t & max_share)
+    {
+        std::vector<int> counts(items.size());
+        max_share = 0;
+        for (placed_name const & owner : owners)
+        {
+            auto const own = items_of_owner(owners, items, owner.m_name);
+            max_share = std::max(max_share, own.size());
+            for (std::size_t const index : own)
+            {
+                ++counts[index];
+            }
+        }
+        return counts;
+    }
+
 public:
+    void each_item_of_large_fleet_has_one_owner_in_its_domain()
+    {
+        std::vector<placed_name> const owners = place("instance-", 20);
+        std::vector<placed_name> const items = place("upstream-", 108);
+        std::size_t max_share = 0;
+        std::vector<int> const counts = count_owners(owners, items, max_share);
+        CPPUNIT_ASSERT_EQUAL(items.size(),
+                             std::size_t(std::count(counts.begin(), counts.end(), 1)));
+        CPPUNIT_ASSERT(max_share <= 6);
+        for (std::size_t const index : items_of_owner(owners, items, owners[0].m_name))
+        {
+            CPPUNIT_ASSERT_EQUAL(owners[0].m_domain, items[index].m_domain);
+        }
+    }
+
+    void items_of_domain_without_owner_are_shared_by_all()
+    {
+        std::vector<placed_name> owners = place("instance-", 20);
+        std::erase_if(owners, [](placed_name const & name)
+                      { return name.m_domain == "c"; });
+        std::vector<placed_name> const items = place("upstream-", 108);
+        std::size_t max_share = 0;
+        std::vector<int> const counts = count_owners(owners, items, max_share);
+        CPPUNIT_ASSERT_EQUAL(items.size(),
+                             std::size_t(std::count(counts.begin(), counts.end(), 1)));
+        CPPUNIT_ASSERT(max_share <= 8);
+        CPPUNIT_ASSERT(items_of_owner(owners, items, "instance-c0").empty());
+    }
+
     void owner_after_removal_of_another_member_is_unchanged()
     {
         std::vector<std::string> const names{"a", "b", "c", "d"};
