Send messages between gateways as plain frames

Each batch was a Cap'n Proto RPC: a call, a return and a finish message, a promise and a timer, and several reads on each side.

A connection now carries frames: open and opened once, then batches in one direction. An acknowledgement is sent only when a batch asks for it, at most twice a second; it detects a silent peer within the same 2 s and tells a stopping instance that its last messages have arrived. One read may bring several frames. A malformed frame ends its session only.

--- a/include/cassiahub/peer/exchange.hpp
+++ b/include/cassiahub/peer/exchange.hpp
@@ -17,25 +17,25 @@
 namespace cassiahub::peer
 {
 
-/// Limits of the exchange. Queues, calls in flight and batches are limited for each peer.
+/// Limits of the exchange. Queues and batches are limited for each peer.
 struct exchange_limits
 {
-    /// Timeout of connecting, of each deliver() call, and of open() on an incoming
-    /// connection. It detects network partitions that drop packets silently.
+    /// Timeout of connecting, of each acknowledgement, and of the open frame on an
+    /// incoming connection. It detects network partitions that drop packets silently.
     duration m_call_timeout = std::chrono::seconds(2);
+    /// Shortest time between two requests for an acknowledgement. Every batch is covered
+    /// by a request at most half of m_call_timeout after it was sent.
+    duration m_acknowledgement_period = std::chrono::milliseconds(500);
     /// Range of the delay before a connect that follows a failure.
     duration m_initial_backoff = std::chrono::milliseconds(50);
     duration m_max_backoff = std::chrono::seconds(1);
     /// Longest time that a stop request waits until queued messages are sent and
-    /// answered.
+    /// acknowledged.
     duration m_drain_timeout = std::chrono::seconds(1);
     /// Largest queue of messages not yet sent.
     std::size_t m_queued_messages = 16'384;
     std::size_t m_queued_bytes = 64 * 1024 * 1024;
-    /// Most deliver() calls that wait for an answer, and their total size.
-    std::size_t m_calls_in_flight = 4;
-    std::size_t m_bytes_in_flight = 4 * 1024 * 1024;
-    /// A batch (the messages of one deliver() call) is complete at either limit.
+    /// A batch (the messages of one frame) is complete at either limit.
     std::size_t m_batch_messages = 256;
     std::size_t m_batch_bytes = 1024 * 1024;
     /// Largest Cap'n Proto message accepted. A job body has at most 64 MiB.
@@ -58,7 +58,8 @@
 {
     std::atomic<std::uint64_t> m_messages_sent{0};
     std::atomic<std::uint64_t> m_messages_received{0};
-    std::atomic<std::uint64_t> m_deliver_calls{0};
+    std::atomic<std::uint64_t> m_batches_sent{0};
+    std::atomic<std::uint64_t> m_acknowledgements{0}; ///< received
     /// Periodic messages (see is_periodic()) dropped because a queue was full.
     std::atomic<std::uint64_t> m_periodic_dropped{0};
     /// Non-periodic messages that did not fit into a full queue; each one ends the
@@ -66,7 +67,7 @@
     std::atomic<std::uint64_t> m_messages_refused{0};
     /// Sessions that ended; each adds a peer_disconnected event.
     std::atomic<std::uint64_t> m_sessions_broken{0};
-    /// Rejected open() calls, and connections closed because there were too many.
+    /// Rejected open frames, and connections closed because there were too many.
     std::atomic<std::uint64_t> m_opens_rejected{0};
     /// Incoming batches that failed validation.
     std::atomic<std::uint64_t> m_batches_rejected{0};
@@ -78,8 +79,8 @@
     /// Messages to send. The ring must be constructed with m_wake_fd, which wakes
     /// the event loop.
     runtime::bounded_ring<decision::send_peer> & m_outgoing;
-    /// Receives peer_message_received and peer_disconnected. While it is full, deliver()
-    /// calls stay unanswered, which applies back pressure to the senders.
+    /// Receives peer_message_received and peer_disconnected. While it is full, nothing is
+    /// read from the connections, which applies back pressure to the senders.
     runtime::bounded_ring<decision::event> & m_events;
     int m_wake_fd = -1; ///< non-blocking eventfd; not owned
 };
--- a/src/peer/backlog.cpp
+++ b/src/peer/backlog.cpp
@@ -12,8 +12,8 @@
 /// when space becomes available.
 constexpr duration retry_period = std::chrono::milliseconds(2);
 
-/// Moves events to the ring until it is full and answers the deliver() calls whose events
-/// have all been moved.
+/// Moves events to the ring until it is full and fulfils the waiters whose events have
+/// all been moved.
 void push_events(exchange_state & state);
 
 void schedule_retry(exchange_state & state)
@@ -41,11 +41,11 @@
         backlog.m_events.pop_front();
         ++backlog.m_pushed;
     }
-    while (!backlog.m_waiting_calls.empty() &&
-           backlog.m_waiting_calls.front().m_last_event <= backlog.m_pushed)
+    while (!backlog.m_waiters.empty() &&
+           backlog.m_waiters.front().m_last_event <= backlog.m_pushed)
     {
-        backlog.m_waiting_calls.front().m_fulfiller->fulfill();
-        backlog.m_waiting_calls.pop_front();
+        backlog.m_waiters.front().m_fulfiller->fulfill();
+        backlog.m_waiters.pop_front();
     }
     if (!backlog.m_events.empty())
     {
@@ -70,7 +70,7 @@
         return kj::READY_NOW;
     }
     auto paired = kj::newPromiseAndFulfiller<void>();
-    backlog.m_waiting_calls.push_back({backlog.m_accepted, kj::mv(paired.fulfiller)});
+    backlog.m_waiters.push_back({backlog.m_accepted, kj::mv(paired.fulfiller)});
     return kj::mv(paired.promise);
 }
 
--- a/src/peer/exchange.cpp
+++ b/src/peer/exchange.cpp
@@ -49,10 +49,12 @@
                          { return serve_outgoing_ring(state, observer, stop); });
 }
 
-/// Waits until no message is queued and no call is in flight, at most m_drain_timeout.
+/// Waits until no message is queued and every batch is acknowledged, at most
+/// m_drain_timeout.
 void flush_queues(exchange_state & state)
 {
     state.m_stopping = true;
+    ask_for_acknowledgements(state);
     if (is_drained(state))
     {
         return;
@@ -113,6 +115,7 @@
     try
     {
         accept_connections(state, receiver);
+        supervise_acknowledgements(state);
         serve_outgoing_ring(state, observer, stop).wait(state.m_io.waitScope);
         flush_queues(state);
     }
--- a/src/peer/exchange_state.hpp
+++ b/src/peer/exchange_state.hpp
@@ -1,12 +1,12 @@
 #ifndef CASSIAHUB_PEER_EXCHANGE_STATE_HPP
 #define CASSIAHUB_PEER_EXCHANGE_STATE_HPP
 
+#include "peer/frames.hpp"
+
 #include <cassiahub/core/random.hpp>
 #include <cassiahub/peer/exchange.hpp>
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
-#include <peer_protocol.capnp.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -21,23 +21,29 @@
 
 // State of the exchange. Only the thread of the event loop accesses it.
 
-/// A connection that this instance opened. It carries messages to the peer only.
+/// A connection that this instance opened. It carries batches to the peer and
+/// acknowledgements from it.
 struct outgoing_connection
 {
-    explicit outgoing_connection(kj::Own<kj::AsyncIoStream> stream)
-        : m_stream(kj::mv(stream)), m_client(*m_stream)
-    {
-    }
-
     kj::Own<kj::AsyncIoStream> m_stream;
-    capnp::TwoPartyClient m_client;
-    kj::Maybe<peer_protocol::Peer::Client> m_peer; ///< set when open() has been answered
+    frame_buffer m_received;
+    bool m_writing = false; ///< a frame is being written
+    std::uint64_t m_batches_sent = 0;
+    /// Number of batches sent when the last acknowledgement was asked for.
+    std::uint64_t m_batches_asked = 0;
+    std::uint64_t m_batches_acknowledged = 0;
+    /// When the last acknowledgement was asked for.
+    kj::TimePoint m_asked_at = kj::origin<kj::TimePoint>();
+    /// When the first batch after that was sent.
+    kj::TimePoint m_unasked_since = kj::origin<kj::TimePoint>();
+    kj::Promise<void> m_reading = kj::READY_NOW;
+    kj::Promise<void> m_written = kj::READY_NOW;
 };
 
 enum class link_phase
 {
     idle,       ///< not connected yet
-    connecting, ///< until open() is answered
+    connecting, ///< until the peer has accepted the open frame
     open,
     backing_off ///< waits to reconnect after a failure
 };
@@ -51,35 +57,28 @@
     /// Changes with each connect and each failure, so that callbacks of an earlier
     /// connection can recognise that they are obsolete.
     std::uint64_t m_generation = 0;
-    std::uint32_t m_failures = 0; ///< since open() was last answered
+    std::uint32_t m_failures = 0; ///< since the link was last open
     kj::Own<outgoing_connection> m_connection;
     std::deque<decision::peer_message> m_queue;
     std::size_t m_queued_bytes = 0;
-    std::size_t m_calls_in_flight = 0;
-    std::size_t m_bytes_in_flight = 0;
 };
 
-/// A connection that a peer opened. It carries messages from the peer only.
+/// A connection that a peer opened. It carries batches from the peer and
+/// acknowledgements to it.
 struct incoming_connection
 {
-    incoming_connection(kj::Own<kj::AsyncIoStream> stream,
-                        peer_protocol::Entrance::Client bootstrap,
-                        capnp::ReaderOptions options)
-        : m_stream(kj::mv(stream)),
-          m_network(*m_stream, capnp::rpc::twoparty::Side::SERVER, options),
-          m_rpc(capnp::makeRpcServer(m_network, kj::mv(bootstrap)))
-    {
-    }
-
+    std::uint64_t m_id = 0;
     kj::Own<kj::AsyncIoStream> m_stream;
-    capnp::TwoPartyVatNetwork m_network;
-    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
-    std::string m_instance;          ///< of the peer; empty until open() is accepted
+    frame_buffer m_received;
+    std::string m_instance;          ///< of the peer; empty until its open is accepted
     std::uint64_t m_incarnation = 0; ///< of the peer
+    std::uint64_t m_batches = 0;     ///< received
+    bool m_acknowledge = false;      ///< the peer waits for an acknowledgement
+    kj::Promise<void> m_serving = kj::READY_NOW;
 };
 
-/// A deliver() call that is answered once the events up to m_last_event are in the ring.
-struct waiting_call
+/// Fulfilled once the events up to m_last_event are in the ring.
+struct push_waiter
 {
     std::uint64_t m_last_event = 0; ///< value of event_backlog::m_accepted
     kj::Own<kj::PromiseFulfiller<void>> m_fulfiller;
@@ -89,7 +88,7 @@
 struct event_backlog
 {
     std::deque<decision::event> m_events;
-    std::deque<waiting_call> m_waiting_calls;
+    std::deque<push_waiter> m_waiters;
     std::uint64_t m_accepted = 0; ///< total number of events added
     std::uint64_t m_pushed = 0;   ///< total number of events moved to the ring
     bool m_retry_scheduled = false;
@@ -97,8 +96,7 @@
 
 struct exchange_state;
 
-/// Ignores failures of background tasks. Each task handles its own errors; the remaining
-/// ones are cancelled calls of a connection that was destroyed.
+/// Ignores failures of background tasks. Each task handles its own errors.
 class ignore_task_errors final : public kj::TaskSet::ErrorHandler
 {
 public:
@@ -168,7 +166,14 @@
 /// Closes the connection of \p link, clears its queue and starts the backoff.
 void reset_link(exchange_state & state, outgoing_link & link);
 
-/// \returns true when no message is queued or in flight.
+/// Asks for acknowledgements that are due, and ends the sessions whose peers have not
+/// acknowledged in time; repeats that until \p state is destroyed.
+void supervise_acknowledgements(exchange_state & state);
+
+/// Asks every peer to acknowledge all batches sent so far.
+void ask_for_acknowledgements(exchange_state & state);
+
+/// \returns true when no message is queued and every batch is acknowledged.
 bool is_drained(exchange_state const & state) noexcept;
 
 // Incoming connections (incoming.cpp).
--- a/src/peer/incoming.cpp
+++ b/src/peer/incoming.cpp
@@ -3,6 +3,7 @@
 #include <cassiahub/codec/job_json.hpp>
 #include <cassiahub/codec/peer_codec.hpp>
 
+#include <capnp/serialize.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <openssl/crypto.h>
@@ -20,9 +21,8 @@
 namespace
 {
 
-/// Largest total size of the calls of one connection that wait for space in the event
-/// ring.
-constexpr std::size_t flow_limit_bytes = 16 * 1024 * 1024;
+/// Largest frame accepted from a connection whose open frame is not accepted yet.
+constexpr std::size_t max_open_words = 512;
 /// Delay after a failed accept(), for example when no file descriptor is available.
 constexpr duration accept_retry_delay = std::chrono::milliseconds(100);
 /// TCP keepalive detects a peer that stopped without closing its connection after
@@ -71,113 +71,156 @@
     return heartbeat != nullptr && heartbeat->m_incarnation != incarnation;
 }
 
-/// Receives the messages of one incoming connection.
-class peer_server final : public peer_protocol::Peer::Server
+/// Decodes the whole batch, so that an invalid batch has no effect.
+std::error_code decode_batch(capnp::List<peer_protocol::Message>::Reader source,
+                             std::uint64_t incarnation,
+                             std::vector<decision::peer_message> & messages)
 {
-public:
-    peer_server(exchange_state & state, std::uint64_t id) : m_state(state), m_id(id) {}
-
-    kj::Promise<void> deliver(DeliverContext context) override
+    for (peer_protocol::Message::Reader const encoded : source)
     {
-        incoming_connection * const connection = find_connection(m_state, m_id);
-        if (connection == nullptr)
-        {
-            return KJ_EXCEPTION(DISCONNECTED, "connection was replaced");
-        }
-        std::vector<decision::peer_message> messages;
-        std::error_code const error = decode_batch(context.getParams().getMessages(),
-                                                   connection->m_incarnation, messages);
-        if (error)
+        decision::peer_message & message = messages.emplace_back();
+        std::error_code const error = codec::decode_peer_message(encoded, message);
+        if (error || has_other_incarnation(message, incarnation))
         {
-            ++m_state.m_counters.m_batches_rejected;
-            return KJ_EXCEPTION(FAILED, "batch rejected", error.message().c_str());
+            return error ? error : codec::peer_codec_errc::out_of_range;
         }
-        context.releaseParams();
-        m_state.m_counters.m_messages_received += messages.size();
-        for (decision::peer_message & message : messages)
-        {
-            add_event(m_state, decision::peer_message_received{{connection->m_instance},
-                                                               std::move(message)});
-        }
-        return when_pushed(m_state);
     }
+    return {};
+}
 
-private:
-    /// Decodes the whole batch first, so that an invalid batch has no effect.
-    static std::error_code
-    decode_batch(capnp::List<peer_protocol::Message>::Reader source,
-                 std::uint64_t incarnation,
-                 std::vector<decision::peer_message> & messages)
+/// \returns false when the batch is invalid; it has no effect then.
+bool receive_batch(exchange_state & state, incoming_connection & connection,
+                   peer_protocol::Batch::Reader batch)
+{
+    std::vector<decision::peer_message> messages;
+    if (decode_batch(batch.getMessages(), connection.m_incarnation, messages))
     {
-        for (peer_protocol::Message::Reader const encoded : source)
-        {
-            decision::peer_message & message = messages.emplace_back();
-            std::error_code const error = codec::decode_peer_message(encoded, message);
-            if (error || has_other_incarnation(message, incarnation))
-            {
-                return error ? error : codec::peer_codec_errc::out_of_range;
-            }
-        }
-        return {};
+        ++state.m_counters.m_batches_rejected;
+        return false;
     }
+    state.m_counters.m_messages_received += messages.size();
+    ++connection.m_batches;
+    connection.m_acknowledge = connection.m_acknowledge || batch.getAcknowledge();
+    for (decision::peer_message & message : messages)
+    {
+        add_event(state, decision::peer_message_received{{connection.m_instance},
+                                                         std::move(message)});
+    }
+    return true;
+}
+
+bool accepts_open(exchange_options const & options, peer_protocol::Open::Reader open)
+{
+    std::string_view const instance(open.getInstance().begin(),
+                                    open.getInstance().size());
+    std::string_view const target(open.getTarget().begin(), open.getTarget().size());
+    return equals_secret(options.m_secret, open.getSecret()) &&
+           codec::is_valid_key(instance) && options.m_instance != instance &&
+           options.m_instance == target;
+}
 
-    exchange_state & m_state;
-    std::uint64_t m_id;
-};
+/// \returns false when the open frame is rejected.
+bool receive_open(exchange_state & state, incoming_connection & connection,
+                  peer_protocol::Open::Reader open)
+{
+    if (!accepts_open(state.m_options, open))
+    {
+        ++state.m_counters.m_opens_rejected;
+        return false;
+    }
+    std::string const instance(open.getInstance().begin(), open.getInstance().size());
+    bool const already_open = std::any_of(
+        state.m_incoming.begin(), state.m_incoming.end(),
+        [&instance](auto const & entry) { return entry.second->m_instance == instance; });
+    if (already_open)
+    {
+        // Messages in flight on the earlier connection may be lost.
+        end_session(state, instance);
+    }
+    connection.m_instance = instance;
+    connection.m_incarnation = open.getIncarnation();
+    return true;
+}
 
-/// Bootstrap capability of one incoming connection.
-class bootstrap_server final : public peer_protocol::Entrance::Server
+/// \returns false when the frame is not accepted.
+bool receive_frame(exchange_state & state, incoming_connection & connection,
+                   peer_protocol::Frame::Reader frame)
 {
-public:
-    bootstrap_server(exchange_state & state, std::uint64_t id) : m_state(state), m_id(id)
+    bool const opened = !connection.m_instance.empty();
+    if (frame.isOpen() && !opened)
     {
+        return receive_open(state, connection, frame.getOpen());
     }
+    if (!opened)
+    {
+        ++state.m_counters.m_opens_rejected;
+        return false;
+    }
+    return frame.isBatch() && receive_batch(state, connection, frame.getBatch());
+}
 
-    kj::Promise<void> open(OpenContext context) override
+/// Processes the frames in the buffer of \p connection.
+/// \returns false when one of them is not accepted.
+bool receive_frames(exchange_state & state, incoming_connection & connection)
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords =
+        state.m_options.m_limits.m_message_bytes / sizeof(capnp::word);
+    while (true)
     {
-        auto const params = context.getParams();
-        incoming_connection * const connection = find_connection(m_state, m_id);
-        if (connection == nullptr || !accepts_open(*connection, params))
+        std::size_t const max_words = connection.m_instance.empty()
+                                          ? max_open_words
+                                          : options.traversalLimitInWords;
+        auto const taken = take_frame(connection.m_received, max_words);
+        KJ_IF_MAYBE (words, taken)
         {
-            ++m_state.m_counters.m_opens_rejected;
-            // The same message for every reason, so that it reveals nothing to the
-            // caller.
-            return KJ_EXCEPTION(FAILED, "open rejected");
+            capnp::FlatArrayMessageReader reader(*words, options);
+            if (!receive_frame(state, connection, reader.getRoot<peer_protocol::Frame>()))
+            {
+                return false;
+            }
         }
-        std::string const instance(params.getInstance().begin(),
-                                   params.getInstance().size());
-        bool const already_open =
-            std::any_of(m_state.m_incoming.begin(), m_state.m_incoming.end(),
-                        [&instance](auto const & entry)
-                        { return entry.second->m_instance == instance; });
-        if (already_open)
+        else
         {
-            // Messages in flight on the earlier connection may be lost.
-            end_session(m_state, instance);
+            return true;
         }
-        connection->m_instance = instance;
-        connection->m_incarnation = params.getIncarnation();
-        context.getResults().setPeer(kj::heap<peer_server>(m_state, m_id));
-        return kj::READY_NOW;
     }
+}
 
-private:
-    bool accepts_open(incoming_connection const & connection,
-                      peer_protocol::Entrance::OpenParams::Reader params) const
+/// \returns a promise that resolves when the acknowledgement is sent, if the peer waits
+/// for one.
+kj::Promise<void> acknowledge(incoming_connection & connection)
+{
+    if (!std::exchange(connection.m_acknowledge, false))
     {
-        exchange_options const & options = m_state.m_options;
-        std::string_view const instance(params.getInstance().begin(),
-                                        params.getInstance().size());
-        std::string_view const target(params.getTarget().begin(),
-                                      params.getTarget().size());
-        return equals_secret(options.m_secret, params.getSecret()) &&
-               connection.m_instance.empty() && codec::is_valid_key(instance) &&
-               options.m_instance != instance && options.m_instance == target;
+        return kj::READY_NOW;
     }
+    return write_frame(*connection.m_stream, encode_received(connection.m_batches));
+}
 
-    exchange_state & m_state;
-    std::uint64_t m_id;
-};
+/// Reads frames until the end of the stream or a frame that is not accepted.
+kj::Promise<void> serve_connection(exchange_state & state,
+                                   incoming_connection & connection)
+{
+    return read_frames(*connection.m_stream, connection.m_received)
+        .then(
+            [&state, &connection](bool more) -> kj::Promise<void>
+            {
+                bool const was_opened = !connection.m_instance.empty();
+                bool const replaced = find_connection(state, connection.m_id) == nullptr;
+                if (!more || replaced || !receive_frames(state, connection))
+                {
+                    return kj::READY_NOW;
+                }
+                auto answered = was_opened || connection.m_instance.empty()
+                                    ? kj::Promise<void>(kj::READY_NOW)
+                                    : write_frame(*connection.m_stream, encode_opened());
+                return answered.then([&state] { return when_pushed(state); })
+                    .then([&connection] { return acknowledge(connection); })
+                    .then([&state, &connection]
+                          { return serve_connection(state, connection); });
+            });
+}
 
 void handle_close(exchange_state & state, std::uint64_t id)
 {
@@ -194,7 +237,7 @@
     }
 }
 
-/// Closes a connection on which open() was not accepted in time.
+/// Closes a connection on which no open frame was accepted in time.
 void close_unopened(exchange_state & state, std::uint64_t id)
 {
     incoming_connection const * const connection = find_connection(state, id);
@@ -226,16 +269,24 @@
     }
     set_socket_options(*stream);
     std::uint64_t const id = state.m_next_generation++;
-    capnp::ReaderOptions reader_options;
-    reader_options.traversalLimitInWords = limits.m_message_bytes / sizeof(capnp::word);
-    auto connection = kj::heap<incoming_connection>(
-        kj::mv(stream), kj::heap<bootstrap_server>(state, id), reader_options);
-    connection->m_rpc.setFlowLimit(flow_limit_bytes / sizeof(capnp::word));
-    state.m_tasks.add(connection->m_network.onDisconnect().then(
-        [&state, id] { handle_close(state, id); }));
+    auto connection = kj::heap<incoming_connection>();
+    connection->m_id = id;
+    connection->m_stream = kj::mv(stream);
+    incoming_connection & added = *connection;
+    state.m_incoming.emplace(id, kj::mv(connection));
+    added.m_serving = serve_connection(state, added)
+                          .then([&state, id] { handle_close(state, id); },
+                                [&state, id](kj::Exception && failure)
+                                {
+                                    if (failure.getType() == kj::Exception::Type::FAILED)
+                                    {
+                                        ++state.m_counters.m_batches_rejected;
+                                    }
+                                    handle_close(state, id);
+                                })
+                          .eagerlyEvaluate(nullptr);
     state.m_tasks.add(state.m_timer.afterDelay(to_kj(limits.m_call_timeout))
                           .then([&state, id] { close_unopened(state, id); }));
-    state.m_incoming.emplace(id, kj::mv(connection));
 }
 
 } // namespace
--- a/src/peer/outgoing.cpp
+++ b/src/peer/outgoing.cpp
@@ -2,6 +2,8 @@
 
 #include <cassiahub/codec/peer_codec.hpp>
 
+#include <capnp/serialize.h>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -13,6 +15,9 @@
 namespace
 {
 
+/// Largest frame accepted from a peer that this instance has connected to.
+constexpr std::size_t max_answer_words = 64;
+
 /// \returns the link to \p instance, or nullptr when its generation is no longer
 /// \p generation.
 outgoing_link * find_link(exchange_state & state, std::string const & instance,
@@ -24,7 +29,8 @@
     return current ? &found->second : nullptr;
 }
 
-/// Ends the wait of a stop request once no message is queued and no call is in flight.
+/// Ends the wait of a stop request once no message is queued and every batch is
+/// acknowledged.
 void signal_drained(exchange_state & state)
 {
     if (state.m_stopping && is_drained(state))
@@ -96,110 +102,196 @@
     return batch;
 }
 
-/// Sends batches while the queue is not empty and the limits of calls in flight allow.
-void send_batches(exchange_state & state, outgoing_link & link);
+bool awaits_acknowledgement(outgoing_connection const & connection) noexcept
+{
+    return connection.m_batches_asked > connection.m_batches_acknowledged;
+}
 
-/// Handles the answer to a deliver() call.
-void finish_call(exchange_state & state, std::string const & instance,
-                 std::uint64_t generation, std::size_t bytes)
+/// \returns true when the next batch has to ask for an acknowledgement.
+bool must_ask(exchange_state const & state, outgoing_connection const & connection)
 {
-    if (outgoing_link * const link = find_link(state, instance, generation))
-    {
-        --link->m_calls_in_flight;
-        link->m_bytes_in_flight -= bytes;
-        send_batches(state, *link);
-    }
-    signal_drained(state);
+    kj::Duration const period = to_kj(state.m_options.m_limits.m_acknowledgement_period);
+    return !awaits_acknowledgement(connection) &&
+           (state.m_stopping || state.m_timer.now() - connection.m_asked_at >= period);
 }
 
-/// Sends one batch in a deliver() call.
-void send_batch(exchange_state & state, outgoing_link & link,
-                peer_protocol::Peer::Client & peer)
+/// \returns the frame of the next batch, which may be empty.
+/// \param ask whether the batch asks for an acknowledgement.
+kj::Array<capnp::word> next_batch(exchange_state & state, outgoing_link & link, bool ask)
 {
     std::size_t bytes = 0;
     std::vector<decision::peer_message> const batch =
         dequeue_batch(state.m_options.m_limits, link, bytes);
-    auto request = peer.deliverRequest();
-    auto messages = request.initMessages(static_cast<unsigned>(batch.size()));
-    for (unsigned index = 0; index < messages.size(); ++index)
+    outgoing_connection & connection = *link.m_connection;
+    if (connection.m_batches_sent == connection.m_batches_asked)
+    {
+        connection.m_unasked_since = state.m_timer.now();
+    }
+    ++connection.m_batches_sent;
+    if (ask)
     {
-        codec::encode_peer_message(batch[index], messages[index]);
+        connection.m_batches_asked = connection.m_batches_sent;
+        connection.m_asked_at = state.m_timer.now();
     }
-    ++link.m_calls_in_flight;
-    link.m_bytes_in_flight += bytes;
     state.m_counters.m_messages_sent += batch.size();
-    ++state.m_counters.m_deliver_calls;
+    ++state.m_counters.m_batches_sent;
+    return encode_batch(batch, ask);
+}
+
+/// Writes \p frame and then the batches that are queued by then.
+kj::Promise<void> write_all(exchange_state & state, outgoing_link & link,
+                            kj::Array<capnp::word> frame)
+{
     std::string const instance = link.m_instance;
     std::uint64_t const generation = link.m_generation;
-    state.m_tasks.add(
-        state.m_timer
-            .timeoutAfter(to_kj(state.m_options.m_limits.m_call_timeout),
-                          request.send().ignoreResult())
-            .then([&state, instance, generation, bytes]
-                  { finish_call(state, instance, generation, bytes); },
-                  [&state, instance, generation](kj::Exception &&)
-                  { handle_connection_failure(state, instance, generation); }));
+    link.m_connection->m_writing = true;
+    return write_frame(*link.m_connection->m_stream, kj::mv(frame))
+        .then(
+            [&state, instance, generation]() -> kj::Promise<void>
+            {
+                outgoing_link * const written = find_link(state, instance, generation);
+                if (written == nullptr)
+                {
+                    return kj::READY_NOW;
+                }
+                written->m_connection->m_writing = false;
+                if (written->m_phase != link_phase::open || written->m_queue.empty())
+                {
+                    return kj::READY_NOW;
+                }
+                bool const ask = must_ask(state, *written->m_connection);
+                return write_all(state, *written, next_batch(state, *written, ask));
+            });
+}
+
+/// Begins to write. \pre no frame is being written.
+void write(exchange_state & state, outgoing_link & link, kj::Array<capnp::word> frame)
+{
+    std::string const instance = link.m_instance;
+    std::uint64_t const generation = link.m_generation;
+    link.m_connection->m_written =
+        write_all(state, link, kj::mv(frame))
+            .catch_([&state, instance, generation](kj::Exception &&)
+                    { handle_connection_failure(state, instance, generation); })
+            .eagerlyEvaluate(nullptr);
 }
 
+/// Sends the queued messages unless a frame is being written, which they follow.
 void send_batches(exchange_state & state, outgoing_link & link)
 {
-    exchange_limits const & limits = state.m_options.m_limits;
-    KJ_IF_MAYBE (peer, link.m_connection->m_peer)
+    if (link.m_phase == link_phase::open && !link.m_connection->m_writing &&
+        !link.m_queue.empty())
     {
-        while (!link.m_queue.empty() &&
-               link.m_calls_in_flight < limits.m_calls_in_flight &&
-               link.m_bytes_in_flight < limits.m_bytes_in_flight)
+        write(state, link, next_batch(state, link, must_ask(state, *link.m_connection)));
+    }
+}
+
+/// Handles the acceptance of the open frame.
+void finish_open(exchange_state & state, outgoing_link & link)
+{
+    link.m_phase = link_phase::open;
+    link.m_failures = 0;
+    send_batches(state, link);
+}
+
+/// Processes the frames that the peer has sent.
+/// \returns false when one of them is not expected.
+bool receive_answers(exchange_state & state, outgoing_link & link)
+{
+    outgoing_connection & connection = *link.m_connection;
+    while (true)
+    {
+        auto const taken = take_frame(connection.m_received, max_answer_words);
+        KJ_IF_MAYBE (words, taken)
+        {
+            capnp::FlatArrayMessageReader reader(*words);
+            auto const frame = reader.getRoot<peer_protocol::Frame>();
+            if (frame.isOpened() && link.m_phase == link_phase::connecting)
+            {
+                finish_open(state, link);
+            }
+            else if (frame.isReceived() &&
+                     frame.getReceived() <= connection.m_batches_sent)
+            {
+                connection.m_batches_acknowledged =
+                    std::max(connection.m_batches_acknowledged, frame.getReceived());
+                ++state.m_counters.m_acknowledgements;
+            }
+            else
+            {
+                return false;
+            }
+        }
+        else
         {
-            send_batch(state, link, *peer);
+            return true;
         }
     }
 }
 
-/// Sends open() on a new connection and stores the capability that it returns.
-kj::Promise<void> open_peer(exchange_state & state, std::string const & instance,
-                            std::uint64_t generation, kj::Own<kj::AsyncIoStream> stream)
+/// Reads frames until the connection ends.
+kj::Promise<void> read_answers(exchange_state & state, std::string const & instance,
+                               std::uint64_t generation)
 {
     outgoing_link * const link = find_link(state, instance, generation);
     if (link == nullptr)
     {
         return kj::READY_NOW;
     }
-    link->m_connection = kj::heap<outgoing_connection>(kj::mv(stream));
-    exchange_options const & options = state.m_options;
-    auto request = link->m_connection->m_client.bootstrap()
-                       .castAs<peer_protocol::Entrance>()
-                       .openRequest();
-    request.setSecret({reinterpret_cast<kj::byte const *>(options.m_secret.data()),
-                       options.m_secret.size()});
-    request.setInstance({options.m_instance.c_str(), options.m_instance.size()});
-    request.setIncarnation(options.m_incarnation);
-    request.setTarget({instance.c_str(), instance.size()});
-    return request.send().then(
-        [&state, instance,
-         generation](capnp::Response<peer_protocol::Entrance::OpenResults> && response)
-        {
-            if (outgoing_link * const opened = find_link(state, instance, generation))
+    outgoing_connection & connection = *link->m_connection;
+    return read_frames(*connection.m_stream, connection.m_received)
+        .then(
+            [&state, instance, generation](bool more) -> kj::Promise<void>
             {
-                opened->m_connection->m_peer = response.getPeer();
-            }
-        });
+                outgoing_link * const current = find_link(state, instance, generation);
+                if (current == nullptr || !more || !receive_answers(state, *current))
+                {
+                    return kj::READY_NOW;
+                }
+                if (state.m_stopping)
+                {
+                    ask_for_acknowledgements(state);
+                    signal_drained(state);
+                }
+                return read_answers(state, instance, generation);
+            });
 }
 
-/// Handles the answer to open().
-void finish_open(exchange_state & state, std::string const & instance,
-                 std::uint64_t generation)
+/// Sends the open frame on a new connection and reads the answers.
+void open_connection(exchange_state & state, std::string const & instance,
+                     std::uint64_t generation, kj::Own<kj::AsyncIoStream> stream)
 {
     outgoing_link * const link = find_link(state, instance, generation);
     if (link == nullptr)
     {
         return;
     }
-    link->m_phase = link_phase::open;
-    link->m_failures = 0;
-    state.m_tasks.add(link->m_connection->m_client.onDisconnect().then(
-        [&state, instance, generation]
-        { handle_connection_failure(state, instance, generation); }));
-    send_batches(state, *link);
+    link->m_connection = kj::heap<outgoing_connection>();
+    link->m_connection->m_stream = kj::mv(stream);
+    exchange_options const & options = state.m_options;
+    write(state, *link,
+          encode_open({reinterpret_cast<kj::byte const *>(options.m_secret.data()),
+                       options.m_secret.size()},
+                      options.m_instance.c_str(), options.m_incarnation,
+                      instance.c_str()));
+    link->m_connection->m_reading =
+        read_answers(state, instance, generation)
+            .then([&state, instance, generation]
+                  { handle_connection_failure(state, instance, generation); },
+                  [&state, instance, generation](kj::Exception &&)
+                  { handle_connection_failure(state, instance, generation); })
+            .eagerlyEvaluate(nullptr);
+}
+
+/// Ends the attempt to connect when the peer has not accepted the open frame in time.
+void close_unopened(exchange_state & state, std::string const & instance,
+                    std::uint64_t generation)
+{
+    outgoing_link const * const link = find_link(state, instance, generation);
+    if (link != nullptr && link->m_phase == link_phase::connecting)
+    {
+        handle_connection_failure(state, instance, generation);
+    }
 }
 
 void connect(exchange_state & state, outgoing_link & link)
@@ -208,24 +300,23 @@
     link.m_generation = state.m_next_generation++;
     std::string const instance = link.m_instance;
     std::uint64_t const generation = link.m_generation;
-    auto opening =
-        state.m_io.provider->getNetwork()
-            .parseAddress({link.m_address.c_str(), link.m_address.size()})
-            .then(
-                [](kj::Own<kj::NetworkAddress> && address)
-                {
-                    auto connected = address->connect();
-                    return connected.attach(kj::mv(address));
-                })
-            .then([&state, instance, generation](kj::Own<kj::AsyncIoStream> && stream)
-                  { return open_peer(state, instance, generation, kj::mv(stream)); });
+    kj::Duration const timeout = to_kj(state.m_options.m_limits.m_call_timeout);
+    auto connecting = state.m_io.provider->getNetwork()
+                          .parseAddress({link.m_address.c_str(), link.m_address.size()})
+                          .then(
+                              [](kj::Own<kj::NetworkAddress> && address)
+                              {
+                                  auto connected = address->connect();
+                                  return connected.attach(kj::mv(address));
+                              });
     state.m_tasks.add(
-        state.m_timer
-            .timeoutAfter(to_kj(state.m_options.m_limits.m_call_timeout), kj::mv(opening))
-            .then([&state, instance, generation]
-                  { finish_open(state, instance, generation); },
+        state.m_timer.timeoutAfter(timeout, kj::mv(connecting))
+            .then([&state, instance, generation](kj::Own<kj::AsyncIoStream> && stream)
+                  { open_connection(state, instance, generation, kj::mv(stream)); },
                   [&state, instance, generation](kj::Exception &&)
                   { handle_connection_failure(state, instance, generation); }));
+    state.m_tasks.add(state.m_timer.afterDelay(timeout).then(
+        [&state, instance, generation] { close_unopened(state, instance, generation); }));
 }
 
 /// Connects again after the backoff. A link without queued messages is erased instead:
@@ -332,8 +423,6 @@
     {
         destroy_later(state, kj::mv(link.m_connection));
     }
-    link.m_calls_in_flight = 0;
-    link.m_bytes_in_flight = 0;
     link.m_phase = link_phase::backing_off;
     link.m_generation = state.m_next_generation++;
     ++link.m_failures;
@@ -345,12 +434,68 @@
                   { end_backoff(state, instance, generation); }));
 }
 
+void ask_for_acknowledgements(exchange_state & state)
+{
+    for (auto & [instance, link] : state.m_links)
+    {
+        if (link.m_phase != link_phase::open || link.m_connection->m_writing)
+        {
+            continue;
+        }
+        outgoing_connection const & connection = *link.m_connection;
+        if (connection.m_batches_sent > connection.m_batches_asked &&
+            !awaits_acknowledgement(connection))
+        {
+            write(state, link, next_batch(state, link, true));
+        }
+    }
+}
+
+void supervise_acknowledgements(exchange_state & state)
+{
+    duration const timeout = state.m_options.m_limits.m_call_timeout;
+    kj::TimePoint const now = state.m_timer.now();
+    std::vector<std::pair<std::string, std::uint64_t>> overdue;
+    for (auto & [instance, link] : state.m_links)
+    {
+        if (link.m_phase != link_phase::open)
+        {
+            continue;
+        }
+        outgoing_connection const & connection = *link.m_connection;
+        bool const unasked = connection.m_batches_sent > connection.m_batches_asked;
+        if (awaits_acknowledgement(connection))
+        {
+            if (now - connection.m_asked_at >= to_kj(timeout))
+            {
+                overdue.emplace_back(instance, link.m_generation);
+            }
+        }
+        else if (unasked && !connection.m_writing &&
+                 now - connection.m_unasked_since >= to_kj(timeout / 2))
+        {
+            write(state, link, next_batch(state, link, true));
+        }
+    }
+    for (auto const & [instance, generation] : overdue)
+    {
+        handle_connection_failure(state, instance, generation);
+    }
+    constexpr int checks_per_timeout = 8;
+    state.m_tasks.add(state.m_timer.afterDelay(to_kj(timeout / checks_per_timeout))
+                          .then([&state] { supervise_acknowledgements(state); }));
+}
+
 bool is_drained(exchange_state const & state) noexcept
 {
     return std::all_of(state.m_links.begin(), state.m_links.end(),
-                       [](auto const & entry) {
-                           return entry.second.m_queue.empty() &&
-                                  entry.second.m_calls_in_flight == 0;
+                       [](auto const & entry)
+                       {
+                           outgoing_link const & link = entry.second;
+                           return link.m_queue.empty() &&
+                                  (!link.m_connection ||
+                                   link.m_connection->m_batches_sent ==
+                                       link.m_connection->m_batches_acknowledged);
                        });
 }
 
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -100,6 +100,7 @@
   load @8 :PeerLoad;
   heldUpstreams @9 :List(Text);
   fleetClockMs @10 :Int64;  # clock of the store at sentAtNs; 0: not known
+  selected @11 :Bool;       # the sender has selected the receiver as its partner
 }
 
 struct KeyNotice {
@@ -143,14 +144,30 @@
   }
 }
 
-interface Peer {
-  deliver @0 (messages :List(Message)) -> ();
-  # Delivers messages in order. The answer confirms receipt, not processing.
+struct Open {
+  secret @0 :Data;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  target @3 :Text;
+  # The instance that the sender wants to reach: the address of a replaced instance may
+  # belong to another one by now.
 }
 
-interface Entrance {
-  open @0 (secret :Data, instance :Text, incarnation :UInt64, target :Text) -> (peer :Peer);
-  # Authenticates the caller. The internal port serves only this interface until open()
-  # has accepted the secret. target names the instance that the caller wants to reach: the
-  # address of a replaced instance may belong to another one by now.
+struct Batch {
+  messages @0 :List(Message);
+  acknowledge @1 :Bool;
+  # Asks for a `received` frame.
+}
+
+struct Frame {
+  # A connection carries frames, each a Cap'n Proto message in the standard stream framing.
+  # The instance that has connected sends `open`, and batches once it has got `opened`. The
+  # other one closes the connection instead when it does not accept `open` or a batch.
+  union {
+    open @0 :Open;
+    opened @1 :Void;
+    batch @2 :Batch;
+    received @3 :UInt64;
+    # Number of batches received on this connection; confirms receipt, not processing.
+  }
 }
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -1,6 +1,8 @@
 /// \file Tests of the peer exchange: two exchanges in one process, connected over
 /// loopback.
 
+#include "peer/frames.hpp"
+
 #include <cassiahub/peer.hpp>
 #include <cassiahub/runtime.hpp>
 
@@ -218,10 +220,13 @@
     CPPUNIT_TEST(message_arrives_under_name_of_sender);
     CPPUNIT_TEST(many_messages_arrive_in_order);
     CPPUNIT_TEST(full_event_ring_delays_but_loses_no_message);
+    CPPUNIT_TEST(large_message_between_small_ones_arrives_whole);
+    CPPUNIT_TEST(many_batches_need_few_acknowledgements);
     CPPUNIT_TEST(stop_request_sends_queued_messages);
     CPPUNIT_TEST(wrong_secret_is_rejected);
     CPPUNIT_TEST(wrong_target_is_rejected);
     CPPUNIT_TEST(heartbeat_with_wrong_incarnation_is_rejected);
+    CPPUNIT_TEST(malformed_frame_ends_only_its_session);
     CPPUNIT_TEST(random_bytes_do_not_stop_exchange);
     CPPUNIT_TEST(address_in_use_returns_bind_failed);
     CPPUNIT_TEST_SUITE_END();
@@ -271,8 +276,36 @@
                 }
             }
         }
-        // Messages are sent in batches, so there are fewer calls than messages.
-        CPPUNIT_ASSERT(m_north->m_counters.m_deliver_calls < 10'000);
+        // Messages are sent in batches, so there are fewer batches than messages.
+        CPPUNIT_ASSERT(m_north->m_counters.m_batches_sent < 10'000);
+    }
+
+    // Guards against a frame that does not fit the buffer of a connection.
+    void large_message_between_small_ones_arrives_whole()
+    {
+        start_both();
+        for (peer_request_number request = 0; request < 20; ++request)
+        {
+            std::string const document(request * 50'000, 'x');
+            m_north->send(*m_south, key_notice_received{request});
+            m_north->send(*m_south, configuration_notice{request, document});
+            m_south->expect_message(request);
+            auto const received = m_south->next_event<peer_message_received>();
+            CPPUNIT_ASSERT(document ==
+                           std::get<configuration_notice>(received.m_message).m_document);
+        }
+    }
+
+    void many_batches_need_few_acknowledgements()
+    {
+        start_both();
+        for (peer_request_number request = 0; request < 1'000; ++request)
+        {
+            m_north->send(*m_south, key_notice_received{request});
+            m_south->expect_message(request);
+        }
+        CPPUNIT_ASSERT(m_north->m_counters.m_acknowledgements * 10 <
+                       m_north->m_counters.m_batches_sent);
     }
 
     void full_event_ring_delays_but_loses_no_message()
@@ -336,6 +369,29 @@
                              m_south->m_counters.m_batches_rejected.load());
     }
 
+    // Guards against a malformed message that ends more than the session it came in.
+    void malformed_frame_ends_only_its_session()
+    {
+        start_both();
+        m_north->send_until_received(*m_south);
+        std::string const secret = m_south->m_options.m_secret;
+        auto const open = peer::internal::encode_open(
+            {reinterpret_cast<kj::byte const *>(secret.data()), secret.size()}, "west-1",
+            7, "south-1");
+        std::string const malformed(64, '\xff');
+        for (int round = 0; round < 20; ++round)
+        {
+            int const fd = connect_to(m_south->m_options.m_listen_address);
+            CPPUNIT_ASSERT(fd >= 0);
+            ::send(fd, open.begin(), open.asBytes().size(), MSG_NOSIGNAL);
+            ::send(fd, malformed.data(), malformed.size(), MSG_NOSIGNAL);
+            CPPUNIT_ASSERT_EQUAL(std::string("west-1"), m_south->next_disconnected());
+            close(fd);
+        }
+        m_north->send(*m_south, key_notice_received{1});
+        m_south->expect_message(1);
+    }
+
     void random_bytes_do_not_stop_exchange()
     {
         start_both();
@@ -375,7 +431,7 @@
     CPPUNIT_TEST(stopped_sender_is_reported_by_receiver);
     CPPUNIT_TEST(restarted_peer_is_reached_again);
     CPPUNIT_TEST(unresponsive_listener_is_reported_after_timeout);
-    CPPUNIT_TEST(unanswered_deliver_call_is_reported);
+    CPPUNIT_TEST(unacknowledged_batch_is_reported);
     CPPUNIT_TEST(full_queue_drops_oldest_periodic_messages_first);
     CPPUNIT_TEST(full_queue_of_requests_is_reported);
     CPPUNIT_TEST_SUITE_END();
@@ -453,7 +509,7 @@
         m_north->next_disconnected();
     }
 
-    void unanswered_deliver_call_is_reported()
+    void unacknowledged_batch_is_reported()
     {
         m_south = std::make_unique<test_instance>("south-1", 1);
         m_north->m_options.m_limits.m_call_timeout = 100ms;
