Limit the peers of an instance in a large fleet

Each of 97 gateways sent heartbeats to all 96 others, 192 a second each way; from 50 members on load reports stopped and the picture of the others was as old as a heartbeat.

Above 48 members of other domains an instance shares work with its own domain and with partners: pairs that a hash of both names selects, 8 to 16 expected. Either side's choice makes the pair near, so differing views of the fleet's size leave no one-sided pair. Load reports also accompany tasks and results, and go only to peers that were told another number; the periodic ones are limited to 100 a second instead of 200. Losses of upstreams still reach every instance that may be alive.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -124,7 +124,9 @@
 
     time_point m_next_scan;
     time_point m_next_load_report;
-    std::uint32_t m_last_reported_slots = 0; ///< free slots in the last load report
+    std::uint32_t m_last_reported_slots = 0; ///< free slots when reports were last due
+    /// Free slots in the last heartbeat or load report to each peer.
+    std::map<instance_id, std::uint32_t> m_reported_slots;
 };
 
 } // namespace cassiahub::decision
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -82,6 +82,8 @@
     dispatch::peer_load m_load;
     std::vector<std::string> m_held_upstreams; ///< upstreams under a lease of the sender
     std::int64_t m_fleet_clock_ms = 0; ///< clock of the store at m_sent_at; 0: not known
+    /// The sender has selected the receiver as its partner (membership::is_selected()).
+    bool m_selected = false;
 };
 
 /// Load and free capacity of the sender. Sent between heartbeats when the number of free
--- a/include/cassiahub/membership/members.hpp
+++ b/include/cassiahub/membership/members.hpp
@@ -50,6 +50,10 @@
 /// instance. Empty while is_catching_up().
 std::vector<instance_id> silent_members(membership_state const & state, time_point now);
 
+/// \returns the time between heartbeats to the near members. It grows with their number,
+/// up to longest_domain_heartbeat_period, to limit the heartbeats per second.
+duration near_heartbeat_period(membership_state const & state);
+
 /// Schedules the next heartbeats.
 /// \returns the members to which a heartbeat is due now.
 std::vector<instance_id> schedule_heartbeats(membership_state & state, time_point now,
@@ -67,8 +71,13 @@
 std::vector<instance_id> live_members(membership_state const & state,
                                       std::string_view domain);
 
-/// \returns true when \p entry and this instance share work: they are in the same failure
-/// domain, or work is shared across domains.
+/// \returns true when this instance has selected \p entry, a member of another failure
+/// domain, as a partner. Two instances that see the same fleet select each other.
+bool is_selected(membership_state const & state, member const & entry) noexcept;
+
+/// \returns true when \p entry and this instance share work and exchange all heartbeats:
+/// they are in the same failure domain, or work is shared across domains and one of them
+/// has selected the other as a partner.
 bool is_near(membership_state const & state, member const & entry) noexcept;
 
 /// \returns the near members that are live and not leaving, without this instance,
@@ -77,12 +86,13 @@
 
 /// \returns true when \p entry may still hold leases: it is live, or its registration in
 /// the list is fresh, or the list is outdated and this instance reaches at most half of
-/// the members.
+/// the near members.
 bool may_be_alive(membership_state const & state, member const & entry, time_point now);
 
-/// \returns true when every listed member with a fresh registration has sent a heartbeat,
-/// which reports its leases, or was first listed at least first_heartbeat_timeout
-/// ago. Without a list, true once registration_timeout has passed since the start.
+/// \returns true when every near listed member with a fresh registration has sent a
+/// heartbeat, which reports its leases, or was first listed at least
+/// first_heartbeat_timeout ago. Without a list, true once registration_timeout has passed
+/// since the start.
 bool has_heard_listed_members(membership_state const & state, time_point now);
 
 /// \returns the epoch under which \p entry owns \p shard according to its last
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -56,6 +56,15 @@
 /// heartbeats of the other members of the domain can arrive.
 constexpr duration discovery_time = std::chrono::milliseconds(500);
 
+/// Number of members of other failure domains up to which an instance shares work with
+/// all of them. Above it, each instance has partners: pairs of members that a hash of
+/// both names selects, so that the work and the messages of an instance do not grow with
+/// the number of failure domains.
+constexpr std::size_t max_remote_members_without_selection = 48;
+/// Least expected number of partners of an instance above that limit; the expected number
+/// is below twice this one.
+constexpr std::size_t min_expected_partners = 8;
+
 /// Bound on the difference between the rates of two instances' clocks: they are
 /// disciplined by at most this much.
 constexpr double clock_drift = 0.001;
@@ -80,6 +89,7 @@
     bool m_store_contact = false;
     std::vector<held_shard> m_holdings;
     std::vector<std::string> m_held_upstreams;
+    bool m_selected = false; ///< the sender has selected this instance as its partner
 };
 
 /// An entry instance in the platform's list.
@@ -104,6 +114,9 @@
 struct member
 {
     std::string m_domain;
+    /// Hash of the names of this instance and the member, equal at both; see
+    /// membership_state::m_selection_bits.
+    std::uint64_t m_pair_hash = 0;
     std::string m_listed_address; ///< empty when not listed
     member_report m_report;       ///< content of the last heartbeat
     bool m_live = false;          ///< heartbeats arrive within the failure timeout
@@ -130,8 +143,13 @@
 {
     instance_id m_self;
     std::string m_domain;
-    /// Instances share work across failure domains, so is_near() is true for all members.
+    /// Instances share work across failure domains: with all members, or with partners in
+    /// the other domains when the fleet is large (is_selected()).
     bool m_spans_domains = false;
+    /// A member of another domain is selected as a partner if this many leading bits of
+    /// member::m_pair_hash are 0. Instances that see fleets of different sizes may differ
+    /// in it, so a member is also near when it says that it has selected this instance.
+    std::uint32_t m_selection_bits = 0;
     duration m_failure_timeout = domain_failure_timeout; ///< timeout of near members
     time_point m_listed_at;                              ///< when the list was last read
     std::map<instance_id, member> m_members;             ///< without this instance
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -238,6 +238,7 @@
     target.m_store_contact = source.getStoreContact();
     target.m_load = to_peer_load(source.getLoad());
     target.m_fleet_clock_ms = source.getFleetClockMs();
+    target.m_selected = source.getSelected();
     if (source.getPeerAddress().size() > max_address_length)
     {
         return peer_codec_errc::bad_name;
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -177,6 +177,7 @@
         held.set(index, to_text(message.m_held_upstreams[index]));
     }
     part.setFleetClockMs(message.m_fleet_clock_ms);
+    part.setSelected(message.m_selected);
 }
 
 void encode(decision::load_report const & message, protocol::Message::Builder target)
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -117,6 +117,11 @@
 /// heartbeats and load reports.
 void advance_peers(step_context & context);
 
+/// Adds a load report for each peer that an action since \p first_action sends a task or
+/// a result to and that was told another number of free slots. It travels with that
+/// message.
+void append_load_reports(step_context & context, std::size_t first_action);
+
 // Losses of upstreams under tasks.
 
 /// Logs losses that the dispatcher has recorded and sends them to every live member.
--- a/src/decision/crashes.cpp
+++ b/src/decision/crashes.cpp
@@ -2,6 +2,7 @@
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/membership/members.hpp>
 
 #include <fmt/format.h>
 
@@ -16,17 +17,22 @@
 /// Most tasks in one loss notice.
 constexpr std::size_t max_noticed_tasks = 256;
 
-void send_to_live_members(step_context & context, dispatch::upstream_loss const & loss)
+/// Sends to all members that may be alive, also to those that exchange no heartbeats with
+/// this instance: the caller may submit the job again to any of them.
+void send_to_members(step_context & context, dispatch::upstream_loss const & loss)
 {
-    std::vector<instance_id> live;
-    for (auto const & [instance, member] : context.m_state.m_membership.m_members)
+    membership::membership_state const & membership = context.m_state.m_membership;
+    std::vector<instance_id> targets;
+    for (auto const & [instance, member] : membership.m_members)
     {
-        if (member.m_live)
+        bool const fresh = member.m_listed && context.m_now - member.m_row_changed_at <
+                                                  membership::registration_timeout;
+        if (member.m_live || (fresh && !membership::is_near(membership, member)))
         {
-            live.push_back(instance);
+            targets.push_back(instance);
         }
     }
-    for (instance_id const & instance : live)
+    for (instance_id const & instance : targets)
     {
         send(context, instance, loss_notice{loss});
     }
@@ -86,7 +92,7 @@
     for (dispatch::task_loss const & loss : losses)
     {
         log_loss(context, loss);
-        send_to_live_members(context, loss.m_loss);
+        send_to_members(context, loss.m_loss);
         compare_registration(context, loss.m_loss.m_upstream);
     }
 }
@@ -95,7 +101,7 @@
 {
     if (context.m_state.m_dispatch.m_crashes.m_by_upstream.contains(fate.m_upstream))
     {
-        send_to_live_members(context, fate);
+        send_to_members(context, fate);
     }
     dispatch::record_loss(context.m_state.m_dispatch, fate, context.m_now);
 }
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -30,8 +30,9 @@
 constexpr duration min_load_report_period = std::chrono::milliseconds(50);
 constexpr duration load_report_period_per_peer = std::chrono::milliseconds(21);
 /// As load_report_period_per_peer, for leased upstreams. Shorter, because short tasks on
-/// few slots make load reports outdated sooner: at most 200 messages a second.
-constexpr duration leased_load_report_period_per_peer = std::chrono::milliseconds(5);
+/// few slots make load reports outdated sooner: at most 100 messages a second, beside the
+/// reports that accompany tasks (append_load_reports()).
+constexpr duration leased_load_report_period_per_peer = std::chrono::milliseconds(10);
 
 /// \returns the version of the configuration in force; 0 when there is none.
 std::uint64_t configuration_version(entry_state const & state) noexcept
@@ -166,6 +167,16 @@
     return message;
 }
 
+void send_heartbeat(step_context & context, instance_id const & to, heartbeat message)
+{
+    entry_state & state = context.m_state;
+    auto const member = state.m_membership.m_members.find(to);
+    message.m_selected = member != state.m_membership.m_members.end() &&
+                         membership::is_selected(state.m_membership, member->second);
+    state.m_reported_slots[to] = message.m_load.m_free_slots;
+    send(context, to, std::move(message));
+}
+
 void receive_heartbeat(step_context & context, instance_id const & from,
                        heartbeat message)
 {
@@ -178,7 +189,8 @@
                                      message.m_leaving,
                                      message.m_store_contact,
                                      {},
-                                     std::move(message.m_held_upstreams)};
+                                     std::move(message.m_held_upstreams),
+                                     message.m_selected};
     for (shard_holding const & holding : message.m_holdings)
     {
         report.m_holdings.push_back({holding.m_shard, holding.m_epoch});
@@ -222,7 +234,7 @@
     if (effect != membership::report_effect::refreshed)
     {
         // The peer claims nothing before it knows what this instance holds.
-        send(context, from, make_heartbeat(context));
+        send_heartbeat(context, from, make_heartbeat(context));
         send_known_losses(context, from);
     }
 }
@@ -462,9 +474,21 @@
         check_document{notice.m_version, std::move(notice.m_document)});
 }
 
-/// Sends a load report to the peers that place tasks here, if it is due and the number of
-/// free slots has changed.
-void send_load_report(step_context & context)
+/// Sends a load report to \p peer if it was told another number of free slots.
+void report_load(step_context & context, instance_id const & peer,
+                 dispatch::peer_load const & load)
+{
+    std::uint32_t & reported = context.m_state.m_reported_slots[peer];
+    if (reported != load.m_free_slots)
+    {
+        reported = load.m_free_slots;
+        send(context, peer, load_report{load});
+    }
+}
+
+/// Sends a load report to the peers that place tasks here and were told another number of
+/// free slots, if it is due.
+void send_load_reports(step_context & context)
 {
     entry_state & state = context.m_state;
     dispatch::peer_load const load = dispatch::current_load(state.m_dispatch);
@@ -482,13 +506,13 @@
         context.m_now +
         std::max<duration>(leased ? scan_period : min_load_report_period, period);
     state.m_last_reported_slots = load.m_free_slots;
-    if (period >= membership::domain_heartbeat_period)
+    if (period >= membership::near_heartbeat_period(state.m_membership))
     {
         return; // heartbeats report the load at least as often as load reports would
     }
     for (instance_id const & peer : peers)
     {
-        send(context, peer, load_report{load});
+        report_load(context, peer, load);
     }
 }
 
@@ -519,12 +543,35 @@
     }
 }
 
+void append_load_reports(step_context & context, std::size_t first_action)
+{
+    std::vector<instance_id> peers;
+    for (std::size_t index = first_action; index < context.m_actions.size(); ++index)
+    {
+        auto const * const sent = std::get_if<send_peer>(&context.m_actions[index]);
+        bool const carries_task =
+            sent != nullptr && (std::holds_alternative<forward_task>(sent->m_message) ||
+                                std::holds_alternative<task_reported>(sent->m_message));
+        if (carries_task &&
+            std::find(peers.begin(), peers.end(), sent->m_to) == peers.end())
+        {
+            peers.push_back(sent->m_to);
+        }
+    }
+    dispatch::peer_load const load = dispatch::current_load(context.m_state.m_dispatch);
+    for (instance_id const & peer : peers)
+    {
+        report_load(context, peer, load);
+    }
+}
+
 void advance_peers(step_context & context)
 {
     entry_state & state = context.m_state;
     for (instance_id const & failed :
          membership::expire_members(state.m_membership, context.m_now))
     {
+        state.m_reported_slots.erase(failed);
         remove_peer(context, failed, "peer_failed");
         schedule_upstream_assignment(context);
     }
@@ -540,10 +587,10 @@
         heartbeat const message = make_heartbeat(context);
         for (instance_id const & peer : due)
         {
-            send(context, peer, message);
+            send_heartbeat(context, peer, message);
         }
     }
-    send_load_report(context);
+    send_load_reports(context);
 }
 
 } // namespace cassiahub::decision::internal
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -371,9 +371,14 @@
     ownership::detect_suspension(state.m_ownership, now);
     lease::detect_gap(state.m_leasing.m_sessions, now);
     internal::step_context context{state, now, random, actions};
+    std::size_t const first_action = actions.size();
     std::visit([&context](auto & occurrence) { internal::handle(context, occurrence); },
                occurred);
     internal::advance(context);
+    if (state.m_identity.m_leases_upstreams)
+    {
+        internal::append_load_reports(context, first_action);
+    }
 }
 
 std::vector<std::string_view> check_invariants(entry_state const & state)
--- a/src/membership/members.cpp
+++ b/src/membership/members.cpp
@@ -1,6 +1,10 @@
 #include <cassiahub/membership/members.hpp>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace cassiahub::membership
@@ -56,18 +60,40 @@
     entry.m_alive_at = time_point(sent_at.time_since_epoch() + entry.m_clock_offset);
 }
 
-/// \returns the time between heartbeats to the members of the same domain, or to all
-/// members if work is shared across domains (see is_near()). It grows with their number,
-/// up to longest_domain_heartbeat_period, to limit the heartbeats per second.
-duration near_heartbeat_period(membership_state const & state)
+/// \returns a hash of two names that does not depend on their order.
+std::uint64_t hash_pair(std::string_view left, std::string_view right)
 {
-    auto const peers = std::count_if(state.m_members.begin(), state.m_members.end(),
-                                     [&state](auto const & item)
-                                     { return is_near(state, item.second); });
-    duration const spread = std::chrono::nanoseconds(std::chrono::seconds(1)) * peers /
-                            domain_heartbeats_per_second;
-    return std::clamp<duration>(spread, domain_heartbeat_period,
-                                longest_domain_heartbeat_period);
+    auto const [first, second] = std::minmax(left, right);
+    return XXH3_64bits_withSeed(first.data(), first.size(),
+                                XXH3_64bits(second.data(), second.size()));
+}
+
+/// \returns the member \p id, which is added if it is not known.
+member & find_or_add(membership_state & state, instance_id const & id)
+{
+    auto const [found, added] = state.m_members.try_emplace(id);
+    if (added)
+    {
+        found->second.m_pair_hash = hash_pair(state.m_self.m_value, id.m_value);
+    }
+    return found->second;
+}
+
+/// Adapts the number of partners to the number of members in other domains.
+void update_selection(membership_state & state)
+{
+    auto const remote = static_cast<std::size_t>(std::count_if(
+        state.m_members.begin(), state.m_members.end(),
+        [&state](auto const & item)
+        {
+            member const & entry = item.second;
+            return entry.m_domain != state.m_domain && (entry.m_listed || entry.m_live);
+        }));
+    state.m_selection_bits =
+        remote <= max_remote_members_without_selection
+            ? 0
+            : static_cast<std::uint32_t>(std::bit_width(remote / min_expected_partners) -
+                                         1);
 }
 
 /// \returns true when heartbeats are sent to \p entry.
@@ -122,7 +148,7 @@
         {
             continue;
         }
-        member & entry = state.m_members[item.m_instance];
+        member & entry = internal::find_or_add(state, item.m_instance);
         if (!entry.m_live)
         {
             entry.m_domain = item.m_domain;
@@ -139,6 +165,7 @@
         }
         entry.m_listed_address = item.m_address;
     }
+    internal::update_selection(state);
 }
 
 report_effect receive_report(membership_state & state, instance_id const & from,
@@ -148,7 +175,7 @@
     {
         return report_effect::ignored;
     }
-    member & entry = state.m_members[from];
+    member & entry = internal::find_or_add(state, from);
     bool const heard_before = entry.m_report_at != time_point();
     bool const replaced =
         heard_before && entry.m_report.m_incarnation != report.m_incarnation;
@@ -232,13 +259,24 @@
     return silent;
 }
 
+duration near_heartbeat_period(membership_state const & state)
+{
+    auto const peers = std::count_if(state.m_members.begin(), state.m_members.end(),
+                                     [&state](auto const & item)
+                                     { return is_near(state, item.second); });
+    duration const spread = std::chrono::nanoseconds(std::chrono::seconds(1)) * peers /
+                            domain_heartbeats_per_second;
+    return std::clamp<duration>(spread, domain_heartbeat_period,
+                                longest_domain_heartbeat_period);
+}
+
 std::vector<instance_id> schedule_heartbeats(membership_state & state, time_point now,
                                              random_source & random)
 {
     std::vector<instance_id> targets;
     if (state.m_next_domain_heartbeat <= now)
     {
-        state.m_next_domain_heartbeat = now + internal::near_heartbeat_period(state);
+        state.m_next_domain_heartbeat = now + near_heartbeat_period(state);
         for (auto const & [id, entry] : state.m_members)
         {
             if (is_near(state, entry) && internal::is_heartbeat_target(entry, now))
@@ -247,7 +285,7 @@
             }
         }
     }
-    if (state.m_next_remote_heartbeat <= now)
+    if (!state.m_spans_domains && state.m_next_remote_heartbeat <= now)
     {
         state.m_next_remote_heartbeat = now + remote_heartbeat_period;
         internal::append_remote_targets(state, now, random, targets);
@@ -282,9 +320,17 @@
     return live;
 }
 
+bool is_selected(membership_state const & state, member const & entry) noexcept
+{
+    return state.m_spans_domains && entry.m_domain != state.m_domain &&
+           std::countl_zero(entry.m_pair_hash) >=
+               static_cast<int>(state.m_selection_bits);
+}
+
 bool is_near(membership_state const & state, member const & entry) noexcept
 {
-    return state.m_spans_domains || entry.m_domain == state.m_domain;
+    return entry.m_domain == state.m_domain || is_selected(state, entry) ||
+           (state.m_spans_domains && entry.m_report.m_selected);
 }
 
 std::vector<instance_id> near_members(membership_state const & state)
@@ -310,12 +356,17 @@
     {
         return entry.m_listed && now - entry.m_row_changed_at < registration_timeout;
     }
-    std::size_t const member_count = state.m_members.size() + 1;
-    std::size_t const live_count =
-        1 + static_cast<std::size_t>(
-                std::count_if(state.m_members.begin(), state.m_members.end(),
-                              [](auto const & item) { return item.second.m_live; }));
-    return live_count * 2 <= member_count;
+    std::size_t near = 1;
+    std::size_t live = 1;
+    for (auto const & [id, other] : state.m_members)
+    {
+        if (is_near(state, other))
+        {
+            ++near;
+            live += other.m_live ? 1 : 0;
+        }
+    }
+    return live * 2 <= near;
 }
 
 bool has_heard_listed_members(membership_state const & state, time_point now)
@@ -327,10 +378,11 @@
                now - state.m_started_at >= registration_timeout;
     }
     return std::none_of(state.m_members.begin(), state.m_members.end(),
-                        [now](auto const & item)
+                        [&state, now](auto const & item)
                         {
                             member const & entry = item.second;
-                            return entry.m_listed && entry.m_report_at == time_point() &&
+                            return entry.m_listed && is_near(state, entry) &&
+                                   entry.m_report_at == time_point() &&
                                    now - entry.m_row_changed_at < registration_timeout &&
                                    now - entry.m_first_listed_at <
                                        first_heartbeat_timeout;
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -143,10 +143,12 @@
                                                   {{1, 2}, {3, 4}},
                                                   {7, 8, {}},
                                                   {"up-1", "up-2"},
-                                                  1234});
+                                                  1234,
+                                                  true});
         CPPUNIT_ASSERT(decoded.m_held_upstreams ==
                        (std::vector<std::string>{"up-1", "up-2"}));
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1234), decoded.m_fleet_clock_ms);
+        CPPUNIT_ASSERT(decoded.m_selected);
         CPPUNIT_ASSERT(decoded.m_incarnation == 5 && decoded.m_domain == "nairobi");
         CPPUNIT_ASSERT(decoded.m_peer_address == "127.0.0.1:1" &&
                        decoded.m_sent_at == sample_time);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -327,8 +327,8 @@
     void items_of_domain_without_owner_are_shared_by_all()
     {
         std::vector<placed_name> owners = place("instance-", 20);
-        std::erase_if(owners, [](placed_name const & name)
-                      { return name.m_domain == "c"; });
+        std::erase_if(owners,
+                      [](placed_name const & name) { return name.m_domain == "c"; });
         std::vector<placed_name> const items = place("upstream-", 108);
         std::size_t max_share = 0;
         std::vector<int> const counts = count_owners(owners, items, max_share);
