Derive the bound on replies of upstreams from their delays

The time after which a reply is overdue is now the mean time to a reply plus four deviations, from 60 to 400 ms, over all upstreams of the instance, as in RFC 6298. A call that reaches its time limit counts with that time, so a jump of the delay beyond the limit is followed too, and one lost reply is forgotten after some ten good ones.

lease_delay_test, with the bound fixed at 60 ms: 500 stops for the 250 starts of 5 s over a path of 95 to 100 ms; now 0. With replies after 60 to 300 ms at most one stop for 20 starts; a second after the delays end, a lost start is stopped within 80 ms as before. 10 lease and decision test programs pass.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -115,6 +115,14 @@
     time_point m_sent_at;
 };
 
+/// Running estimate of the time from a call to its reply, over all upstreams: on a slow
+/// or busy link the replies of all of them are late together.
+struct reply_time_estimate
+{
+    duration m_smoothed{0};  ///< weighted mean; 0: no reply so far
+    duration m_deviation{0}; ///< weighted mean deviation from m_smoothed
+};
+
 /// Sessions of this instance. Used by the decision thread only.
 struct lease_state
 {
@@ -135,6 +143,7 @@
     // gaps without time to process the backlog in between, and the end of that gap.
     time_point m_gap_began;
     time_point m_gap_ended;
+    reply_time_estimate m_reply_time;
     time_point m_last_loss; ///< when a reply to a start or a renewal was last overdue
     std::uint64_t m_expired = 0;   ///< number of runs whose lease has expired
     std::uint64_t m_stalled = 0;   ///< number of runs stopped for lack of progress
--- a/src/lease/runs.cpp
+++ b/src/lease/runs.cpp
@@ -353,10 +353,11 @@
 
 void stop_unanswered_runs(session_context & context)
 {
+    duration const overdue = overdue_reply_time(context.m_state.m_reply_time);
     for (auto & [task, run] : context.m_session.m_runs)
     {
         if (run.m_phase == run_phase::starting && run.m_uncertain &&
-            context.m_now - run.m_requested_at >= overdue_reply_time)
+            context.m_now - run.m_requested_at >= overdue)
         {
             stop_unanswered_run(context, task, run);
         }
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -56,6 +56,13 @@
                : std::min(longest, clock_not_after(session, limit));
 }
 
+duration start_stop_timeout(lease_state const & state) noexcept
+{
+    return std::max<duration>(min_start_stop_timeout,
+                              start_stop_timeout_factor *
+                                  overdue_reply_time(state.m_reply_time));
+}
+
 upstream_clock extend_lease(session_context & context)
 {
     upstream_session & session = context.m_session;
@@ -125,7 +132,7 @@
     pending.m_is_start = true;
     upstream_clock const until = extend_lease(context);
     pending.m_lease_until = until;
-    send_call(context, start_stop_timeout, std::move(pending),
+    send_call(context, start_stop_timeout(context.m_state), std::move(pending),
               start_call{std::move(run), std::move(payload), until});
 }
 
@@ -134,7 +141,8 @@
     pending_call pending;
     pending.m_task = run.m_task;
     pending.m_generation = run.m_generation;
-    send_call(context, start_stop_timeout, std::move(pending), stop_call{std::move(run)});
+    send_call(context, start_stop_timeout(context.m_state), std::move(pending),
+              stop_call{std::move(run)});
 }
 
 void send_renewal(session_context & context, duration wait, bool extend)
@@ -153,9 +161,11 @@
             pending.m_lease_until = until;
         }
     }
-    session.m_renewal =
-        send_call(context, wait + renewal_timeout_margin, std::move(pending), call);
-    session.m_renewal_due = context.m_now + wait + overdue_reply_time;
+    duration const overdue = overdue_reply_time(context.m_state.m_reply_time);
+    duration const margin =
+        std::max<duration>(renewal_timeout_margin, start_stop_timeout_factor * overdue);
+    session.m_renewal = send_call(context, wait + margin, std::move(pending), call);
+    session.m_renewal_due = context.m_now + wait + overdue;
     session.m_renewal_repeats = false;
 }
 
@@ -181,6 +191,31 @@
     }
 }
 
+void record_reply_time(reply_time_estimate & estimate, time_point sent_at,
+                       time_point now) noexcept
+{
+    // Weights of the round-trip estimate of RFC 6298.
+    constexpr int mean_weight = 8;
+    constexpr int deviation_weight = 4;
+    duration const measured = now - sent_at;
+    if (estimate.m_smoothed == duration::zero())
+    {
+        estimate = {measured, measured / 2};
+        return;
+    }
+    duration const error = measured - estimate.m_smoothed;
+    estimate.m_deviation +=
+        (std::chrono::abs(error) - estimate.m_deviation) / deviation_weight;
+    estimate.m_smoothed += error / mean_weight;
+}
+
+duration overdue_reply_time(reply_time_estimate const & estimate) noexcept
+{
+    constexpr int deviations = 4;
+    return std::clamp<duration>(estimate.m_smoothed + deviations * estimate.m_deviation,
+                                min_overdue_reply_time, max_overdue_reply_time);
+}
+
 void record_loss(session_context & context) noexcept
 {
     context.m_state.m_last_loss = context.m_now;
--- a/src/lease/session_calls.hpp
+++ b/src/lease/session_calls.hpp
@@ -31,11 +31,17 @@
 constexpr duration loss_period = std::chrono::seconds(3);
 /// Time limit of a renewal beyond the wait that it requests.
 constexpr duration renewal_timeout_margin = std::chrono::milliseconds(250);
-/// Time, beyond the requested wait, after which a reply is overdue and probably lost. A
-/// round trip takes some milliseconds.
-constexpr duration overdue_reply_time = std::chrono::milliseconds(60);
-/// Time limit of a start or a stop.
-constexpr duration start_stop_timeout = std::chrono::milliseconds(150);
+/// Least time, beyond the requested wait, after which a reply is overdue and probably
+/// lost. A round trip takes some milliseconds; where replies take longer, the time
+/// follows from them (overdue_reply_time()).
+constexpr duration min_overdue_reply_time = std::chrono::milliseconds(60);
+/// Upper limit of that time: a lost start must be noticed while its job can still end.
+constexpr duration max_overdue_reply_time = std::chrono::milliseconds(400);
+/// Least time limit of a start or a stop.
+constexpr duration min_start_stop_timeout = std::chrono::milliseconds(150);
+/// Time limit of a start or a stop as a multiple of the time after which its reply is
+/// overdue. A late reply within the limit still counts, and corrects the estimate.
+constexpr int start_stop_timeout_factor = 2;
 /// Time between two stops of the same run.
 constexpr duration stop_resend_period = std::chrono::milliseconds(100);
 /// Time before the next renewal after a claim that the upstream has not accepted, after
@@ -80,6 +86,16 @@
 void send_start(session_context & context, run_name run, std::string payload);
 void send_stop(session_context & context, run_name run);
 
+/// Updates the estimate of reply times from a call that was sent at \p sent_at, has no
+/// wait and was answered, or reached its time limit, at \p now.
+void record_reply_time(reply_time_estimate & estimate, time_point sent_at,
+                       time_point now) noexcept;
+
+/// \returns the time, beyond the requested wait, after which a reply is overdue: the mean
+/// reply time plus four times its deviation, between min_overdue_reply_time and
+/// max_overdue_reply_time.
+duration overdue_reply_time(reply_time_estimate const & estimate) noexcept;
+
 /// Records that a reply is overdue or lost.
 void record_loss(session_context & context) noexcept;
 
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -300,6 +300,22 @@
     }
 }
 
+/// \returns true when a start or stop was answered or reached its time limit: a
+/// connection that breaks earlier shows nothing about the time to the reply.
+bool shows_reply_time(pending_call const & call, call_outcome outcome,
+                      time_point now) noexcept
+{
+    switch (outcome)
+    {
+    case call_outcome::unreachable:
+        return false;
+    case call_outcome::lost:
+        return now - call.m_sent_at >= min_start_stop_timeout;
+    default:
+        return true;
+    }
+}
+
 /// Removes the released sessions and reports their upstreams as unavailable.
 void drop_released(lease_state & state, effects & out)
 {
@@ -493,6 +509,11 @@
     internal::settle_lease_end(context, call, reply.m_outcome);
     bool const is_start_or_stop = call.m_generation != 0;
     bool const current = session.m_renewal == reply.m_number;
+    if (is_start_or_stop && now >= state.m_backlog_until &&
+        internal::shows_reply_time(call, reply.m_outcome, now))
+    {
+        internal::record_reply_time(state.m_reply_time, call.m_sent_at, now);
+    }
     if (internal::reported_incarnation(reply) > session.m_incarnation)
     {
         bool const accepted_claim = current &&
