--- a/tests/decision_large_fleet_test.cpp
+++ b/tests/decision_large_fleet_test.cpp
@@ -159,8 +159,8 @@
         }
     }
 
-    /// The upstream refuses tokens lower than the highest that it has accepted. It answers
-    /// a renewal after the wait that it requests.
+    /// The upstream refuses tokens lower than the highest that it has accepted. It
+    /// answers a renewal after the wait that it requests.
     void serve(simulated_instance & entry, lease::upstream_call const & call)
     {
         auto const * const renewal = std::get_if<lease::renew_call>(&call.m_body);
@@ -318,8 +318,8 @@
         entry.m_alive = false;
         for (auto & [name, other] : m_instances)
         {
-            if (other.m_alive && other.m_state.m_membership.m_members.contains(
-                                     instance_id{entry.m_name}))
+            if (other.m_alive &&
+                other.m_state.m_membership.m_members.contains(instance_id{entry.m_name}))
             {
                 handle(other, peer_disconnected{{entry.m_name}});
             }
@@ -389,9 +389,9 @@
             {
                 simulated_instance const & other = m_instances.at(peer.m_value);
                 remote += other.m_domain == entry.m_domain ? 0 : 1;
-                CPPUNIT_ASSERT(membership::is_near(
-                    other.m_state.m_membership,
-                    other.m_state.m_membership.m_members.at({name})));
+                CPPUNIT_ASSERT(
+                    membership::is_near(other.m_state.m_membership,
+                                        other.m_state.m_membership.m_members.at({name})));
             }
             CPPUNIT_ASSERT(remote >= 1);
             CPPUNIT_ASSERT(remote <= 3 * membership::min_expected_partners);
