--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -117,6 +117,10 @@
 /// heartbeats and load reports.
 void advance_peers(step_context & context);
 
+/// Sends a load report to the peers that place tasks here and were told another number of
+/// free slots, if it is due.
+void send_load_reports(step_context & context);
+
 /// Adds a load report for each peer that an action since \p first_action sends a task or
 /// a result to and that was told another number of free slots. It travels with that
 /// message.
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -24,16 +24,6 @@
 constexpr duration configuration_poll_delay = std::chrono::seconds(3);
 /// As configuration_poll_delay, for a peer that the store notifies of changes.
 constexpr duration configuration_feed_delay = std::chrono::milliseconds(300);
-/// Minimum time between two load reports. From the third peer in the domain on,
-/// load_report_period_per_peer makes the period longer, which keeps load reports below
-/// 48 messages a second.
-constexpr duration min_load_report_period = std::chrono::milliseconds(50);
-constexpr duration load_report_period_per_peer = std::chrono::milliseconds(21);
-/// As load_report_period_per_peer, for leased upstreams. Shorter, because short tasks on
-/// few slots make load reports outdated sooner: at most 100 messages a second, beside the
-/// reports that accompany tasks (append_load_reports()).
-constexpr duration leased_load_report_period_per_peer = std::chrono::milliseconds(10);
-
 /// \returns the version of the configuration in force; 0 when there is none.
 std::uint64_t configuration_version(entry_state const & state) noexcept
 {
@@ -474,48 +464,6 @@
         check_document{notice.m_version, std::move(notice.m_document)});
 }
 
-/// Sends a load report to \p peer if it was told another number of free slots.
-void report_load(step_context & context, instance_id const & peer,
-                 dispatch::peer_load const & load)
-{
-    std::uint32_t & reported = context.m_state.m_reported_slots[peer];
-    if (reported != load.m_free_slots)
-    {
-        reported = load.m_free_slots;
-        send(context, peer, load_report{load});
-    }
-}
-
-/// Sends a load report to the peers that place tasks here and were told another number of
-/// free slots, if it is due.
-void send_load_reports(step_context & context)
-{
-    entry_state & state = context.m_state;
-    dispatch::peer_load const load = dispatch::current_load(state.m_dispatch);
-    if (context.m_now < state.m_next_load_report ||
-        load.m_free_slots == state.m_last_reported_slots)
-    {
-        return;
-    }
-    std::vector<instance_id> const peers = membership::near_members(state.m_membership);
-    bool const leased = state.m_identity.m_leases_upstreams;
-    duration const period =
-        (leased ? leased_load_report_period_per_peer : load_report_period_per_peer) *
-        peers.size();
-    state.m_next_load_report =
-        context.m_now +
-        std::max<duration>(leased ? scan_period : min_load_report_period, period);
-    state.m_last_reported_slots = load.m_free_slots;
-    if (period >= membership::near_heartbeat_period(state.m_membership))
-    {
-        return; // heartbeats report the load at least as often as load reports would
-    }
-    for (instance_id const & peer : peers)
-    {
-        report_load(context, peer, load);
-    }
-}
-
 /// Ends the work for instances that may have failed while this one was suspended. They
 /// have more time until they count as failed, but by then their callers have submitted
 /// the jobs again.
@@ -543,28 +491,6 @@
     }
 }
 
-void append_load_reports(step_context & context, std::size_t first_action)
-{
-    std::vector<instance_id> peers;
-    for (std::size_t index = first_action; index < context.m_actions.size(); ++index)
-    {
-        auto const * const sent = std::get_if<send_peer>(&context.m_actions[index]);
-        bool const carries_task =
-            sent != nullptr && (std::holds_alternative<forward_task>(sent->m_message) ||
-                                std::holds_alternative<task_reported>(sent->m_message));
-        if (carries_task &&
-            std::find(peers.begin(), peers.end(), sent->m_to) == peers.end())
-        {
-            peers.push_back(sent->m_to);
-        }
-    }
-    dispatch::peer_load const load = dispatch::current_load(context.m_state.m_dispatch);
-    for (instance_id const & peer : peers)
-    {
-        report_load(context, peer, load);
-    }
-}
-
 void advance_peers(step_context & context)
 {
     entry_state & state = context.m_state;
--- a/src/peer/exchange_state.hpp
+++ b/src/peer/exchange_state.hpp
@@ -166,6 +166,28 @@
 /// Closes the connection of \p link, clears its queue and starts the backoff.
 void reset_link(exchange_state & state, outgoing_link & link);
 
+/// \returns true when no message is queued and every batch is acknowledged.
+bool is_drained(exchange_state const & state) noexcept;
+
+/// \returns the link to \p instance, or nullptr when its generation is no longer
+/// \p generation.
+outgoing_link * find_link(exchange_state & state, std::string const & instance,
+                          std::uint64_t generation);
+
+/// Handles a connection that failed or could not be opened. Does nothing if the
+/// generation of the link is no longer \p generation.
+void handle_connection_failure(exchange_state & state, std::string const & instance,
+                               std::uint64_t generation);
+
+/// Sends the next batch, which may be empty, with a request for an acknowledgement.
+/// \pre the link is open and no frame is being written.
+void send_acknowledgement_request(exchange_state & state, outgoing_link & link);
+
+// Acknowledgements of batches (acknowledgements.cpp).
+
+/// \returns true while the last request for an acknowledgement is not answered.
+bool awaits_acknowledgement(outgoing_connection const & connection) noexcept;
+
 /// Asks for acknowledgements that are due, and ends the sessions whose peers have not
 /// acknowledged in time; repeats that until \p state is destroyed.
 void supervise_acknowledgements(exchange_state & state);
@@ -173,9 +195,6 @@
 /// Asks every peer to acknowledge all batches sent so far.
 void ask_for_acknowledgements(exchange_state & state);
 
-/// \returns true when no message is queued and every batch is acknowledged.
-bool is_drained(exchange_state const & state) noexcept;
-
 // Incoming connections (incoming.cpp).
 
 /// Accepts connections until \p receiver is destroyed.
--- a/src/peer/outgoing.cpp
+++ b/src/peer/outgoing.cpp
@@ -18,17 +18,6 @@
 /// Largest frame accepted from a peer that this instance has connected to.
 constexpr std::size_t max_answer_words = 64;
 
-/// \returns the link to \p instance, or nullptr when its generation is no longer
-/// \p generation.
-outgoing_link * find_link(exchange_state & state, std::string const & instance,
-                          std::uint64_t generation)
-{
-    auto const found = state.m_links.find(instance);
-    bool const current =
-        found != state.m_links.end() && found->second.m_generation == generation;
-    return current ? &found->second : nullptr;
-}
-
 /// Ends the wait of a stop request once no message is queued and every batch is
 /// acknowledged.
 void signal_drained(exchange_state & state)
@@ -42,30 +31,6 @@
     }
 }
 
-/// Handles a connection that failed or could not be opened.
-void handle_connection_failure(exchange_state & state, std::string const & instance,
-                               std::uint64_t generation)
-{
-    outgoing_link * const link = find_link(state, instance, generation);
-    if (link == nullptr)
-    {
-        return;
-    }
-    bool const loses_messages =
-        link->m_phase == link_phase::open ||
-        !std::all_of(link->m_queue.begin(), link->m_queue.end(), is_periodic);
-    if (loses_messages)
-    {
-        end_session(state, instance);
-    }
-    else
-    {
-        // Only periodic messages are lost, and no request depends on them.
-        reset_link(state, *link);
-    }
-    signal_drained(state);
-}
-
 void clear_queue(outgoing_link & link)
 {
     link.m_queue.clear();
@@ -102,11 +67,6 @@
     return batch;
 }
 
-bool awaits_acknowledgement(outgoing_connection const & connection) noexcept
-{
-    return connection.m_batches_asked > connection.m_batches_acknowledged;
-}
-
 /// \returns true when the next batch has to ask for an acknowledgement.
 bool must_ask(exchange_state const & state, outgoing_connection const & connection)
 {
@@ -361,6 +321,38 @@
 
 } // namespace
 
+outgoing_link * find_link(exchange_state & state, std::string const & instance,
+                          std::uint64_t generation)
+{
+    auto const found = state.m_links.find(instance);
+    bool const current =
+        found != state.m_links.end() && found->second.m_generation == generation;
+    return current ? &found->second : nullptr;
+}
+
+void handle_connection_failure(exchange_state & state, std::string const & instance,
+                               std::uint64_t generation)
+{
+    outgoing_link * const link = find_link(state, instance, generation);
+    if (link == nullptr)
+    {
+        return;
+    }
+    bool const loses_messages =
+        link->m_phase == link_phase::open ||
+        !std::all_of(link->m_queue.begin(), link->m_queue.end(), is_periodic);
+    if (loses_messages)
+    {
+        end_session(state, instance);
+    }
+    else
+    {
+        // Only periodic messages are lost, and no request depends on them.
+        reset_link(state, *link);
+    }
+    signal_drained(state);
+}
+
 void queue_message(exchange_state & state, decision::send_peer message)
 {
     std::string const & instance = message.m_to.m_value;
@@ -412,6 +404,11 @@
     }
 }
 
+void send_acknowledgement_request(exchange_state & state, outgoing_link & link)
+{
+    write(state, link, next_batch(state, link, true));
+}
+
 void reset_link(exchange_state & state, outgoing_link & link)
 {
     clear_queue(link);
@@ -434,58 +431,6 @@
                   { end_backoff(state, instance, generation); }));
 }
 
-void ask_for_acknowledgements(exchange_state & state)
-{
-    for (auto & [instance, link] : state.m_links)
-    {
-        if (link.m_phase != link_phase::open || link.m_connection->m_writing)
-        {
-            continue;
-        }
-        outgoing_connection const & connection = *link.m_connection;
-        if (connection.m_batches_sent > connection.m_batches_asked &&
-            !awaits_acknowledgement(connection))
-        {
-            write(state, link, next_batch(state, link, true));
-        }
-    }
-}
-
-void supervise_acknowledgements(exchange_state & state)
-{
-    duration const timeout = state.m_options.m_limits.m_call_timeout;
-    kj::TimePoint const now = state.m_timer.now();
-    std::vector<std::pair<std::string, std::uint64_t>> overdue;
-    for (auto & [instance, link] : state.m_links)
-    {
-        if (link.m_phase != link_phase::open)
-        {
-            continue;
-        }
-        outgoing_connection const & connection = *link.m_connection;
-        bool const unasked = connection.m_batches_sent > connection.m_batches_asked;
-        if (awaits_acknowledgement(connection))
-        {
-            if (now - connection.m_asked_at >= to_kj(timeout))
-            {
-                overdue.emplace_back(instance, link.m_generation);
-            }
-        }
-        else if (unasked && !connection.m_writing &&
-                 now - connection.m_unasked_since >= to_kj(timeout / 2))
-        {
-            write(state, link, next_batch(state, link, true));
-        }
-    }
-    for (auto const & [instance, generation] : overdue)
-    {
-        handle_connection_failure(state, instance, generation);
-    }
-    constexpr int checks_per_timeout = 8;
-    state.m_tasks.add(state.m_timer.afterDelay(to_kj(timeout / checks_per_timeout))
-                          .then([&state] { supervise_acknowledgements(state); }));
-}
-
 bool is_drained(exchange_state const & state) noexcept
 {
     return std::all_of(state.m_links.begin(), state.m_links.end(),
