Assign no upstream when there is no instance to assign it to

A gateway that drains while no other is known has no candidate for its upstreams, and the share of a domain was divided by zero: a crash on x86-64, not seen on arm64, where the division yields 0. Found by reading; the new case of membership_test reports the division under the undefined-behaviour sanitizer before the fix and nothing after it (22 cases).

--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -137,6 +137,10 @@
                                         std::string_view owner)
 {
     std::vector<std::size_t> result;
+    if (owners.empty())
+    {
+        return result;
+    }
     std::map<std::string_view, internal::domain_share> shares;
     for (std::size_t index = 0; index < items.size(); ++index)
     {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -272,6 +272,7 @@
     CPPUNIT_TEST(assignment_of_shards_gives_each_member_its_share);
     CPPUNIT_TEST(each_item_of_large_fleet_has_one_owner_in_its_domain);
     CPPUNIT_TEST(items_of_domain_without_owner_are_shared_by_all);
+    CPPUNIT_TEST(items_without_any_owner_are_assigned_to_nobody);
     CPPUNIT_TEST_SUITE_END();
 
     /// \returns \p count names in each of the domains a to e.
@@ -338,6 +339,13 @@
         CPPUNIT_ASSERT(items_of_owner(owners, items, "instance-c0").empty());
     }
 
+    // Guards against a division by zero when the last instance of the fleet drains.
+    void items_without_any_owner_are_assigned_to_nobody()
+    {
+        std::vector<placed_name> const items = place("upstream-", 2);
+        CPPUNIT_ASSERT(items_of_owner({}, items, "instance-a0").empty());
+    }
+
     void owner_after_removal_of_another_member_is_unchanged()
     {
         std::vector<std::string> const names{"a", "b", "c", "d"};
