--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -533,11 +533,11 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # tasks pending at the end
     record = Record(directory)
     gateways = []
-    random.seed()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the gateways below
     with tempfile.TemporaryDirectory() as scratch:
         try:
             code = asyncio.run(asyncio.wait_for(case(scratch, record, gateways), 110))
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except (CannotRun, OSError, asyncio.TimeoutError, KeyboardInterrupt) as error:
             record.write(f"cannot run: {error!r}")
             code = NOT_RUN
         finally:
