--- a/include/cassiahub/config/fleet_configuration.hpp
+++ b/include/cassiahub/config/fleet_configuration.hpp
@@ -31,7 +31,8 @@
     /// m_objective_slack.
     double m_objective_stretch = 0; ///< factor; 0: no objective
     duration m_objective_slack{0};
-    std::string m_service{}; ///< service that runs the tasks; empty: any service
+    /// Service that runs the tasks; empty: upstreams that name no service.
+    std::string m_service{};
 };
 
 /// Assigns a kind and a tenant to the requests whose host is m_host and whose path begins
--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -77,7 +77,7 @@
     lease::lease_state m_sessions;
     /// Configuration as published, without the registered upstreams.
     std::shared_ptr<config::fleet_configuration const> m_base_configuration;
-    /// Services that the kinds of work name. The empty name stands for any service.
+    /// Services that the kinds of work name.
     std::set<std::string, std::less<>> m_services;
     std::map<std::string, discovered_upstream, std::less<>> m_upstreams; ///< by name
     /// Upstreams whose registration is gone, with the time at which that was seen.
@@ -124,9 +124,10 @@
 
     time_point m_next_scan;
     time_point m_next_load_report;
-    std::uint32_t m_last_reported_slots = 0; ///< free slots when reports were last due
-    /// Free slots in the last heartbeat or load report to each peer.
-    std::map<instance_id, std::uint32_t> m_reported_slots;
+    /// Free slots by service, when reports were last due and in the last heartbeat or
+    /// load report to each peer.
+    std::map<std::string, std::uint32_t> m_last_reported_slots;
+    std::map<instance_id, std::map<std::string, std::uint32_t>> m_reported_slots;
 };
 
 } // namespace cassiahub::decision
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -79,15 +79,15 @@
     bool m_leaving = false;                ///< the sender is draining
     bool m_store_contact = false;          ///< the sender has reached the store recently
     std::vector<shard_holding> m_holdings; ///< shards that the sender serves
-    dispatch::peer_load m_load;
+    std::vector<dispatch::peer_load> m_loads;  ///< one for each service of its upstreams
     std::vector<std::string> m_held_upstreams; ///< upstreams under a lease of the sender
     std::int64_t m_fleet_clock_ms = 0; ///< clock of the store at m_sent_at; 0: not known
     /// The sender has selected the receiver as its partner (membership::is_selected()).
     bool m_selected = false;
 };
 
-/// Load and free capacity of the sender. Sent between heartbeats when the number of free
-/// slots has changed.
+/// Load and free capacity of the sender's upstreams of one service. Sent between
+/// heartbeats when the number of free slots has changed.
 struct load_report
 {
     dispatch::peer_load m_load;
--- a/include/cassiahub/dispatch/attempt.hpp
+++ b/include/cassiahub/dispatch/attempt.hpp
@@ -30,6 +30,7 @@
     /// Increases with every start of the task by any instance; 0 if not used.
     std::uint64_t m_generation = 0;
     std::string m_kind;
+    std::string m_service; ///< service of the kind; empty if not known
     std::string m_payload;
     resources m_demand;
     std::string m_upstream;
--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -77,7 +77,7 @@
 void finish_attempt(dispatch_state & state, attempt_result result, time_point now,
                     random_source & random, effects & out);
 
-/// Adds a live instance or replaces its last reported load.
+/// Adds a live instance or replaces its last reported loads.
 void set_peer(dispatch_state & state, peer_capacity peer);
 
 /// Numbers of tasks that this instance and another one run for each other.
@@ -100,11 +100,16 @@
 /// running ones. Their results are emitted as usual.
 void end_work_for(dispatch_state & state, instance_id const & instance, effects & out);
 
+/// Replaces the last reported load of a known peer for one service.
+void update_peer_load(dispatch_state & state, instance_id const & instance,
+                      peer_load load);
+
 /// Queues a task that \p from forwarded to this instance. Its result is emitted as a
 /// forward_result. A duplicate of a queued, running or recently finished task is ignored.
+/// A task whose kind has another service here is returned as not run.
 /// \pre m_send_before and m_deadline of \p task are on this instance's clock.
 void accept_forwarded(dispatch_state & state, instance_id const & from,
-                      attempt_start task, time_point now);
+                      attempt_start task, time_point now, effects & out);
 
 /// Cancels a task that another instance forwarded to this one.
 void cancel_forwarded(dispatch_state & state, attempt_id const & attempt, time_point now,
@@ -113,8 +118,12 @@
 /// \returns true while a task of another instance is queued or running here.
 bool serves_peers(dispatch_state const & state) noexcept;
 
-/// \returns the load that this instance reports to its peers.
-peer_load current_load(dispatch_state const & state);
+/// \returns the load that this instance reports to its peers, one element for each
+/// service of its upstreams.
+std::vector<peer_load> current_loads(dispatch_state const & state);
+
+/// \returns the sums of the free slots and of the queued tasks over all services.
+peer_load total_load(dispatch_state const & state);
 
 /// Adds a loss that another instance has reported, or the fate of a lost upstream. Queued
 /// tasks that may not be started any more end their jobs when their turn comes.
--- a/include/cassiahub/dispatch/fair_queue.hpp
+++ b/include/cassiahub/dispatch/fair_queue.hpp
@@ -78,6 +78,13 @@
 void set_kind(fair_queue & queue, std::uint32_t kind, std::uint32_t share,
               std::uint32_t urgency);
 
+/// Removes \p kind with its items from \p queue and returns it.
+kind_queue take_kind(fair_queue & queue, std::uint32_t kind);
+
+/// Adds a kind that take_kind() has returned. It starts at the virtual time of \p queue.
+/// \pre \p queue has no items of \p kind
+void put_kind(fair_queue & queue, std::uint32_t kind, kind_queue taken);
+
 /// Adds an item to the queue of \p tenant within \p kind and sets the tenant's weight.
 void insert_item(fair_queue & queue, std::uint32_t kind, std::uint32_t tenant,
                  std::uint32_t weight, item_order order, queue_item item);
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -5,12 +5,11 @@
 #include <cassiahub/core/job.hpp>
 #include <cassiahub/dispatch/attempt.hpp>
 #include <cassiahub/dispatch/budget.hpp>
-#include <cassiahub/dispatch/capacity_index.hpp>
 #include <cassiahub/dispatch/counters.hpp>
 #include <cassiahub/dispatch/crash_history.hpp>
-#include <cassiahub/dispatch/fair_queue.hpp>
 #include <cassiahub/dispatch/health.hpp>
 #include <cassiahub/dispatch/run_time.hpp>
+#include <cassiahub/dispatch/service_pool.hpp>
 #include <cassiahub/dispatch/timer.hpp>
 
 #include <array>
@@ -28,9 +27,6 @@
 namespace cassiahub::dispatch
 {
 
-/// Index that denotes no upstream.
-constexpr std::uint32_t no_upstream = 0xffff'ffff;
-
 /// Progress of one task of a job.
 struct task_state
 {
@@ -112,14 +108,15 @@
 struct upstream_state
 {
     config::upstream m_definition;
+    std::uint32_t m_pool = 0; ///< pool of the upstream's service
     std::uint32_t m_running = 0;
     std::uint32_t m_withheld = 0; ///< free slots withheld after a fast failure
     std::uint32_t m_suspects = 0; ///< running attempts of suspected tasks
     resources m_used;             ///< sum of the demands of the running attempts
     bool m_owned = true;
     bool m_leaving = false;      ///< shutting down
-    std::uint32_t m_fitting = 0; ///< contribution to dispatch_state::m_fitting_tasks
-    /// Contribution to dispatch_state::m_total_task_capacity.
+    std::uint32_t m_fitting = 0; ///< contribution to service_pool::m_fitting_tasks
+    /// Contribution to service_pool::m_total_task_capacity.
     std::uint32_t m_task_capacity = 0;
     bool m_available = true; ///< false while it is unreachable
     upstream_health m_health;
@@ -127,23 +124,7 @@
         m_assigned; ///< baseline policy: assigned (job, task) pairs
 };
 
-/// An upstream reserved for one job whose next task has a large demand.
-struct reservation
-{
-    std::uint64_t m_job = 0; ///< serial; 0 when nothing is reserved
-    std::uint32_t m_upstream = no_upstream;
-    resources m_demand;
-};
-
-/// A capacity that no upstream has any more. It counts as one that an upstream may have
-/// again until it is forgotten.
-struct former_capacity
-{
-    resources m_capacity;
-    time_point m_forgotten_at;
-};
-
-/// Load that an instance reports to its peers.
+/// Load of the upstreams of one service that an instance reports to its peers.
 struct peer_load
 {
     std::uint32_t m_free_slots = 0;
@@ -151,6 +132,7 @@
     /// Maximum over the upstreams of the free processors, memory and accelerators, each
     /// on its own; all zero if not reported.
     resources m_largest_free{};
+    std::string m_service{};
 };
 
 /// Another live instance to which tasks may be forwarded.
@@ -158,7 +140,8 @@
 {
     instance_id m_instance;
     std::string m_domain;
-    peer_load m_load;
+    /// Last reported load, by service; a service that is missing has no upstream there.
+    std::vector<peer_load> m_loads;
     bool m_accepts_tasks = true; ///< false while it is shutting down
 };
 
@@ -188,15 +171,7 @@
     config::work_kind m_definition;
     run_time_estimate m_run_time;
     std::size_t m_queued_tasks = 0; ///< of local jobs and received from peers
-};
-
-/// Moving average of the demand of arriving tasks.
-struct typical_demand
-{
-    double m_millicores = 0;
-    double m_memory_mib = 0;
-    double m_accelerators = 0;
-    double m_counted_millicores = 0; ///< value of m_millicores at the last recount
+    std::uint32_t m_pool = 0;       ///< pool of the kind's service
 };
 
 /// Settings and quota use of one tenant.
@@ -225,37 +200,18 @@
     std::unordered_map<std::string, std::uint32_t> m_kind_index;
     std::vector<tenant_state> m_tenants;
     std::unordered_map<std::string, std::uint32_t> m_tenant_index;
-    fair_queue m_queue;
     std::size_t m_queued_tasks = 0; ///< total of kind_state::m_queued_tasks
 
+    /// Pools of the services that a kind, an upstream or a peer has named, by index. A
+    /// deque, because references to a pool outlive the addition of others.
+    std::deque<service_pool> m_pools;
+    std::map<std::string, std::uint32_t, std::less<>> m_pool_index; ///< by service
+
     std::vector<upstream_state> m_upstreams;
     std::map<std::string, std::uint32_t, std::less<>> m_upstream_index;
     /// Indexes of the unused elements of m_upstreams.
     std::vector<std::uint32_t> m_free_upstream_indexes;
-    capacity_index m_free_capacity;  ///< free slots and resources of usable upstreams
-    capacity_index m_total_capacity; ///< total resources of usable upstreams
-    reservation m_reservation;
-    typical_demand m_typical_demand;
-    /// Tasks of typical demand that fit into m_free_capacity.
-    std::uint32_t m_fitting_tasks = 0;
-    /// Tasks of typical demand that fit into m_total_capacity.
-    std::uint32_t m_total_task_capacity = 0;
-    std::set<std::uint64_t> m_late_jobs; ///< serials of jobs whose m_late is set
-    std::uint32_t m_offered_slots = 0;   ///< sum of the slots in m_free_capacity
-    std::uint32_t m_owned_slots = 0;     ///< slots of the owned upstreams
-    std::uint32_t m_owned_count = 0;     ///< number of owned upstreams
-    /// Number of owned upstreams that are ejected or probing.
-    std::uint32_t m_ejected_count = 0;
-    std::set<std::uint32_t> m_probe_targets; ///< upstreams that may get a probe now
-    result_window m_all_results;             ///< results of all owned upstreams
-    /// Capacities that no other capacity covers in every dimension.
-    std::vector<resources> m_largest_capacities;
-    /// Earlier elements of m_largest_capacities that none of them covers now.
-    std::vector<former_capacity> m_former_capacities;
-
     std::map<instance_id, peer_state> m_peers;
-    /// Peers with free slots: (in another domain, hash of the instance, instance).
-    std::set<std::tuple<bool, std::size_t, instance_id>> m_forward_targets;
     std::unordered_map<attempt_id, forwarded_task> m_forwarded;
     /// Recently finished tasks of peers; duplicate forwards of them are ignored.
     std::unordered_set<attempt_id> m_finished_forwarded;
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -118,10 +118,20 @@
     return {source.getMillicores(), source.getMemoryMib(), source.getAccelerators()};
 }
 
-dispatch::peer_load to_peer_load(protocol::PeerLoad::Reader source)
+/// Decodes the name of a service, which the configuration may choose freely.
+std::error_code decode_service(capnp::Text::Reader source, std::string & target)
 {
-    return {source.getFreeSlots(), source.getQueuedTasks(),
-            to_resources(source.getLargestFree())};
+    target.assign(source.begin(), std::min(source.size(), max_key_length));
+    return source.size() <= max_key_length ? std::error_code()
+                                           : make_error_code(peer_codec_errc::bad_name);
+}
+
+std::error_code decode(protocol::PeerLoad::Reader source, dispatch::peer_load & target)
+{
+    target.m_free_slots = source.getFreeSlots();
+    target.m_queued_tasks = source.getQueuedTasks();
+    target.m_largest_free = to_resources(source.getLargestFree());
+    return decode_service(source.getService(), target.m_service);
 }
 
 std::error_code decode(protocol::JobSpec::Reader source, job_spec & target)
@@ -211,6 +221,7 @@
     return first_error(
         {decode(source.getJob(), start.m_job),
          decode_name(source.getKind(), false, start.m_kind),
+         decode_service(source.getService(), start.m_service),
          decode_shard_name(source.getToken().getShard(), start.m_token.m_shard),
          decode_time(source.getDeadlineNs(), start.m_deadline),
          decode_time(source.getSendBeforeNs(), start.m_send_before)});
@@ -232,11 +243,11 @@
     constexpr std::size_t max_address_length = 64;
 
     auto const holdings = source.getHoldings();
+    auto const other_loads = source.getOtherLoads();
     target.m_incarnation = source.getIncarnation();
     target.m_configuration_version = source.getConfigurationVersion();
     target.m_leaving = source.getLeaving();
     target.m_store_contact = source.getStoreContact();
-    target.m_load = to_peer_load(source.getLoad());
     target.m_fleet_clock_ms = source.getFleetClockMs();
     target.m_selected = source.getSelected();
     if (source.getPeerAddress().size() > max_address_length)
@@ -249,7 +260,16 @@
         first_error({decode_name(source.getDomain(), false, target.m_domain),
                      decode_time(source.getSentAtNs(), target.m_sent_at),
                      check_count(holdings.size(), max_listed_items),
-                     check_count(held.size(), max_listed_items)});
+                     check_count(held.size(), max_listed_items),
+                     check_count(other_loads.size(), max_listed_items)});
+    if (!error && source.hasLoad())
+    {
+        error = decode(source.getLoad(), target.m_loads.emplace_back());
+    }
+    for (unsigned index = 0; !error && index < other_loads.size(); ++index)
+    {
+        error = decode(other_loads[index], target.m_loads.emplace_back());
+    }
     for (unsigned index = 0; !error && index < holdings.size(); ++index)
     {
         target.m_holdings.push_back(
@@ -350,8 +370,8 @@
     case protocol::Message::HEARTBEAT:
         return decode_alternative<decision::heartbeat>(source.getHeartbeat(), message);
     case protocol::Message::LOAD_REPORT:
-        message = decision::load_report{to_peer_load(source.getLoadReport())};
-        return {};
+        return decode(source.getLoadReport(),
+                      message.emplace<decision::load_report>().m_load);
     case protocol::Message::KEY_NOTICE:
         return decode_alternative<decision::key_notice>(source.getKeyNotice(), message);
     case protocol::Message::KEY_NOTICE_RECEIVED:
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -65,6 +65,7 @@
     target.setFreeSlots(load.m_free_slots);
     target.setQueuedTasks(load.m_queued_tasks);
     encode(load.m_largest_free, target.initLargestFree());
+    target.setService(to_text(load.m_service));
 }
 
 void encode(job_spec const & spec, protocol::JobSpec::Builder target)
@@ -138,6 +139,7 @@
     part.setDeadlineNs(to_nanoseconds(start.m_deadline));
     part.setSendBeforeNs(to_nanoseconds(start.m_send_before));
     part.setGeneration(start.m_generation);
+    part.setService(to_text(start.m_service));
 }
 
 void encode(decision::task_reported const & message, protocol::Message::Builder target)
@@ -170,7 +172,15 @@
         holdings[index].setShard(message.m_holdings[index].m_shard);
         holdings[index].setEpoch(message.m_holdings[index].m_epoch);
     }
-    encode(message.m_load, part.initLoad());
+    if (!message.m_loads.empty())
+    {
+        encode(message.m_loads.front(), part.initLoad());
+        auto others = part.initOtherLoads(narrow_size(message.m_loads.size() - 1));
+        for (unsigned index = 0; index < others.size(); ++index)
+        {
+            encode(message.m_loads[index + 1], others[index]);
+        }
+    }
     auto held = part.initHeldUpstreams(narrow_size(message.m_held_upstreams.size()));
     for (unsigned index = 0; index < held.size(); ++index)
     {
--- a/src/codec/peer_message_size.cpp
+++ b/src/codec/peer_message_size.cpp
@@ -51,10 +51,10 @@
 
 std::size_t variable_size(decision::heartbeat const & message) noexcept
 {
-    return std::accumulate(message.m_held_upstreams.begin(),
-                           message.m_held_upstreams.end(), message.m_holdings.size() * 16,
-                           [](std::size_t sum, std::string const & name)
-                           { return sum + name.size() + 16; });
+    return std::accumulate(
+        message.m_held_upstreams.begin(), message.m_held_upstreams.end(),
+        message.m_holdings.size() * 16 + message.m_loads.size() * 64,
+        [](std::size_t sum, std::string const & name) { return sum + name.size() + 16; });
 }
 
 std::size_t variable_size(decision::key_notice const & message) noexcept
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -87,7 +87,7 @@
                  std::error_code error)
 {
     entry_state const & state = context.m_state;
-    dispatch::peer_load const load = dispatch::current_load(state.m_dispatch);
+    dispatch::peer_load const load = dispatch::total_load(state.m_dispatch);
     context.m_actions.emplace_back(
         log_event{"job_refused", std::move(subject), error,
                   fmt::format("request={} free_slots={} queued_tasks={} configuration={}",
--- a/src/decision/load_reports.cpp
+++ b/src/decision/load_reports.cpp
@@ -4,6 +4,7 @@
 #include <cassiahub/membership/members.hpp>
 
 #include <algorithm>
+#include <span>
 
 namespace cassiahub::decision::internal
 {
@@ -21,26 +22,49 @@
 /// reports that accompany tasks (append_load_reports()).
 constexpr duration leased_load_report_period_per_peer = std::chrono::milliseconds(10);
 
-/// Sends a load report to \p peer if it was told another number of free slots.
-void report_load(step_context & context, instance_id const & peer,
-                 dispatch::peer_load const & load)
+/// Sends a load report to \p peer for each service for which it was told another number
+/// of free slots.
+void report_loads(step_context & context, instance_id const & peer,
+                  std::span<dispatch::peer_load const> loads)
 {
-    std::uint32_t & reported = context.m_state.m_reported_slots[peer];
-    if (reported != load.m_free_slots)
+    auto & reported = context.m_state.m_reported_slots[peer];
+    for (dispatch::peer_load const & load : loads)
     {
-        reported = load.m_free_slots;
-        send(context, peer, load_report{load});
+        std::uint32_t & slots = reported[load.m_service];
+        if (slots != load.m_free_slots)
+        {
+            slots = load.m_free_slots;
+            send(context, peer, load_report{load});
+        }
     }
 }
 
+/// \returns true when the free slots of some service have changed since reports were last
+/// due.
+bool has_changed(entry_state const & state, std::span<dispatch::peer_load const> loads)
+{
+    return std::any_of(
+        loads.begin(), loads.end(),
+        [&state](dispatch::peer_load const & load)
+        {
+            auto const last = state.m_last_reported_slots.find(load.m_service);
+            return load.m_free_slots !=
+                   (last == state.m_last_reported_slots.end() ? 0 : last->second);
+        });
+}
+
 } // namespace
 
 void send_load_reports(step_context & context)
 {
     entry_state & state = context.m_state;
-    dispatch::peer_load const load = dispatch::current_load(state.m_dispatch);
-    if (context.m_now < state.m_next_load_report ||
-        load.m_free_slots == state.m_last_reported_slots)
+    if (context.m_now < state.m_next_load_report)
+    {
+        return;
+    }
+    std::vector<dispatch::peer_load> const loads =
+        dispatch::current_loads(state.m_dispatch);
+    if (!has_changed(state, loads))
     {
         return;
     }
@@ -52,14 +76,17 @@
     state.m_next_load_report =
         context.m_now +
         std::max<duration>(leased ? scan_period : min_load_report_period, period);
-    state.m_last_reported_slots = load.m_free_slots;
+    for (dispatch::peer_load const & load : loads)
+    {
+        state.m_last_reported_slots[load.m_service] = load.m_free_slots;
+    }
     if (period >= membership::near_heartbeat_period(state.m_membership))
     {
         return; // heartbeats report the load at least as often as load reports would
     }
     for (instance_id const & peer : peers)
     {
-        report_load(context, peer, load);
+        report_loads(context, peer, loads);
     }
 }
 
@@ -78,10 +105,15 @@
             peers.push_back(sent->m_to);
         }
     }
-    dispatch::peer_load const load = dispatch::current_load(context.m_state.m_dispatch);
+    if (peers.empty())
+    {
+        return;
+    }
+    std::vector<dispatch::peer_load> const loads =
+        dispatch::current_loads(context.m_state.m_dispatch);
     for (instance_id const & peer : peers)
     {
-        report_load(context, peer, load);
+        report_loads(context, peer, loads);
     }
 }
 
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -42,16 +42,17 @@
     }
 }
 
-/// Updates the load of \p peer in the dispatcher.
-void set_load(step_context & context, instance_id const & peer,
-              membership::member const & entry, dispatch::peer_load load)
+/// Updates the loads of \p peer in the dispatcher.
+void set_loads(step_context & context, instance_id const & peer,
+               membership::member const & entry, std::vector<dispatch::peer_load> loads)
 {
     if (entry.m_report.m_leaving)
     {
-        load.m_free_slots = 0; // its upstreams are being assigned to other instances
+        loads.clear(); // its upstreams are being assigned to other instances
     }
-    dispatch::set_peer(context.m_state.m_dispatch,
-                       {peer, entry.m_domain, load, !entry.m_report.m_leaving});
+    dispatch::set_peer(
+        context.m_state.m_dispatch,
+        {peer, entry.m_domain, std::move(loads), !entry.m_report.m_leaving});
 }
 
 /// Ends the tasks that were forwarded to \p peer and those that run here for it, and
@@ -153,7 +154,7 @@
             message.m_holdings.push_back({index, shards[index].m_epoch});
         }
     }
-    message.m_load = dispatch::current_load(state.m_dispatch);
+    message.m_loads = dispatch::current_loads(state.m_dispatch);
     return message;
 }
 
@@ -163,7 +164,11 @@
     auto const member = state.m_membership.m_members.find(to);
     message.m_selected = member != state.m_membership.m_members.end() &&
                          membership::is_selected(state.m_membership, member->second);
-    state.m_reported_slots[to] = message.m_load.m_free_slots;
+    auto & reported = state.m_reported_slots[to];
+    for (dispatch::peer_load const & load : message.m_loads)
+    {
+        reported[load.m_service] = load.m_free_slots;
+    }
     send(context, to, std::move(message));
 }
 
@@ -208,7 +213,7 @@
     membership::member const & entry = state.m_membership.m_members.at(from);
     lease::extend_lease_limits(state.m_leasing.m_sessions, entry.m_report.m_incarnation,
                                entry.m_alive_at);
-    set_load(context, from, entry, message.m_load);
+    set_loads(context, from, entry, std::move(message.m_loads));
     if (entry.m_domain == state.m_identity.m_domain &&
         !state.m_identity.m_leases_upstreams)
     {
@@ -234,9 +239,9 @@
 {
     membership::member const * const entry =
         membership::find_live(context.m_state.m_membership, from);
-    if (entry != nullptr)
+    if (entry != nullptr && !entry->m_report.m_leaving)
     {
-        set_load(context, from, *entry, load);
+        dispatch::update_peer_load(context.m_state.m_dispatch, from, std::move(load));
     }
 }
 
--- a/src/decision/registrations.cpp
+++ b/src/decision/registrations.cpp
@@ -70,7 +70,7 @@
 
 bool is_used_service(leasing_state const & leasing, std::string_view service)
 {
-    return leasing.m_services.contains(service) || leasing.m_services.contains("");
+    return leasing.m_services.contains(service);
 }
 
 void remove_unregistered_upstreams(step_context & context)
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -117,8 +117,10 @@
         return;
     }
     membership::record_request(context.m_state.m_membership, from, context.m_now);
+    dispatch::effects effects;
     dispatch::accept_forwarded(context.m_state.m_dispatch, from,
-                               std::move(message.m_start), context.m_now);
+                               std::move(message.m_start), context.m_now, effects);
+    apply(context, std::move(effects));
 }
 
 void handle_message(step_context & context, instance_id const &, task_reported & message)
@@ -142,7 +144,7 @@
 void handle_message(step_context & context, instance_id const & from,
                     load_report & message)
 {
-    receive_load_report(context, from, message.m_load);
+    receive_load_report(context, from, std::move(message.m_load));
 }
 
 void handle_message(step_context & context, instance_id const & from,
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/service_pools.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
 #include "dispatch/verdict.hpp"
@@ -17,17 +18,17 @@
 /// An answer later than this multiple of the kind's objective is useless to the caller.
 constexpr int objective_multiple = 2;
 
-/// \returns true when an upstream has had room for \p demand lately.
-bool fitted_lately(dispatch_state const & state, resources const & demand, time_point now)
+/// \returns true when an upstream of the pool has had room for \p demand lately.
+bool fitted_lately(service_pool const & pool, resources const & demand, time_point now)
 {
-    return std::any_of(state.m_former_capacities.begin(), state.m_former_capacities.end(),
+    return std::any_of(pool.m_former_capacities.begin(), pool.m_former_capacities.end(),
                        [&demand, now](former_capacity const & item) {
                            return now < item.m_forgotten_at &&
                                   fits(demand, item.m_capacity);
                        });
 }
 
-std::error_code check_size(dispatch_state const & state, job_spec const & spec,
+std::error_code check_size(service_pool const & pool, job_spec const & spec,
                            time_point now)
 {
     if (spec.m_tasks.empty() || spec.m_tasks.size() > max_tasks_per_job)
@@ -37,11 +38,11 @@
     bool may_fit_later = false;
     for (task_spec const & task : spec.m_tasks)
     {
-        if (fits_some_upstream(state, task.m_demand))
+        if (fits_some_upstream(pool, task.m_demand))
         {
             continue;
         }
-        if (!fitted_lately(state, task.m_demand, now))
+        if (!fitted_lately(pool, task.m_demand, now))
         {
             return job_errc::never_fits;
         }
@@ -67,15 +68,16 @@
     return {};
 }
 
-/// \returns the kind's fair share of the owned slots, in tasks, while it competes with
-/// the kinds that have queued tasks now; at least one.
+/// \returns the kind's fair share of the owned slots of its service, in tasks, while it
+/// competes with the kinds that have queued tasks now; at least one.
 double guaranteed_slots(dispatch_state const & state, std::uint32_t kind_id)
 {
-    kind_queue const & queue = state.m_queue.m_kinds[kind_id];
+    service_pool const & pool = pool_of(state, kind_id);
+    kind_queue const & queue = pool.m_queue.m_kinds[kind_id];
     double const share = queue.m_share;
-    double const active = static_cast<double>(state.m_queue.m_active_share) +
+    double const active = static_cast<double>(pool.m_queue.m_active_share) +
                           (queue.m_item_count == 0 ? share : 0);
-    return std::max(1.0, state.m_total_task_capacity * share / active);
+    return std::max(1.0, pool.m_total_task_capacity * share / active);
 }
 
 /// Estimates the time until the last queued task of the kind starts, \p added tasks
@@ -141,7 +143,9 @@
     {
         return job_errc::unknown_kind;
     }
-    if (std::error_code const error = internal::check_size(state, spec, now))
+    std::uint32_t const kind = state.m_kind_index.at(spec.m_kind);
+    if (std::error_code const error =
+            internal::check_size(internal::pool_of(state, kind), spec, now))
     {
         return error;
     }
@@ -149,7 +153,6 @@
     {
         return error;
     }
-    std::uint32_t const kind = state.m_kind_index.at(spec.m_kind);
     if (std::error_code const error =
             internal::check_limits(state, spec, state.m_kinds[kind]))
     {
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -102,9 +102,11 @@
                                          job_state const & job, std::uint32_t task)
 {
     return {
+        state.m_kinds[job.m_kind].m_pool,
         job.m_spec.m_tasks[task].m_demand,
         may_probe(state.m_kinds[job.m_kind].m_definition, job.m_tasks[task].m_failures),
-        job.m_tasks[task].m_last_upstream, false,
+        job.m_tasks[task].m_last_upstream,
+        false,
         judge_task(state, job, task) != crash_verdict::unsuspected};
 }
 
@@ -139,7 +141,7 @@
         target.m_upstream = *upstream;
     }
     else if (auto const * const peer =
-                 pick_peer(state, request.m_demand, context.m_random))
+                 pick_peer(state, request.m_pool, request.m_demand, context.m_random))
     {
         target.m_peer = *peer;
     }
@@ -170,9 +172,12 @@
         refuse_forwarded(state, id, context.m_out);
         return head_result::dequeued;
     }
-    placement_request const request{
-        task.m_start.m_demand, may_probe(state.m_kinds[task.m_kind].m_definition, 0),
-        no_upstream, false, verdict != crash_verdict::unsuspected};
+    placement_request const request{state.m_kinds[task.m_kind].m_pool,
+                                    task.m_start.m_demand,
+                                    may_probe(state.m_kinds[task.m_kind].m_definition, 0),
+                                    no_upstream,
+                                    false,
+                                    verdict != crash_verdict::unsuspected};
     auto const upstream = pick_upstream(state, request, context.m_random);
     if (!upstream)
     {
@@ -183,11 +188,11 @@
     return head_result::dequeued;
 }
 
-head_result try_start_head(advance_context & context, std::uint32_t kind,
-                           std::uint32_t tenant)
+head_result try_start_head(advance_context & context, service_pool const & pool,
+                           std::uint32_t kind, std::uint32_t tenant)
 {
     auto const & [order, item] =
-        *context.m_state.m_queue.m_kinds[kind].m_tenants.at(tenant).m_items.begin();
+        *pool.m_queue.m_kinds[kind].m_tenants.at(tenant).m_items.begin();
     if (order.m_local)
     {
         return try_start_job_task(context, order.m_serial);
@@ -204,42 +209,44 @@
     std::vector<std::pair<std::uint32_t, std::uint32_t>> m_tenants; ///< (kind, tenant)
 };
 
-void resume_skipped(dispatch_state & state, skipped_heads const & skipped)
+void resume_skipped(fair_queue & queue, skipped_heads const & skipped)
 {
     for (auto const & [kind, tenant] : skipped.m_tenants)
     {
-        resume_tenant(state.m_queue, kind, tenant);
+        resume_tenant(queue, kind, tenant);
     }
     for (std::uint32_t const kind : skipped.m_kinds)
     {
-        resume_kind(state.m_queue, kind);
+        resume_kind(queue, kind);
     }
 }
 
-void start_queued_tasks(advance_context & context)
+void start_queued_tasks(advance_context & context, std::uint32_t pool_id)
 {
-    dispatch_state & state = context.m_state;
+    service_pool & pool = context.m_state.m_pools[pool_id];
     skipped_heads skipped;
-    while (skipped.m_tenants.size() < max_skipped_heads && any_capacity(state))
+    while (skipped.m_tenants.size() < max_skipped_heads &&
+           any_capacity(context.m_state, pool_id))
     {
-        auto const kind = next_kind(state.m_queue);
+        auto const kind = next_kind(pool.m_queue);
         if (!kind)
         {
             break;
         }
-        auto const tenant = next_tenant(state.m_queue.m_kinds[*kind]);
+        auto const tenant = next_tenant(pool.m_queue.m_kinds[*kind]);
         if (!tenant)
         {
-            suspend_kind(state.m_queue, *kind);
+            suspend_kind(pool.m_queue, *kind);
             skipped.m_kinds.push_back(*kind);
         }
-        else if (try_start_head(context, *kind, *tenant) == head_result::no_capacity)
+        else if (try_start_head(context, pool, *kind, *tenant) ==
+                 head_result::no_capacity)
         {
-            suspend_tenant(state.m_queue, *kind, *tenant);
+            suspend_tenant(pool.m_queue, *kind, *tenant);
             skipped.m_tenants.emplace_back(*kind, *tenant);
         }
     }
-    resume_skipped(state, skipped);
+    resume_skipped(pool.m_queue, skipped);
 }
 
 } // namespace internal
@@ -269,7 +276,10 @@
         internal::start_assigned(state, now, out);
         return;
     }
-    internal::start_queued_tasks(context);
+    for (std::uint32_t pool = 0; pool < state.m_pools.size(); ++pool)
+    {
+        internal::start_queued_tasks(context, pool);
+    }
 }
 
 } // namespace cassiahub::dispatch
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/hedging.hpp"
 #include "dispatch/jobs.hpp"
 #include "dispatch/retry.hpp"
+#include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -24,7 +25,8 @@
 /// Longest time for which a slot is withheld after a fast failure.
 constexpr duration max_withhold_time = std::chrono::seconds(1);
 
-attempt_start make_attempt_start(job_state const & job, std::uint32_t task, attempt_id id)
+attempt_start make_attempt_start(dispatch_state const & state, job_state const & job,
+                                 std::uint32_t task, attempt_id id)
 {
     attempt_start start;
     start.m_attempt = id;
@@ -33,6 +35,7 @@
     start.m_earlier_attempts =
         job.m_tasks[task].m_attempts + job.m_tasks[task].m_declined;
     start.m_kind = job.m_spec.m_kind;
+    start.m_service = pool_of(state, job.m_kind).m_service;
     start.m_payload = job.m_spec.m_tasks[task].m_payload;
     start.m_demand = job.m_spec.m_tasks[task].m_demand;
     start.m_token = job.m_token;
@@ -82,9 +85,10 @@
         attempt.m_slots *
         mean_seconds(kind.m_run_time, kind.m_definition.m_expected_run_time);
     // Under the baseline policy tasks do not pass through the fair queue.
-    if (state.m_queue.m_kinds[attempt.m_kind].m_tenants.contains(tenant))
+    fair_queue & queue = pool_of(state, attempt.m_kind).m_queue;
+    if (queue.m_kinds[attempt.m_kind].m_tenants.contains(tenant))
     {
-        charge_service(state.m_queue, attempt.m_kind, tenant, attempt.m_charge);
+        charge_service(queue, attempt.m_kind, tenant, attempt.m_charge);
     }
 }
 
@@ -156,7 +160,7 @@
                    effects & out)
 {
     attempt_id const id{state.m_incarnation, state.m_next_serial++};
-    attempt_start start = make_attempt_start(job, task, id);
+    attempt_start start = make_attempt_start(state, job, task, id);
     running_attempt attempt = make_running_attempt(state, start, job.m_kind, now);
     attempt.m_job = job.m_serial;
     count_attempt(state, job, task, role);
@@ -268,7 +272,7 @@
     upstream.m_leaving |= result.m_upstream_leaving;
     update_estimates(state, attempt, result.m_outcome, now);
     double const actual = std::chrono::duration<double>(now - attempt.m_started).count();
-    correct_charge(state.m_queue, attempt.m_kind,
+    correct_charge(pool_of(state, attempt.m_kind).m_queue, attempt.m_kind,
                    actual * attempt.m_slots - attempt.m_charge);
     vacate_slot(state, attempt.m_upstream, attempt);
 }
--- a/src/dispatch/baseline.cpp
+++ b/src/dispatch/baseline.cpp
@@ -50,12 +50,20 @@
 void assign_task(dispatch_state & state, job_state & job, std::uint32_t task,
                  random_source & random)
 {
-    if (state.m_upstreams.empty())
+    std::uint32_t const pool = state.m_kinds[job.m_kind].m_pool;
+    std::vector<upstream_state *> candidates;
+    for (upstream_state & upstream : state.m_upstreams)
     {
-        return;
+        if (upstream.m_pool == pool)
+        {
+            candidates.push_back(&upstream);
+        }
+    }
+    if (!candidates.empty())
+    {
+        candidates[random() % candidates.size()]->m_assigned.emplace_back(job.m_serial,
+                                                                          task);
     }
-    state.m_upstreams[random() % state.m_upstreams.size()].m_assigned.emplace_back(
-        job.m_serial, task);
 }
 
 void assign_job(dispatch_state & state, job_state & job)
--- a/src/dispatch/ejection.cpp
+++ b/src/dispatch/ejection.cpp
@@ -61,25 +61,25 @@
     return total == 0 ? 100 : 100 * std::uint64_t(counts.m_succeeded) / total;
 }
 
-/// \returns the success rate, in percent, of all owned upstreams except the one with the
-/// counts \p own. The windows start at different times, so \p own may exceed the total;
-/// the difference is then clamped to zero.
-std::uint64_t others_success_percent(dispatch_state const & state,
-                                     result_counts const & own)
+/// \returns the success rate, in percent, of all owned upstreams of a service except the
+/// one with the counts \p own. The windows start at different times, so \p own may exceed
+/// the total; the difference is then clamped to zero.
+std::uint64_t others_success_percent(service_pool const & pool, result_counts const & own)
 {
-    result_counts const all = total_counts(state.m_all_results);
+    result_counts const all = total_counts(pool.m_all_results);
     return success_percent({all.m_succeeded - std::min(all.m_succeeded, own.m_succeeded),
                             all.m_failed - std::min(all.m_failed, own.m_failed)});
 }
 
-bool is_failure_outlier(dispatch_state const & state, upstream_health const & health)
+bool is_failure_outlier(dispatch_state const & state, upstream_state const & upstream)
 {
-    result_counts const own = total_counts(health.m_window);
+    result_counts const own = total_counts(upstream.m_health.m_window);
     config::dispatch_settings const & settings = settings_of(state);
     std::uint64_t const percent = success_percent(own);
     return own.m_succeeded + own.m_failed >= settings.m_ejection_min_results &&
            percent < settings.m_ejection_success_percent &&
-           others_success_percent(state, own) >= percent + outlier_margin_percent;
+           others_success_percent(state.m_pools[upstream.m_pool], own) >=
+               percent + outlier_margin_percent;
 }
 
 bool is_slow(dispatch_state const & state, upstream_health const & health)
@@ -91,11 +91,11 @@
            health.m_slowness * 100 > settings.m_ejection_slow_percent;
 }
 
-bool is_below_ejection_cap(dispatch_state const & state)
+bool is_below_ejection_cap(dispatch_state const & state, service_pool const & pool)
 {
     std::uint32_t const allowed =
-        state.m_owned_count * settings_of(state).m_ejection_cap_percent / 100;
-    return state.m_ejected_count < allowed;
+        pool.m_owned_count * settings_of(state).m_ejection_cap_percent / 100;
+    return pool.m_ejected_count < allowed;
 }
 
 void eject(dispatch_state & state, std::uint32_t id, duration cooling, time_point now)
@@ -103,7 +103,7 @@
     upstream_health & health = state.m_upstreams[id].m_health;
     if (health.m_phase == health_phase::healthy)
     {
-        ++state.m_ejected_count;
+        ++state.m_pools[state.m_upstreams[id].m_pool].m_ejected_count;
     }
     health.m_phase = health_phase::ejected;
     health.m_probe_at = now + cooling;
@@ -117,7 +117,7 @@
 {
     upstream_health & health = state.m_upstreams[id].m_health;
     health = {};
-    --state.m_ejected_count;
+    --state.m_pools[state.m_upstreams[id].m_pool].m_ejected_count;
 }
 
 duration cooling_period(dispatch_state const & state, upstream_health const & health)
@@ -128,10 +128,11 @@
 
 void eject_if_outlier(dispatch_state & state, std::uint32_t id, time_point now)
 {
-    upstream_health const & health = state.m_upstreams[id].m_health;
-    bool const is_outlier = is_failure_outlier(state, health) || is_slow(state, health);
+    upstream_state const & upstream = state.m_upstreams[id];
+    upstream_health const & health = upstream.m_health;
+    bool const is_outlier = is_failure_outlier(state, upstream) || is_slow(state, health);
     if (health.m_phase == health_phase::healthy && is_outlier &&
-        is_below_ejection_cap(state))
+        is_below_ejection_cap(state, state.m_pools[upstream.m_pool]))
     {
         eject(state, id, cooling_period(state, health), now);
     }
@@ -173,12 +174,14 @@
     }
 }
 
-void update_statistics(dispatch_state & state, upstream_health & health,
+void update_statistics(dispatch_state & state, upstream_state & upstream,
                        upstream_observation const & observation, time_point now)
 {
+    upstream_health & health = upstream.m_health;
     duration const window = settings_of(state).m_ejection_window;
     add_result(health.m_window, observation.m_succeeded, now, window);
-    add_result(state.m_all_results, observation.m_succeeded, now, window);
+    add_result(state.m_pools[upstream.m_pool].m_all_results, observation.m_succeeded, now,
+               window);
     health.m_consecutive_failures =
         observation.m_succeeded ? 0 : health.m_consecutive_failures + 1;
     if (observation.m_succeeded)
@@ -197,7 +200,7 @@
     {
         return;
     }
-    update_statistics(state, state.m_upstreams[id].m_health, observation, now);
+    update_statistics(state, state.m_upstreams[id], observation, now);
     switch (settings_of(state).m_ejection)
     {
     case config::ejection_policy::success_rate:
--- a/src/dispatch/fair_queue.cpp
+++ b/src/dispatch/fair_queue.cpp
@@ -3,6 +3,7 @@
 #include <boost/assert.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cassiahub::dispatch
 {
@@ -105,6 +106,33 @@
     internal::schedule_kind(queue, id);
 }
 
+kind_queue take_kind(fair_queue & queue, std::uint32_t id)
+{
+    internal::unschedule_kind(queue, id);
+    kind_queue taken = std::exchange(queue.m_kinds[id], {});
+    if (taken.m_item_count > 0)
+    {
+        queue.m_active_share -= taken.m_share;
+    }
+    return taken;
+}
+
+void put_kind(fair_queue & queue, std::uint32_t id, kind_queue taken)
+{
+    if (id >= queue.m_kinds.size())
+    {
+        queue.m_kinds.resize(id + 1);
+    }
+    BOOST_ASSERT(queue.m_kinds[id].m_item_count == 0);
+    taken.m_virtual_start = queue.m_virtual_time;
+    if (taken.m_item_count > 0)
+    {
+        queue.m_active_share += taken.m_share;
+    }
+    queue.m_kinds[id] = std::move(taken);
+    internal::schedule_kind(queue, id);
+}
+
 void insert_item(fair_queue & queue, std::uint32_t id, std::uint32_t tenant_id,
                  std::uint32_t weight, item_order order, queue_item item)
 {
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/baseline.hpp"
 #include "dispatch/forwarding.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/service_pools.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
@@ -22,6 +23,9 @@
 /// Number of peers that one search compares in the local domain; it compares as many in
 /// other domains.
 constexpr int compared_peers = 4;
+/// Time for which a duplicate of a declined forward is recognised. A message is not
+/// repeated later than the session in which it was sent, which ends after 2 s of silence.
+constexpr duration declined_memory = std::chrono::seconds(5);
 
 peer_key make_peer_key(dispatch_state const & state, peer_capacity const & peer)
 {
@@ -29,12 +33,33 @@
     return {other_domain, std::hash<instance_id>()(peer.m_instance), peer.m_instance};
 }
 
-/// Adds a peer to the forwarding targets if it has free slots.
-void add_target(dispatch_state & state, peer_capacity const & peer)
+peer_load const * find_load(peer_capacity const & peer, std::string_view service)
 {
-    if (peer.m_load.m_free_slots > 0)
+    auto const found = std::find_if(peer.m_loads.begin(), peer.m_loads.end(),
+                                    [service](peer_load const & load)
+                                    { return load.m_service == service; });
+    return found != peer.m_loads.end() ? &*found : nullptr;
+}
+
+/// Adds a peer to the forwarding targets of each service for which it has free slots.
+void add_targets(dispatch_state & state, peer_capacity const & peer)
+{
+    for (peer_load const & load : peer.m_loads)
     {
-        state.m_forward_targets.insert(make_peer_key(state, peer));
+        if (load.m_free_slots > 0)
+        {
+            state.m_pools[pool_index(state, load.m_service)].m_forward_targets.insert(
+                make_peer_key(state, peer));
+        }
+    }
+}
+
+void remove_targets(dispatch_state & state, peer_capacity const & peer)
+{
+    for (peer_load const & load : peer.m_loads)
+    {
+        state.m_pools[pool_index(state, load.m_service)].m_forward_targets.erase(
+            make_peer_key(state, peer));
     }
 }
 
@@ -46,62 +71,73 @@
 /// \returns the peer with the most free slots and capacity for \p demand among a few
 /// peers, starting from a random one; all are in the local domain or all in other
 /// domains.
-instance_id const * pick_in_tier(dispatch_state const & state, bool other_domain,
-                                 resources const & demand, random_source & random)
+instance_id const * pick_in_tier(dispatch_state const & state, service_pool const & pool,
+                                 bool other_domain, resources const & demand,
+                                 random_source & random)
 {
-    auto const first = state.m_forward_targets.lower_bound({other_domain, 0, {}});
-    auto next = state.m_forward_targets.lower_bound({other_domain, random(), {}});
+    auto const & targets = pool.m_forward_targets;
+    auto const first = targets.lower_bound({other_domain, 0, {}});
+    auto next = targets.lower_bound({other_domain, random(), {}});
     instance_id const * best = nullptr;
     std::uint32_t most = 0;
     for (int count = 0; count < compared_peers; ++count)
     {
-        if (next == state.m_forward_targets.end() || std::get<0>(*next) != other_domain)
+        if (next == targets.end() || std::get<0>(*next) != other_domain)
         {
             next = first;
         }
-        if (next == state.m_forward_targets.end() || std::get<0>(*next) != other_domain)
+        if (next == targets.end() || std::get<0>(*next) != other_domain)
         {
             break;
         }
-        peer_load const & load = state.m_peers.at(std::get<2>(*next)).m_capacity.m_load;
-        if (load.m_free_slots > most && may_fit(load, demand))
+        peer_load const * const load =
+            find_load(state.m_peers.at(std::get<2>(*next)).m_capacity, pool.m_service);
+        if (load->m_free_slots > most && may_fit(*load, demand))
         {
             best = &std::get<2>(*next);
-            most = load.m_free_slots;
+            most = load->m_free_slots;
         }
         ++next;
     }
     return best;
 }
 
-instance_id const * pick_peer(dispatch_state const & state, resources const & demand,
-                              random_source & random)
+instance_id const * pick_peer(dispatch_state const & state, std::uint32_t pool_id,
+                              resources const & demand, random_source & random)
 {
-    instance_id const * const local = pick_in_tier(state, false, demand, random);
-    return local != nullptr ? local : pick_in_tier(state, true, demand, random);
+    service_pool const & pool = state.m_pools[pool_id];
+    instance_id const * const local = pick_in_tier(state, pool, false, demand, random);
+    return local != nullptr ? local : pick_in_tier(state, pool, true, demand, random);
 }
 
+/// \returns true when no kind of the same service is more urgent than \p kind and some
+/// kind is less urgent.
 bool is_most_urgent(dispatch_state const & state, std::uint32_t kind)
 {
-    std::uint32_t const urgency = state.m_kinds[kind].m_definition.m_urgency;
-    auto const & kinds = state.m_configuration->m_kinds;
-    return std::all_of(kinds.begin(), kinds.end(),
-                       [urgency](config::work_kind const & other)
-                       { return urgency <= other.m_urgency; }) &&
-           std::any_of(kinds.begin(), kinds.end(),
-                       [urgency](config::work_kind const & other)
-                       { return urgency < other.m_urgency; });
+    config::work_kind const & definition = state.m_kinds[kind].m_definition;
+    bool any_less_urgent = false;
+    for (config::work_kind const & other : state.m_configuration->m_kinds)
+    {
+        bool const competes = other.m_service == definition.m_service;
+        if (competes && other.m_urgency < definition.m_urgency)
+        {
+            return false;
+        }
+        any_less_urgent |= competes && other.m_urgency > definition.m_urgency;
+    }
+    return any_less_urgent;
 }
 
-bool may_wait_at_peers(dispatch_state const & state)
+bool may_wait_at_peers(dispatch_state const & state, std::uint32_t pool)
 {
-    if (state.m_peers.empty())
+    if (state.m_peers.empty() || state.m_pools[pool].m_queued_tasks == 0)
     {
         return false;
     }
     for (std::uint32_t kind = 0; kind < state.m_kinds.size(); ++kind)
     {
-        if (state.m_kinds[kind].m_queued_tasks > 0 &&
+        if (state.m_kinds[kind].m_pool == pool &&
+            state.m_kinds[kind].m_queued_tasks > 0 &&
             state.m_kinds[kind].m_definition.m_objective_stretch > 0 &&
             is_most_urgent(state, kind))
         {
@@ -119,13 +155,14 @@
     {
         return nullptr;
     }
+    std::string const & service = pool_of(state, kind).m_service;
     peer_state * best = nullptr;
     for (auto & [instance, peer] : state.m_peers)
     {
         bool const is_earlier =
             best == nullptr || peer.m_next_busy_forward < best->m_next_busy_forward;
         if (peer.m_capacity.m_accepts_tasks && peer.m_next_busy_forward <= now &&
-            is_earlier)
+            is_earlier && find_load(peer.m_capacity, service) != nullptr)
         {
             best = &peer;
         }
@@ -142,10 +179,15 @@
                      attempt_start start, effects & out)
 {
     peer_state & target = state.m_peers.at(peer);
-    state.m_forward_targets.erase(make_peer_key(state, target.m_capacity));
-    target.m_capacity.m_load.m_free_slots -=
-        std::min<std::uint32_t>(target.m_capacity.m_load.m_free_slots, 1);
-    add_target(state, target.m_capacity);
+    for (peer_load & load : target.m_capacity.m_loads)
+    {
+        if (load.m_service == start.m_service && load.m_free_slots > 0 &&
+            --load.m_free_slots == 0)
+        {
+            state.m_pools[pool_index(state, load.m_service)].m_forward_targets.erase(
+                make_peer_key(state, target.m_capacity));
+        }
+    }
     target.m_forwarded.insert(start.m_attempt);
     ++state.m_counters.m_forwards;
     out.m_forwards.push_back({target.m_capacity.m_instance, std::move(start)});
@@ -166,7 +208,8 @@
     auto const found = state.m_forwarded.find(id);
     forwarded_task task = std::move(found->second);
     state.m_forwarded.erase(found);
-    remove_item(state.m_queue, task.m_kind, task.m_tenant, {false, task.m_serial});
+    remove_item(pool_of(state, task.m_kind).m_queue, task.m_kind, task.m_tenant,
+                {false, task.m_serial});
     adjust_queued_count(state, task.m_kind, -1);
     state.m_timers.erase({task.m_start.m_send_before, timer_kind::forwarded_expiry, id});
     auto const peer = state.m_peers.find(task.m_from);
@@ -226,6 +269,20 @@
     }
 }
 
+peer_load load_of(service_pool const & pool)
+{
+    peer_load load;
+    auto const queued = static_cast<std::uint32_t>(pool.m_queued_tasks);
+    load.m_free_slots = pool.m_fitting_tasks - std::min(pool.m_fitting_tasks, queued);
+    load.m_queued_tasks = queued;
+    load.m_service = pool.m_service;
+    if (pool.m_free_capacity.m_leaves > 0)
+    {
+        load.m_largest_free = pool.m_free_capacity.m_nodes[1].m_free;
+    }
+    return load;
+}
+
 void record_finished_forwarded(dispatch_state & state, attempt_id const & id,
                                time_point until)
 {
@@ -238,9 +295,9 @@
 void set_peer(dispatch_state & state, peer_capacity peer)
 {
     peer_state & known = state.m_peers[peer.m_instance];
-    state.m_forward_targets.erase(internal::make_peer_key(state, known.m_capacity));
+    internal::remove_targets(state, known.m_capacity);
     known.m_capacity = std::move(peer);
-    internal::add_target(state, known.m_capacity);
+    internal::add_targets(state, known.m_capacity);
 }
 
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
@@ -257,7 +314,7 @@
         return;
     }
     peer_state const removed = std::move(found->second);
-    state.m_forward_targets.erase(internal::make_peer_key(state, removed.m_capacity));
+    internal::remove_targets(state, removed.m_capacity);
     state.m_peers.erase(found);
     for (attempt_id const & id : removed.m_forwarded)
     {
@@ -293,8 +350,32 @@
     return work;
 }
 
+void update_peer_load(dispatch_state & state, instance_id const & instance,
+                      peer_load load)
+{
+    auto const found = state.m_peers.find(instance);
+    if (found == state.m_peers.end())
+    {
+        return;
+    }
+    peer_capacity & capacity = found->second.m_capacity;
+    internal::remove_targets(state, capacity);
+    auto const known = std::find_if(capacity.m_loads.begin(), capacity.m_loads.end(),
+                                    [&load](peer_load const & other)
+                                    { return other.m_service == load.m_service; });
+    if (known != capacity.m_loads.end())
+    {
+        *known = std::move(load);
+    }
+    else
+    {
+        capacity.m_loads.push_back(std::move(load));
+    }
+    internal::add_targets(state, capacity);
+}
+
 void accept_forwarded(dispatch_state & state, instance_id const & from,
-                      attempt_start task, time_point)
+                      attempt_start task, time_point now, effects & out)
 {
     attempt_id const id = task.m_attempt;
     if (state.m_forwarded.contains(id) || state.m_attempts.contains(id) ||
@@ -305,11 +386,21 @@
     forwarded_task entry;
     entry.m_from = from;
     entry.m_serial = state.m_next_serial++;
-    entry.m_kind = internal::kind_index(state, task.m_kind);
+    entry.m_kind = internal::kind_index(state, task.m_kind, task.m_service);
     entry.m_tenant = internal::tenant_index(state, task.m_job.m_tenant);
+    service_pool & pool = internal::pool_of(state, entry.m_kind);
+    if (!task.m_service.empty() && pool.m_service != task.m_service)
+    {
+        // The instances have different configurations. The sender starts the task again
+        // where its own configuration allows it.
+        internal::record_finished_forwarded(state, id, now + internal::declined_memory);
+        out.m_forward_results.push_back(
+            {from, {id, attempt_outcome::not_run, "", false}});
+        return;
+    }
     entry.m_start = std::move(task);
     std::uint32_t const weight = state.m_tenants[entry.m_tenant].m_definition.m_weight;
-    insert_item(state.m_queue, entry.m_kind, entry.m_tenant, weight,
+    insert_item(pool.m_queue, entry.m_kind, entry.m_tenant, weight,
                 {false, entry.m_serial}, {id});
     internal::adjust_queued_count(state, entry.m_kind, 1);
     state.m_timers.insert(
@@ -345,17 +436,35 @@
                        { return !entry.second.m_from.m_value.empty(); });
 }
 
-peer_load current_load(dispatch_state const & state)
+std::vector<peer_load> current_loads(dispatch_state const & state)
 {
-    peer_load load;
-    auto const queued = static_cast<std::uint32_t>(state.m_queued_tasks);
-    load.m_free_slots = state.m_fitting_tasks - std::min(state.m_fitting_tasks, queued);
-    load.m_queued_tasks = queued;
-    if (state.m_free_capacity.m_leaves > 0)
+    std::vector<peer_load> loads;
+    for (service_pool const & pool : state.m_pools)
+    {
+        if (pool.m_owned_count > 0)
+        {
+            loads.push_back(internal::load_of(pool));
+        }
+    }
+    return loads;
+}
+
+peer_load total_load(dispatch_state const & state)
+{
+    peer_load total;
+    for (service_pool const & pool : state.m_pools)
     {
-        load.m_largest_free = state.m_free_capacity.m_nodes[1].m_free;
+        peer_load const load = internal::load_of(pool);
+        total.m_free_slots += load.m_free_slots;
+        total.m_queued_tasks += load.m_queued_tasks;
+        total.m_largest_free.m_millicores =
+            std::max(total.m_largest_free.m_millicores, load.m_largest_free.m_millicores);
+        total.m_largest_free.m_memory_mib =
+            std::max(total.m_largest_free.m_memory_mib, load.m_largest_free.m_memory_mib);
+        total.m_largest_free.m_accelerators = std::max(
+            total.m_largest_free.m_accelerators, load.m_largest_free.m_accelerators);
     }
-    return load;
+    return total;
 }
 
 } // namespace cassiahub::dispatch
--- a/src/dispatch/forwarding.hpp
+++ b/src/dispatch/forwarding.hpp
@@ -8,22 +8,22 @@
 namespace cassiahub::dispatch::internal
 {
 
-/// \returns a peer with a free slot and capacity for \p demand, preferably in the local
-/// failure domain, or nullptr. The search compares a few peers from a random one on: if
-/// it always chose the peer with the most free slots, all instances would choose the
-/// same peer until its next load report.
-instance_id const * pick_peer(dispatch_state const & state, resources const & demand,
-                              random_source & random);
+/// \returns a peer with a free slot of the pool's service and capacity for \p demand,
+/// preferably in the local failure domain, or nullptr. The search compares a few peers
+/// from a random one on: if it always chose the peer with the most free slots, all
+/// instances would choose the same peer until its next load report.
+instance_id const * pick_peer(dispatch_state const & state, std::uint32_t pool,
+                              resources const & demand, random_source & random);
 
 /// Picks a peer in whose queue a task of \p kind may wait although no peer has capacity
 /// for it, so that a job with many tasks does not depend on the upstreams of one
-/// instance. \returns nullptr unless \p kind is the most urgent one and has an objective,
-/// and while every peer was picked too recently.
+/// instance. \returns nullptr unless \p kind is the most urgent one of its service and
+/// has an objective, and while every peer was picked too recently.
 instance_id const * pick_busy_peer(dispatch_state & state, std::uint32_t kind,
                                    time_point now);
 
-/// \returns true when pick_busy_peer() may return a peer for some queued task.
-bool may_wait_at_peers(dispatch_state const & state);
+/// \returns true when pick_busy_peer() may return a peer for some task queued in \p pool.
+bool may_wait_at_peers(dispatch_state const & state, std::uint32_t pool);
 
 /// Forwards \p start to \p peer and decrements the peer's known free slots.
 void forward_attempt(dispatch_state & state, instance_id const & peer,
--- a/src/dispatch/hedging.cpp
+++ b/src/dispatch/hedging.cpp
@@ -75,7 +75,8 @@
         schedule_again(state, job, attempt, id, now);
         return;
     }
-    placement_request const request{job.m_spec.m_tasks[task].m_demand, false,
+    placement_request const request{state.m_kinds[job.m_kind].m_pool,
+                                    job.m_spec.m_tasks[task].m_demand, false,
                                     attempt.m_upstream, true};
     auto const target = pick_upstream(state, request, random);
     if (target && spend(state.m_hedge_budget))
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -40,12 +40,19 @@
             add_resources(counted[attempt.m_upstream].m_used, attempt.m_demand);
         }
     }
-    std::uint32_t offered = 0;
+    std::vector<std::uint32_t> offered(state.m_pools.size());
     for (std::size_t id = 0; id < counted.size(); ++id)
     {
         upstream_state const & upstream = state.m_upstreams[id];
-        offered +=
-            state.m_free_capacity.m_nodes[state.m_free_capacity.m_leaves + id].m_slots;
+        for (std::size_t pool_id = 0; pool_id < state.m_pools.size(); ++pool_id)
+        {
+            capacity_index const & index = state.m_pools[pool_id].m_free_capacity;
+            std::uint32_t const slots =
+                id < index.m_leaves ? index.m_nodes[index.m_leaves + id].m_slots : 0;
+            offered[pool_id] += slots;
+            add_if_violated(violations, slots > 0 && upstream.m_pool != pool_id,
+                            "upstream_offered_to_its_service");
+        }
         add_if_violated(violations,
                         upstream.m_running != counted[id].m_running ||
                             upstream.m_suspects != counted[id].m_suspects ||
@@ -56,8 +63,12 @@
                             upstream.m_running > upstream.m_definition.m_slots,
                         "upstream_over_committed");
     }
-    add_if_violated(violations, offered != state.m_offered_slots,
-                    "offered_slots_counted");
+    for (std::size_t pool_id = 0; pool_id < state.m_pools.size(); ++pool_id)
+    {
+        add_if_violated(violations,
+                        offered[pool_id] != state.m_pools[pool_id].m_offered_slots,
+                        "offered_slots_counted");
+    }
 }
 
 bool is_attached(dispatch_state const & state, attempt_id const & id,
@@ -163,26 +174,35 @@
 void check_queue(dispatch_state const & state, violation_names & violations)
 {
     std::size_t queued = 0;
-    std::uint64_t share = 0;
+    std::vector<std::size_t> pool_queued(state.m_pools.size());
+    std::vector<std::uint64_t> share(state.m_pools.size());
     for (std::size_t id = 0; id < state.m_kinds.size(); ++id)
     {
-        kind_queue const & queue = state.m_queue.m_kinds[id];
+        std::uint32_t const pool = state.m_kinds[id].m_pool;
+        kind_queue const & queue = state.m_pools[pool].m_queue.m_kinds[id];
         queued += state.m_kinds[id].m_queued_tasks;
+        pool_queued[pool] += state.m_kinds[id].m_queued_tasks;
         std::size_t items = 0;
         for (auto const & [tenant, entry] : queue.m_tenants)
         {
             items += entry.m_items.size();
         }
-        share += items > 0 ? queue.m_share : 0;
+        share[pool] += items > 0 ? queue.m_share : 0;
         add_if_violated(violations, items != queue.m_item_count, "queue_items_counted");
     }
-    bool const reserved = state.m_reservation.m_job != 0;
-    add_if_violated(violations,
-                    reserved && !state.m_jobs.contains(state.m_reservation.m_job),
-                    "reservation_has_job");
     add_if_violated(violations, queued != state.m_queued_tasks, "kind_queues_counted");
-    add_if_violated(violations, share != state.m_queue.m_active_share,
-                    "active_share_counted");
+    for (std::size_t id = 0; id < state.m_pools.size(); ++id)
+    {
+        service_pool const & pool = state.m_pools[id];
+        std::uint64_t const reserved_for = pool.m_reservation.m_job;
+        add_if_violated(violations,
+                        reserved_for != 0 && !state.m_jobs.contains(reserved_for),
+                        "reservation_has_job");
+        add_if_violated(violations, pool_queued[id] != pool.m_queued_tasks,
+                        "pool_queues_counted");
+        add_if_violated(violations, share[id] != pool.m_queue.m_active_share,
+                        "active_share_counted");
+    }
 }
 
 } // namespace internal
--- a/src/dispatch/jobs.cpp
+++ b/src/dispatch/jobs.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/jobs.hpp"
 #include "dispatch/objective.hpp"
 #include "dispatch/reservation.hpp"
+#include "dispatch/service_pools.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
 
@@ -22,14 +23,18 @@
     return found == state.m_job_index.end() ? nullptr : &state.m_jobs.at(found->second);
 }
 
-std::uint32_t kind_index(dispatch_state & state, std::string const & name)
+std::uint32_t kind_index(dispatch_state & state, std::string const & name,
+                         std::string_view service)
 {
     auto const next = static_cast<std::uint32_t>(state.m_kinds.size());
     auto const [entry, added] = state.m_kind_index.try_emplace(name, next);
     if (added)
     {
-        config::work_kind const & definition = state.m_kinds.emplace_back().m_definition;
-        set_kind(state.m_queue, next, definition.m_share, definition.m_urgency);
+        kind_state & kind = state.m_kinds.emplace_back();
+        kind.m_definition.m_service = service;
+        kind.m_pool = pool_index(state, service);
+        set_kind(pool_of(state, next).m_queue, next, kind.m_definition.m_share,
+                 kind.m_definition.m_urgency);
     }
     return entry->second;
 }
@@ -50,13 +55,14 @@
 {
     state.m_queued_tasks += static_cast<std::size_t>(change);
     state.m_kinds[kind].m_queued_tasks += static_cast<std::size_t>(change);
+    pool_of(state, kind).m_queued_tasks += static_cast<std::size_t>(change);
 }
 
 void insert_job_item(dispatch_state & state, job_state const & job)
 {
     std::uint32_t const weight = state.m_tenants[job.m_tenant].m_definition.m_weight;
-    insert_item(state.m_queue, job.m_kind, job.m_tenant, weight, {true, job.m_serial},
-                {});
+    insert_item(pool_of(state, job.m_kind).m_queue, job.m_kind, job.m_tenant, weight,
+                {true, job.m_serial}, {});
 }
 
 std::uint32_t dequeue_task(dispatch_state & state, job_state & job)
@@ -76,7 +82,8 @@
     job.m_blocked_since = {};
     if (queued_tasks(job) == 0 && !is_baseline(state))
     {
-        remove_item(state.m_queue, job.m_kind, job.m_tenant, {true, job.m_serial});
+        remove_item(pool_of(state, job.m_kind).m_queue, job.m_kind, job.m_tenant,
+                    {true, job.m_serial});
         drop_reservation(state, job);
     }
     return task;
@@ -103,7 +110,8 @@
     std::size_t const queued = queued_tasks(job);
     if (queued > 0 && !is_baseline(state))
     {
-        remove_item(state.m_queue, job.m_kind, job.m_tenant, {true, job.m_serial});
+        remove_item(pool_of(state, job.m_kind).m_queue, job.m_kind, job.m_tenant,
+                    {true, job.m_serial});
         adjust_queued_count(state, job.m_kind, -static_cast<std::ptrdiff_t>(queued));
     }
     for (auto const & [task, due] : job.m_delayed)
@@ -165,7 +173,7 @@
 {
     job_state entry;
     entry.m_tasks.resize(job.m_spec.m_tasks.size());
-    entry.m_kind = kind_index(state, job.m_spec.m_kind);
+    entry.m_kind = state.m_kind_index.at(job.m_spec.m_kind);
     entry.m_tenant = tenant_index(state, job.m_spec.m_key.m_tenant);
     entry.m_spec = std::move(job.m_spec);
     entry.m_token = std::move(job.m_token);
@@ -187,7 +195,7 @@
     state.m_job_index.emplace(job.m_spec.m_key, serial);
     state.m_timers.insert({job.m_deadline, timer_kind::job_deadline, {0, job.m_serial}});
     internal::set_objective(state, job, now);
-    internal::update_typical_demand(state, job.m_spec);
+    internal::update_typical_demand(state, state.m_kinds[job.m_kind].m_pool, job.m_spec);
     state.m_tenants[job.m_tenant].m_open_tasks += job.m_tasks.size();
     if (internal::is_baseline(state))
     {
--- a/src/dispatch/jobs.hpp
+++ b/src/dispatch/jobs.hpp
@@ -13,10 +13,12 @@
 
 /// \returns the index of the kind or tenant named \p name. An unknown one is added with
 /// default settings, because a peer with a newer configuration may forward its tasks.
-std::uint32_t kind_index(dispatch_state & state, std::string const & name);
+/// \param service of a kind that is added
+std::uint32_t kind_index(dispatch_state & state, std::string const & name,
+                         std::string_view service);
 std::uint32_t tenant_index(dispatch_state & state, std::string const & name);
 
-/// Adds \p change to the number of queued tasks, in total and of \p kind.
+/// Adds \p change to the number of queued tasks, in total, of \p kind and of its pool.
 void adjust_queued_count(dispatch_state & state, std::uint32_t kind,
                          std::ptrdiff_t change);
 
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/jobs.hpp"
 #include "dispatch/objective.hpp"
+#include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
 
 #include <algorithm>
@@ -50,10 +51,10 @@
     return {at, timer_kind::objective_due, {0, job.m_serial}};
 }
 
-std::size_t late_queued_tasks(dispatch_state const & state)
+std::size_t late_queued_tasks(dispatch_state const & state, service_pool const & pool)
 {
     std::size_t queued = 0;
-    for (std::uint64_t const serial : state.m_late_jobs)
+    for (std::uint64_t const serial : pool.m_late_jobs)
     {
         queued += queued_tasks(state.m_jobs.at(serial));
     }
@@ -102,15 +103,16 @@
     {
         return;
     }
+    service_pool & pool = pool_of(state, job.m_kind);
     bool const others_queued =
-        state.m_queued_tasks - late_queued_tasks(state) > queued_tasks(job);
+        pool.m_queued_tasks - late_queued_tasks(state, pool) > queued_tasks(job);
     if (now >= job.m_late_until || (!job.m_late && others_queued))
     {
         refuse_late_job(state, job, out);
         return;
     }
     job.m_late = true;
-    state.m_late_jobs.insert(serial);
+    pool.m_late_jobs.insert(serial);
     state.m_timers.insert(objective_timer(job, job.m_late_until));
 }
 
@@ -120,19 +122,21 @@
     {
         state.m_timers.erase(objective_timer(job, job.m_on_time_until));
         state.m_timers.erase(objective_timer(job, job.m_late_until));
-        state.m_late_jobs.erase(job.m_serial);
+        pool_of(state, job.m_kind).m_late_jobs.erase(job.m_serial);
     }
 }
 
 bool yields_to_others(dispatch_state const & state, job_state const & job)
 {
+    service_pool const & pool = pool_of(state, job.m_kind);
     return job.m_late && !has_started(job) &&
-           state.m_queued_tasks > late_queued_tasks(state);
+           pool.m_queued_tasks > late_queued_tasks(state, pool);
 }
 
-void update_typical_demand(dispatch_state & state, job_spec const & spec)
+void update_typical_demand(dispatch_state & state, std::uint32_t pool,
+                           job_spec const & spec)
 {
-    typical_demand & typical = state.m_typical_demand;
+    typical_demand & typical = state.m_pools[pool].m_typical_demand;
     double const weight = typical.m_millicores == 0 ? 1 : demand_weight;
     resources const & demand = spec.m_tasks.front().m_demand;
     typical.m_millicores += weight * (demand.m_millicores - typical.m_millicores);
@@ -144,15 +148,18 @@
         typical.m_counted_millicores = typical.m_millicores;
         for (std::uint32_t id = 0; id < state.m_upstreams.size(); ++id)
         {
-            update_offered_capacity(state, id);
+            if (state.m_upstreams[id].m_pool == pool)
+            {
+                update_offered_capacity(state, id);
+            }
         }
     }
 }
 
-std::uint32_t count_fitting(dispatch_state const & state, resources const & free,
+std::uint32_t count_fitting(service_pool const & pool, resources const & free,
                             std::uint32_t slots)
 {
-    typical_demand const & typical = state.m_typical_demand;
+    typical_demand const & typical = pool.m_typical_demand;
     return std::min({slots,
                      count_in_dimension(free.m_millicores, typical.m_counted_millicores),
                      count_in_dimension(free.m_memory_mib, typical.m_memory_mib),
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -39,22 +39,24 @@
         add_resources(needed, request.m_demand);
         return id != request.m_avoid && fits(needed, upstream.m_definition.m_capacity);
     };
-    auto const found =
-        std::find_if(state.m_probe_targets.begin(), state.m_probe_targets.end(), accepts);
-    return found != state.m_probe_targets.end() ? std::optional(*found) : std::nullopt;
+    std::set<std::uint32_t> const & targets =
+        state.m_pools[request.m_pool].m_probe_targets;
+    auto const found = std::find_if(targets.begin(), targets.end(), accepts);
+    return found != targets.end() ? std::optional(*found) : std::nullopt;
 }
 
 /// \returns the better of two random upstreams with capacity (power of two choices).
 std::optional<std::uint32_t> pick_of_two(dispatch_state const & state,
-                                         resources const & demand, std::uint32_t avoid,
+                                         placement_request const & request,
                                          random_source & random)
 {
-    auto const first = find_leaf(state.m_free_capacity, demand, avoid, random);
+    capacity_index const & index = state.m_pools[request.m_pool].m_free_capacity;
+    auto const first = find_leaf(index, request.m_demand, request.m_avoid, random);
     if (!first)
     {
         return first;
     }
-    auto const second = find_leaf(state.m_free_capacity, demand, avoid, random);
+    auto const second = find_leaf(index, request.m_demand, request.m_avoid, random);
     return second && is_better(state.m_upstreams[*second], state.m_upstreams[*first])
                ? second
                : first;
@@ -69,8 +71,10 @@
                                        placement_request const & request,
                                        random_source & random)
 {
-    std::size_t const count = state.m_upstreams.size();
-    if (count == 0 || state.m_offered_slots == 0)
+    service_pool const & pool = state.m_pools[request.m_pool];
+    std::size_t const count =
+        std::min(state.m_upstreams.size(), pool.m_free_capacity.m_leaves);
+    if (count == 0 || pool.m_offered_slots == 0)
     {
         return std::nullopt;
     }
@@ -80,7 +84,7 @@
         std::size_t const id = (first + step) % count;
         upstream_state const & upstream = state.m_upstreams[id];
         auto const & offered =
-            state.m_free_capacity.m_nodes[state.m_free_capacity.m_leaves + id];
+            pool.m_free_capacity.m_nodes[pool.m_free_capacity.m_leaves + id];
         if (upstream.m_running == 0 && offered.m_slots > 0 &&
             offered.m_slots == upstream.m_definition.m_slots && id != request.m_avoid &&
             fits(request.m_demand, offered.m_free))
@@ -113,19 +117,21 @@
     {
         return probe;
     }
-    auto const found = pick_of_two(state, request.m_demand, request.m_avoid, random);
+    auto const found = pick_of_two(state, request, random);
     if (found || request.m_avoid == no_upstream || request.m_avoid_strictly)
     {
         return found;
     }
-    return find_leaf(state.m_free_capacity, request.m_demand, no_upstream, random);
+    return find_leaf(state.m_pools[request.m_pool].m_free_capacity, request.m_demand,
+                     no_upstream, random);
 }
 
-bool any_capacity(dispatch_state const & state)
+bool any_capacity(dispatch_state const & state, std::uint32_t pool_id)
 {
-    return state.m_offered_slots > 0 || !state.m_probe_targets.empty() ||
-           !state.m_forward_targets.empty() || reservation_has_capacity(state) ||
-           may_wait_at_peers(state);
+    service_pool const & pool = state.m_pools[pool_id];
+    return pool.m_offered_slots > 0 || !pool.m_probe_targets.empty() ||
+           !pool.m_forward_targets.empty() || reservation_has_capacity(state, pool) ||
+           may_wait_at_peers(state, pool_id);
 }
 
 } // namespace cassiahub::dispatch::internal
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -12,6 +12,7 @@
 /// Demand of a task and the constraints on its placement.
 struct placement_request
 {
+    std::uint32_t m_pool = 0; ///< pool of the service that runs the task
     resources m_demand;
     bool m_may_probe = false; ///< may run on a probing upstream
     /// Upstream to use only if no other has capacity.
@@ -29,9 +30,9 @@
                                            placement_request const & request,
                                            random_source & random);
 
-/// \returns true when a queued task may find capacity on an owned upstream or at a peer.
-/// A cheap check that avoids a search of the queue.
-bool any_capacity(dispatch_state const & state);
+/// \returns true when a task queued in \p pool may find capacity on an owned upstream or
+/// at a peer. A cheap check that avoids a search of the queue.
+bool any_capacity(dispatch_state const & state, std::uint32_t pool);
 
 } // namespace cassiahub::dispatch::internal
 
--- a/src/dispatch/reservation.cpp
+++ b/src/dispatch/reservation.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/reservation.hpp"
+#include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
 
 #include <utility>
@@ -18,19 +19,20 @@
            fits(needed, upstream.m_definition.m_capacity);
 }
 
-void release_reservation(dispatch_state & state)
+} // namespace
+
+void release_reservation(dispatch_state & state, service_pool & pool)
 {
-    std::uint32_t const id = std::exchange(state.m_reservation, {}).m_upstream;
+    std::uint32_t const id = std::exchange(pool.m_reservation, {}).m_upstream;
     update_offered_capacity(state, id);
 }
 
-} // namespace
-
 void reserve_if_starved(dispatch_state & state, job_state & job, resources const & demand,
                         time_point now, random_source & random)
 {
-    bool const has_free_slots = state.m_offered_slots > 0;
-    if (!has_free_slots || state.m_reservation.m_job != 0)
+    service_pool & pool = pool_of(state, job.m_kind);
+    bool const has_free_slots = pool.m_offered_slots > 0;
+    if (!has_free_slots || pool.m_reservation.m_job != 0)
     {
         return;
     }
@@ -43,9 +45,9 @@
     {
         return;
     }
-    if (auto const id = find_leaf(state.m_total_capacity, demand, no_upstream, random))
+    if (auto const id = find_leaf(pool.m_total_capacity, demand, no_upstream, random))
     {
-        state.m_reservation = {job.m_serial, *id, demand};
+        pool.m_reservation = {job.m_serial, *id, demand};
         update_offered_capacity(state, *id);
     }
 }
@@ -53,15 +55,16 @@
 std::optional<std::uint32_t>
 reserved_upstream(dispatch_state & state, job_state const & job, resources const & demand)
 {
-    if (state.m_reservation.m_job != job.m_serial)
+    service_pool & pool = pool_of(state, job.m_kind);
+    if (pool.m_reservation.m_job != job.m_serial)
     {
         return std::nullopt;
     }
-    std::uint32_t const id = state.m_reservation.m_upstream;
+    std::uint32_t const id = pool.m_reservation.m_upstream;
     upstream_state const & upstream = state.m_upstreams[id];
     if (!is_usable(upstream) || !fits(demand, upstream.m_definition.m_capacity))
     {
-        release_reservation(state);
+        release_reservation(state, pool);
         return std::nullopt;
     }
     return has_capacity(upstream, demand) ? std::optional(id) : std::nullopt;
@@ -69,15 +72,16 @@
 
 void drop_reservation(dispatch_state & state, job_state const & job)
 {
-    if (state.m_reservation.m_job == job.m_serial)
+    service_pool & pool = pool_of(state, job.m_kind);
+    if (pool.m_reservation.m_job == job.m_serial)
     {
-        release_reservation(state);
+        release_reservation(state, pool);
     }
 }
 
-bool reservation_has_capacity(dispatch_state const & state)
+bool reservation_has_capacity(dispatch_state const & state, service_pool const & pool)
 {
-    reservation const & held = state.m_reservation;
+    reservation const & held = pool.m_reservation;
     return held.m_job != 0 &&
            has_capacity(state.m_upstreams[held.m_upstream], held.m_demand);
 }
--- a/src/dispatch/reservation.hpp
+++ b/src/dispatch/reservation.hpp
@@ -26,12 +26,16 @@
                                                job_state const & job,
                                                resources const & demand);
 
+/// Ends the reservation of \p pool.
+/// \pre the pool has one
+void release_reservation(dispatch_state & state, service_pool & pool);
+
 /// Ends the reservation if it belongs to \p job.
 void drop_reservation(dispatch_state & state, job_state const & job);
 
-/// \returns true when the reserved upstream now has capacity for the task it is reserved
-/// for.
-bool reservation_has_capacity(dispatch_state const & state);
+/// \returns true when the upstream reserved in \p pool now has capacity for the task it
+/// is reserved for.
+bool reservation_has_capacity(dispatch_state const & state, service_pool const & pool);
 
 } // namespace cassiahub::dispatch::internal
 
--- a/src/dispatch/shedding.cpp
+++ b/src/dispatch/shedding.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/jobs.hpp"
+#include "dispatch/service_pools.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
 
@@ -53,7 +54,8 @@
                          resources const & demand, effects & out)
 {
     job_answer answer = failed_answer(job, job_errc::overloaded);
-    if (answer.m_ran != run_state::no || fits_some_upstream(state, demand))
+    if (answer.m_ran != run_state::no ||
+        fits_some_upstream(pool_of(state, job.m_kind), demand))
     {
         return false;
     }
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/objective.hpp"
+#include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
@@ -33,11 +34,11 @@
            upstream.m_health.m_phase == health_phase::healthy;
 }
 
-bool fits_some_upstream(dispatch_state const & state, resources const & demand)
+bool fits_some_upstream(service_pool const & pool, resources const & demand)
 {
-    return std::any_of(
-        state.m_largest_capacities.begin(), state.m_largest_capacities.end(),
-        [&demand](resources const & capacity) { return fits(demand, capacity); });
+    return std::any_of(pool.m_largest_capacities.begin(), pool.m_largest_capacities.end(),
+                       [&demand](resources const & capacity)
+                       { return fits(demand, capacity); });
 }
 
 offered_capacity compute_offered_capacity(upstream_state const & upstream)
@@ -79,37 +80,85 @@
     state.m_free_upstream_indexes.push_back(id);
 }
 
-void update_offered_capacity(dispatch_state & state, std::uint32_t id)
+/// Sets what upstream \p id contributes to its pool: \p free to new attempts and \p total
+/// to its capacity.
+void set_contribution(dispatch_state & state, std::uint32_t id, offered_capacity free,
+                      offered_capacity total)
 {
     upstream_state & upstream = state.m_upstreams[id];
+    service_pool & pool = state.m_pools[upstream.m_pool];
+    set_leaf(pool.m_total_capacity, id, {total.m_slots > 0 ? 1U : 0U, total.m_free});
+    pool.m_offered_slots -=
+        pool.m_free_capacity.m_nodes[pool.m_free_capacity.m_leaves + id].m_slots;
+    pool.m_offered_slots += free.m_slots;
+    pool.m_fitting_tasks -= upstream.m_fitting;
+    upstream.m_fitting = count_fitting(pool, free.m_free, free.m_slots);
+    pool.m_fitting_tasks += upstream.m_fitting;
+    pool.m_total_task_capacity -= upstream.m_task_capacity;
+    upstream.m_task_capacity = count_fitting(pool, total.m_free, total.m_slots);
+    pool.m_total_task_capacity += upstream.m_task_capacity;
+    set_leaf(pool.m_free_capacity, id, free);
+}
+
+void update_offered_capacity(dispatch_state & state, std::uint32_t id)
+{
+    upstream_state const & upstream = state.m_upstreams[id];
+    service_pool & pool = state.m_pools[upstream.m_pool];
     bool const reserved =
-        state.m_reservation.m_job != 0 && state.m_reservation.m_upstream == id;
-    offered_capacity const capacity =
-        reserved ? offered_capacity{} : compute_offered_capacity(upstream);
-    set_leaf(state.m_total_capacity, id,
-             is_usable(upstream) ? offered_capacity{1, upstream.m_definition.m_capacity}
-                                 : offered_capacity{});
-    state.m_offered_slots -=
-        state.m_free_capacity.m_nodes[state.m_free_capacity.m_leaves + id].m_slots;
-    state.m_offered_slots += capacity.m_slots;
-    state.m_fitting_tasks -= upstream.m_fitting;
-    upstream.m_fitting = count_fitting(state, capacity.m_free, capacity.m_slots);
-    state.m_fitting_tasks += upstream.m_fitting;
-    state.m_total_task_capacity -= upstream.m_task_capacity;
-    upstream.m_task_capacity =
-        is_usable(upstream) ? count_fitting(state, upstream.m_definition.m_capacity,
-                                            upstream.m_definition.m_slots)
-                            : 0;
-    state.m_total_task_capacity += upstream.m_task_capacity;
-    set_leaf(state.m_free_capacity, id, capacity);
+        pool.m_reservation.m_job != 0 && pool.m_reservation.m_upstream == id;
+    set_contribution(
+        state, id, reserved ? offered_capacity{} : compute_offered_capacity(upstream),
+        is_usable(upstream) ? offered_capacity{upstream.m_definition.m_slots,
+                                               upstream.m_definition.m_capacity}
+                            : offered_capacity{});
     if (accepts_probe(upstream))
     {
-        state.m_probe_targets.insert(id);
+        pool.m_probe_targets.insert(id);
     }
     else
     {
-        state.m_probe_targets.erase(id);
+        pool.m_probe_targets.erase(id);
+    }
+}
+
+/// Adds upstream \p id, which contributes to no pool, to the pool of its service.
+void join_pool(dispatch_state & state, std::uint32_t id)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    upstream.m_pool = pool_index(state, upstream.m_definition.m_service);
+    service_pool & pool = state.m_pools[upstream.m_pool];
+    grow_index(pool.m_free_capacity, state.m_upstreams.size());
+    grow_index(pool.m_total_capacity, state.m_upstreams.size());
+}
+
+void leave_pool(dispatch_state & state, std::uint32_t id)
+{
+    service_pool & pool = state.m_pools[state.m_upstreams[id].m_pool];
+    if (pool.m_reservation.m_job != 0 && pool.m_reservation.m_upstream == id)
+    {
+        pool.m_reservation = {};
+    }
+    set_contribution(state, id, {}, {});
+    pool.m_probe_targets.erase(id);
+}
+
+/// Replaces the definition of an upstream, which may name another service: its running
+/// attempts continue, new ones are those of the new service.
+void set_definition(dispatch_state & state, std::uint32_t id,
+                    config::upstream const & definition)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    bool const moves = upstream.m_definition.m_service != definition.m_service;
+    if (moves)
+    {
+        leave_pool(state, id);
     }
+    upstream.m_definition = definition;
+    if (moves)
+    {
+        join_pool(state, id);
+    }
+    update_offered_capacity(state, id);
 }
 
 void occupy_slot(dispatch_state & state, std::uint32_t id,
@@ -160,11 +209,10 @@
     else
     {
         state.m_upstreams.emplace_back();
-        grow_index(state.m_free_capacity, state.m_upstreams.size());
-        grow_index(state.m_total_capacity, state.m_upstreams.size());
     }
     state.m_upstreams[id] = {};
     state.m_upstreams[id].m_definition = definition;
+    join_pool(state, id);
     state.m_upstream_index.emplace(definition.m_name, id);
     return id;
 }
@@ -190,26 +238,38 @@
 
 void recount_owned(dispatch_state & state)
 {
-    state.m_owned_slots = 0;
-    state.m_owned_count = 0;
-    state.m_ejected_count = 0;
-    std::uint64_t shares = 0;
+    for (service_pool & pool : state.m_pools)
+    {
+        pool.m_owned_slots = 0;
+        pool.m_owned_count = 0;
+        pool.m_ejected_count = 0;
+    }
     for (upstream_state const & upstream : state.m_upstreams)
     {
-        bool const ejected = upstream.m_health.m_phase != health_phase::healthy;
-        state.m_owned_slots += upstream.m_owned ? upstream.m_definition.m_slots : 0;
-        state.m_owned_count += upstream.m_owned ? 1 : 0;
-        state.m_ejected_count += upstream.m_owned && ejected ? 1 : 0;
+        if (upstream.m_owned)
+        {
+            service_pool & pool = state.m_pools[upstream.m_pool];
+            bool const ejected = upstream.m_health.m_phase != health_phase::healthy;
+            pool.m_owned_slots += upstream.m_definition.m_slots;
+            ++pool.m_owned_count;
+            pool.m_ejected_count += ejected ? 1 : 0;
+        }
     }
+    std::vector<std::uint64_t> shares(state.m_pools.size());
     for (config::work_kind const & kind : state.m_configuration->m_kinds)
     {
-        shares += kind.m_share;
+        shares[state.m_pool_index.find(kind.m_service)->second] += kind.m_share;
     }
     double const window =
         std::chrono::duration<double>(state.m_configuration->m_dispatch.m_share_window)
             .count();
-    state.m_queue.m_max_lag = window * static_cast<double>(state.m_owned_slots) /
-                              static_cast<double>(std::max<std::uint64_t>(shares, 1));
+    for (std::size_t id = 0; id < state.m_pools.size(); ++id)
+    {
+        service_pool & pool = state.m_pools[id];
+        pool.m_queue.m_max_lag =
+            window * static_cast<double>(pool.m_owned_slots) /
+            static_cast<double>(std::max<std::uint64_t>(shares[id], 1));
+    }
 }
 
 bool is_covered_by_any(std::vector<resources> const & largest, resources const & capacity)
@@ -220,15 +280,15 @@
 }
 
 /// Keeps the elements of \p before that no capacity covers any more.
-void remember_capacities(dispatch_state & state, std::vector<resources> const & before,
+void remember_capacities(service_pool & pool, std::vector<resources> const & before,
                          time_point now)
 {
-    std::vector<former_capacity> & former = state.m_former_capacities;
+    std::vector<former_capacity> & former = pool.m_former_capacities;
     std::erase_if(former, [now](former_capacity const & item)
                   { return item.m_forgotten_at <= now; });
     for (resources const & capacity : before)
     {
-        if (!is_covered_by_any(state.m_largest_capacities, capacity))
+        if (!is_covered_by_any(pool.m_largest_capacities, capacity))
         {
             std::erase_if(former, [&capacity](former_capacity const & item)
                           { return fits(item.m_capacity, capacity); });
@@ -237,14 +297,24 @@
     }
 }
 
-/// Stores the capacities that no other capacity covers in every dimension. Fleets have
-/// few machine types, so the list is short.
+/// Stores for each service the capacities that no other capacity covers in every
+/// dimension. Fleets have few machine types, so the list is short.
 void update_largest_capacities(dispatch_state & state, time_point now)
 {
-    std::vector<resources> & largest = state.m_largest_capacities;
-    std::vector<resources> const before = std::exchange(largest, {});
+    std::vector<std::vector<resources>> before;
+    for (service_pool & pool : state.m_pools)
+    {
+        before.push_back(std::exchange(pool.m_largest_capacities, {}));
+    }
     for (config::upstream const & upstream : state.m_configuration->m_upstreams)
     {
+        auto const pool = state.m_pool_index.find(upstream.m_service);
+        if (pool == state.m_pool_index.end())
+        {
+            continue; // no kind runs there
+        }
+        std::vector<resources> & largest =
+            state.m_pools[pool->second].m_largest_capacities;
         if (is_covered_by_any(largest, upstream.m_capacity))
         {
             continue;
@@ -253,7 +323,10 @@
                       { return fits(other, upstream.m_capacity); });
         largest.push_back(upstream.m_capacity);
     }
-    remember_capacities(state, before, now);
+    for (std::size_t id = 0; id < before.size(); ++id)
+    {
+        remember_capacities(state.m_pools[id], before[id], now);
+    }
 }
 
 void update_definitions(dispatch_state & state)
@@ -263,8 +336,7 @@
         auto const found = state.m_upstream_index.find(definition.m_name);
         if (found != state.m_upstream_index.end())
         {
-            state.m_upstreams[found->second].m_definition = definition;
-            update_offered_capacity(state, found->second);
+            set_definition(state, found->second, definition);
         }
     }
 }
@@ -280,8 +352,19 @@
         {
             state.m_kinds.emplace_back();
         }
-        state.m_kinds[entry->second].m_definition = definition;
-        set_kind(state.m_queue, entry->second, definition.m_share, definition.m_urgency);
+        kind_state & kind = state.m_kinds[entry->second];
+        kind.m_definition = definition;
+        std::uint32_t const pool = pool_index(state, definition.m_service);
+        if (added)
+        {
+            kind.m_pool = pool;
+        }
+        else if (kind.m_pool != pool)
+        {
+            move_kind(state, entry->second, pool);
+        }
+        set_kind(state.m_pools[pool].m_queue, entry->second, definition.m_share,
+                 definition.m_urgency);
     }
 }
 
--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -9,8 +9,9 @@
 /// \returns true when the upstream accepts new attempts other than probes.
 bool is_usable(upstream_state const & upstream) noexcept;
 
-/// \returns true when an idle upstream of the fleet would have room for \p demand.
-bool fits_some_upstream(dispatch_state const & state, resources const & demand);
+/// \returns true when an idle upstream of the service, at any instance, would have room
+/// for \p demand.
+bool fits_some_upstream(service_pool const & pool, resources const & demand);
 
 /// Updates the capacity indexes and the totals derived from upstream \p id. Must be
 /// called after every change of the upstream.
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -177,7 +177,7 @@
     decision::entry_state const & state = context.m_state;
     state_sample sample;
     sample.m_counters = state.m_dispatch.m_counters;
-    sample.m_load = dispatch::current_load(state.m_dispatch);
+    sample.m_load = dispatch::total_load(state.m_dispatch);
     sample.m_open_jobs = state.m_open_jobs.size();
     sample.m_live_members = membership::near_members(state.m_membership).size();
     for (ownership::shard_state const & shard : state.m_ownership.m_shards)
--- a/src/load/experiment_simulation.cpp
+++ b/src/load/experiment_simulation.cpp
@@ -199,7 +199,7 @@
     entry_model const & sender = sim.m_entries[from];
     dispatch::peer_capacity const capacity{sender.m_instance,
                                            domain_name(sender.m_domain),
-                                           dispatch::current_load(sender.m_state)};
+                                           dispatch::current_loads(sender.m_state)};
     schedule(sim, latency_between(sim, from, to),
              [&sim, to, capacity]
              {
@@ -214,10 +214,11 @@
     schedule(sim, latency_between(sim, from, to),
              [&sim, from, to, start = std::move(forward.m_start)]
              {
+                 dispatch::effects effects;
                  dispatch::accept_forwarded(sim.m_entries[to].m_state,
                                             sim.m_entries[from].m_instance, start,
-                                            sim.m_now);
-                 advance_entry(sim, to, {});
+                                            sim.m_now, effects);
+                 advance_entry(sim, to, std::move(effects));
              });
 }
 
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -68,6 +68,7 @@
   deadlineNs @7 :Int64;     # on the receiver's boot clock
   sendBeforeNs @8 :Int64;   # on the receiver's boot clock
   generation @9 :UInt64;
+  service @10 :Text;        # of the kind, at the sender
 }
 
 struct TaskReported {
@@ -81,6 +82,7 @@
   freeSlots @0 :UInt32;
   queuedTasks @1 :UInt32;
   largestFree @2 :Resources;
+  service @3 :Text;         # empty: upstreams that name no service
 }
 
 struct ShardHolding {
@@ -101,6 +103,8 @@
   heldUpstreams @9 :List(Text);
   fleetClockMs @10 :Int64;  # clock of the store at sentAtNs; 0: not known
   selected @11 :Bool;       # the sender has selected the receiver as its partner
+  otherLoads @12 :List(PeerLoad);
+  # `load` is that of the sender's first service, these are those of its other ones.
 }
 
 struct KeyNotice {
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -98,15 +98,14 @@
 
     void forward_task_all_fields_are_preserved()
     {
-        dispatch::attempt_start const start{{1, 2},      key,
-                                            3,           9,
-                                            "levy",      "data",
-                                            {4, 5, 6},   "",
-                                            "",          {"nairobi/7", 8},
-                                            sample_time, sample_time - 1s};
+        dispatch::attempt_start const start{
+            {1, 2},          key,       3,  9,  "levy",           "pool",
+            "data",          {4, 5, 6}, "", "", {"nairobi/7", 8}, sample_time,
+            sample_time - 1s};
         dispatch::attempt_start const decoded = round_trip(forward_task{start}).m_start;
         CPPUNIT_ASSERT(decoded.m_attempt == start.m_attempt && decoded.m_job == key);
         CPPUNIT_ASSERT(decoded.m_task == 3 && decoded.m_kind == "levy");
+        CPPUNIT_ASSERT_EQUAL(std::string("pool"), decoded.m_service);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), decoded.m_generation);
         CPPUNIT_ASSERT(decoded.m_payload == "data" && decoded.m_demand == start.m_demand);
         CPPUNIT_ASSERT(decoded.m_token == start.m_token);
@@ -133,18 +132,19 @@
 
     void heartbeat_all_fields_are_preserved()
     {
-        auto const decoded = round_trip(heartbeat{5,
-                                                  "nairobi",
-                                                  "127.0.0.1:1",
-                                                  sample_time,
-                                                  6,
-                                                  true,
-                                                  true,
-                                                  {{1, 2}, {3, 4}},
-                                                  {7, 8, {}},
-                                                  {"up-1", "up-2"},
-                                                  1234,
-                                                  true});
+        auto const decoded =
+            round_trip(heartbeat{5,
+                                 "nairobi",
+                                 "127.0.0.1:1",
+                                 sample_time,
+                                 6,
+                                 true,
+                                 true,
+                                 {{1, 2}, {3, 4}},
+                                 {{7, 8, {}, "a"}, {9, 0, {1, 2, 3}, "b"}},
+                                 {"up-1", "up-2"},
+                                 1234,
+                                 true});
         CPPUNIT_ASSERT(decoded.m_held_upstreams ==
                        (std::vector<std::string>{"up-1", "up-2"}));
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1234), decoded.m_fleet_clock_ms);
@@ -157,16 +157,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded.m_holdings.size());
         CPPUNIT_ASSERT(decoded.m_holdings[1].m_shard == 3 &&
                        decoded.m_holdings[1].m_epoch == 4);
-        CPPUNIT_ASSERT(decoded.m_load.m_free_slots == 7 &&
-                       decoded.m_load.m_queued_tasks == 8);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), decoded.m_loads.size());
+        CPPUNIT_ASSERT(decoded.m_loads[0].m_free_slots == 7 &&
+                       decoded.m_loads[0].m_queued_tasks == 8 &&
+                       decoded.m_loads[0].m_service == "a");
+        CPPUNIT_ASSERT(decoded.m_loads[1].m_largest_free == resources({1, 2, 3}) &&
+                       decoded.m_loads[1].m_service == "b");
     }
 
     void load_report_all_fields_are_preserved()
     {
-        auto const decoded = round_trip(load_report{{9, 10, {11, 12, 13}}});
+        auto const decoded = round_trip(load_report{{9, 10, {11, 12, 13}, "a"}});
         CPPUNIT_ASSERT(decoded.m_load.m_free_slots == 9 &&
                        decoded.m_load.m_queued_tasks == 10);
-        CPPUNIT_ASSERT(decoded.m_load.m_largest_free == resources({11, 12, 13}));
+        CPPUNIT_ASSERT(decoded.m_load.m_largest_free == resources({11, 12, 13}) &&
+                       decoded.m_load.m_service == "a");
     }
 
     void key_notice_keys_are_preserved()
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -761,7 +761,7 @@
         message.m_domain = "north";
         message.m_peer_address = "peer:1";
         message.m_sent_at = m_now;
-        message.m_load.m_free_slots = 8;
+        message.m_loads = {{8, 0, {}, "pool"}};
         handle(peer_message_received{{"peer"}, std::move(message)});
         dispatch::set_upstream_available(m_state.m_dispatch, held_upstreams().at(0),
                                          false);
--- a/tests/dispatch_capacity_test.cpp
+++ b/tests/dispatch_capacity_test.cpp
@@ -127,7 +127,7 @@
     void load_report_without_any_capacity_tells_no_free_slot()
     {
         set_all_capacities({0, 0, 0});
-        CPPUNIT_ASSERT_EQUAL(0U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(0U, total_load(m_state).m_free_slots);
     }
 
     // Of several upstreams to probe only the first was looked at; without room it kept
@@ -252,8 +252,8 @@
         submit(make_spec_with_demand({4000, 512, 0}));
         step(1s);
         step(1s);
-        CPPUNIT_ASSERT(m_state.m_reservation.m_job != 0);
-        std::uint32_t const reserved = m_state.m_reservation.m_upstream;
+        CPPUNIT_ASSERT(m_state.m_pools.front().m_reservation.m_job != 0);
+        std::uint32_t const reserved = m_state.m_pools.front().m_reservation.m_upstream;
         std::string const name = m_state.m_upstreams[reserved].m_definition.m_name;
         set_capacity(name == "up-0" ? 0 : 1, {3000, 4096, 0});
         for (attempt_start const & start : starts)
@@ -265,7 +265,7 @@
         }
         submit("bulk", 1);
         CPPUNIT_ASSERT_EQUAL(name, take_one_start().m_upstream);
-        CPPUNIT_ASSERT(m_state.m_reservation.m_upstream != reserved);
+        CPPUNIT_ASSERT(m_state.m_pools.front().m_reservation.m_upstream != reserved);
     }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(large_job_test);
--- a/tests/dispatch_crash_test.cpp
+++ b/tests/dispatch_crash_test.cpp
@@ -75,7 +75,7 @@
         start.m_kind = "check";
         start.m_demand = {1000, 512, 0};
         start.m_deadline = start.m_send_before = m_now + 10s;
-        accept_forwarded(m_state, {"peer"}, std::move(start), m_now);
+        accept_forwarded(m_state, {"peer"}, std::move(start), m_now, m_out);
         step();
     }
 };
@@ -413,7 +413,7 @@
     void loss_under_task_at_peer_is_not_recorded_twice()
     {
         fill_upstreams();
-        set_peer(m_state, {{"peer"}, "north", {4, 0, {}}, true});
+        set_peer(m_state, {{"peer"}, "north", {{4, 0, {}}}, true});
         submit("check", 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
         lose(m_out.m_forwards.front().m_start);
--- a/tests/dispatch_ejection_test.cpp
+++ b/tests/dispatch_ejection_test.cpp
@@ -52,7 +52,7 @@
     {
         run_tasks(30, {"up-0"});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_state.m_counters.m_ejections);
-        CPPUNIT_ASSERT_EQUAL(4U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(4U, total_load(m_state).m_free_slots);
         CPPUNIT_ASSERT(run_tasks(60, {"up-0"}) <= 2); // about 20 s: one or two probes
     }
 
@@ -61,7 +61,7 @@
         run_tasks(30, {"up-0"});
         step(10s);
         run_tasks(10, {});
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
     }
 
     // The platform's kinds are restartable but not repeatable. When only repeatable tasks
@@ -75,10 +75,10 @@
         }
         apply();
         run_tasks(30, {"up-0"});
-        CPPUNIT_ASSERT_EQUAL(4U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(4U, total_load(m_state).m_free_slots);
         step(10s);
         run_tasks(10, {});
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
     }
 
     void task_of_non_repeatable_kind_probes_no_upstream()
@@ -133,7 +133,8 @@
         spec.m_time_limit = 1s;
         submit(spec);
         step(6s);
-        CPPUNIT_ASSERT_EQUAL(1U, m_state.m_all_results.m_halves[0].m_failed);
+        CPPUNIT_ASSERT_EQUAL(1U,
+                             m_state.m_pools.front().m_all_results.m_halves[0].m_failed);
     }
 
     void breaker_opens_after_consecutive_failures()
@@ -143,10 +144,10 @@
         apply();
         run_tasks(40, {"up-0"});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_state.m_counters.m_ejections);
-        CPPUNIT_ASSERT_EQUAL(4U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(4U, total_load(m_state).m_free_slots);
         step(30s);
         run_tasks(2, {});
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
     }
 
     void fast_failure_withholds_the_slot()
@@ -154,9 +155,9 @@
         submit("lodge", 1);
         m_now += 1ms;
         finish(take_one_start().m_attempt, attempt_outcome::failed);
-        CPPUNIT_ASSERT_EQUAL(5U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(5U, total_load(m_state).m_free_slots);
         step(300ms);
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
     }
 
     void leaving_upstream_gets_no_new_attempt()
--- a/tests/dispatch_objective_test.cpp
+++ b/tests/dispatch_objective_test.cpp
@@ -47,7 +47,7 @@
 
     void add_busy_peer(bool accepts_tasks = true)
     {
-        set_peer(m_state, {{"peer"}, "north", {}, accepts_tasks});
+        set_peer(m_state, {{"peer"}, "north", {{}}, accepts_tasks});
     }
 
 public:
@@ -160,7 +160,7 @@
     void forwarded_task_succeeded_adds_no_run_time_observation()
     {
         occupy_all_slots();
-        set_peer(m_state, {{"peer"}, "north", {1, 0}, true});
+        set_peer(m_state, {{"peer"}, "north", {{1, 0}}, true});
         submit("check", 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
         attempt_id const forwarded = m_out.m_forwards[0].m_start.m_attempt;
@@ -189,7 +189,7 @@
         submit(spec);
         // Two upstreams have capacity for one more such task each; the third one runs the
         // submitted task and has 7 cores left.
-        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), total_load(m_state).m_free_slots);
     }
 };
 
--- a/tests/dispatch_policy_test.cpp
+++ b/tests/dispatch_policy_test.cpp
@@ -212,7 +212,7 @@
 
     void add_peer(char const * name, char const * domain, std::uint32_t free_slots)
     {
-        set_peer(m_state, {{name}, domain, {free_slots, 0}});
+        set_peer(m_state, {{name}, domain, {{free_slots, 0}}});
     }
 
     attempt_start make_forwarded(std::uint64_t serial) const
@@ -259,7 +259,7 @@
         add_peer("near", "north", 3);
         submit("check", 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_out.m_forwards.size());
-        CPPUNIT_ASSERT_EQUAL(11U, current_load(m_state).m_queued_tasks);
+        CPPUNIT_ASSERT_EQUAL(11U, total_load(m_state).m_queued_tasks);
     }
 
     void forwards_of_two_kinds_follow_their_shares()
@@ -305,7 +305,7 @@
 
     void accepted_task_succeeded_returns_result_to_sender()
     {
-        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
         step();
         CPPUNIT_ASSERT_EQUAL(std::string("address-of-"),
                              take_one_start().m_upstream_address.substr(0, 11));
@@ -317,8 +317,8 @@
     {
         for (int repeat = 0; repeat < 3; ++repeat)
         {
-            accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
-            accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+            accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
+            accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
             step();
             if (repeat == 1)
             {
@@ -331,7 +331,7 @@
     void accepted_task_past_send_time_is_not_run()
     {
         submit("check", 20);
-        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
         step(1s);
         CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
     }
@@ -339,7 +339,7 @@
     void accepted_task_without_configuration_is_not_run_when_cancelled()
     {
         m_state = {};
-        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
         step();
         cancel_forwarded(m_state, {77, 1}, m_now, m_out);
         CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
@@ -348,7 +348,7 @@
     void accepted_task_cancelled_while_waiting_is_not_run()
     {
         submit("check", 20);
-        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
         cancel_forwarded(m_state, {77, 1}, m_now, m_out);
         assert_invariants();
         CPPUNIT_ASSERT(take_forward_result().m_outcome == attempt_outcome::not_run);
@@ -358,12 +358,12 @@
     // before its load was known.
     void accepted_task_of_unknown_peer_ends_when_that_peer_is_removed()
     {
-        accept_forwarded(m_state, {"unknown"}, make_forwarded(1), m_now);
+        accept_forwarded(m_state, {"unknown"}, make_forwarded(1), m_now, m_out);
         step();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), take_starts().size());
         submit("check", 20);
         take_starts();
-        accept_forwarded(m_state, {"unknown"}, make_forwarded(2), m_now);
+        accept_forwarded(m_state, {"unknown"}, make_forwarded(2), m_now, m_out);
         step();
         remove_peer(m_state, {"unknown"}, m_now, m_random, m_out);
         assert_invariants();
@@ -374,7 +374,7 @@
     // Guards against a run that continues on its upstream after its attempt was given up.
     void accepted_run_beyond_its_time_limit_is_cancelled_at_its_upstream()
     {
-        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now);
+        accept_forwarded(m_state, {"other"}, make_forwarded(1), m_now, m_out);
         step();
         time_point const timeout = m_state.m_attempts.at({77, 1}).m_timeout;
         step(timeout - m_now);
--- a/tests/dispatch_random_test.cpp
+++ b/tests/dispatch_random_test.cpp
@@ -97,9 +97,10 @@
         }
         else
         {
-            set_peer(m_state, {peer,
-                               peer.m_value == "near" ? "north" : "south",
-                               {static_cast<std::uint32_t>(*rc::gen::inRange(0, 4)), 0}});
+            set_peer(m_state,
+                     {peer,
+                      peer.m_value == "near" ? "north" : "south",
+                      {{static_cast<std::uint32_t>(*rc::gen::inRange(0, 4)), 0}}});
         }
         step();
     }
@@ -113,7 +114,7 @@
         start.m_deadline = m_now + 2s;
         start.m_send_before =
             m_now + std::chrono::milliseconds(*rc::gen::inRange(0, 500));
-        accept_forwarded(m_state, {"far"}, start, m_now);
+        accept_forwarded(m_state, {"far"}, start, m_now, m_out);
         step();
     }
 
--- /dev/null
+++ b/tests/dispatch_service_test.cpp
@@ -0,0 +1,188 @@
+#include "dispatch_fixture.hpp"
+
+namespace cassiahub::dispatch
+{
+
+namespace
+{
+
+// Guards against decisions for one service that the upstreams, the load or the failures
+// of another one affect. The kind "lodge" and "up-2" belong to the service "archive", the
+// rest to "pool".
+class dispatch_service_test : public dispatch_fixture
+{
+    CPPUNIT_TEST_SUITE(dispatch_service_test);
+    CPPUNIT_TEST(upstream_that_changes_its_service_gets_tasks_of_the_new_one);
+    CPPUNIT_TEST(kind_that_changes_its_service_keeps_running_tasks_in_place);
+    CPPUNIT_TEST(load_of_two_services_is_reported_apart);
+    CPPUNIT_TEST(probe_of_ejected_upstream_is_a_task_of_its_service);
+    CPPUNIT_TEST(failures_of_one_service_do_not_excuse_upstream_of_another);
+    CPPUNIT_TEST(reservation_in_one_service_leaves_another_free);
+    CPPUNIT_TEST(expected_wait_counts_own_service_only);
+    CPPUNIT_TEST_SUITE_END();
+
+    void assign_services()
+    {
+        for (config::work_kind & kind : m_configuration.m_kinds)
+        {
+            kind.m_service = kind.m_name == "lodge" ? "archive" : "pool";
+        }
+        for (config::upstream & upstream : m_configuration.m_upstreams)
+        {
+            upstream.m_service = upstream.m_name == "up-2" ? "archive" : "pool";
+        }
+    }
+
+    config::upstream & definition_of(std::string_view name)
+    {
+        return *std::find_if(m_configuration.m_upstreams.begin(),
+                             m_configuration.m_upstreams.end(),
+                             [name](config::upstream const & upstream)
+                             { return upstream.m_name == name; });
+    }
+
+    service_pool const & pool(std::string_view service) const
+    {
+        return m_state.m_pools[m_state.m_pool_index.find(service)->second];
+    }
+
+public:
+    void setUp() override
+    {
+        m_configuration = make_configuration();
+        assign_services();
+        apply();
+    }
+
+    void upstream_that_changes_its_service_gets_tasks_of_the_new_one()
+    {
+        submit("lodge", 2);
+        take_starts();
+        submit("lodge", 1);
+        CPPUNIT_ASSERT(take_starts().empty());
+        definition_of("up-0").m_service = "archive";
+        apply();
+        step();
+        CPPUNIT_ASSERT_EQUAL(std::string("up-0"), take_one_start().m_upstream);
+        submit("check", 3);
+        for (attempt_start const & start : take_starts())
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("up-1"), start.m_upstream);
+        }
+    }
+
+    void kind_that_changes_its_service_keeps_running_tasks_in_place()
+    {
+        submit("lodge", 3);
+        auto const running = take_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), running.size());
+        m_configuration.m_kinds.back().m_service = "pool";
+        apply();
+        step();
+        CPPUNIT_ASSERT(m_out.m_cancels.empty());
+        CPPUNIT_ASSERT(take_one_start().m_upstream != "up-2");
+        finish(running[0].m_attempt, attempt_outcome::succeeded);
+        finish(running[1].m_attempt, attempt_outcome::succeeded);
+        CPPUNIT_ASSERT_EQUAL(2U, pool("archive").m_offered_slots);
+        CPPUNIT_ASSERT_EQUAL(3U, pool("pool").m_offered_slots);
+    }
+
+    void load_of_two_services_is_reported_apart()
+    {
+        submit("lodge", 3);
+        auto const loads = current_loads(m_state);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), loads.size());
+        for (peer_load const & load : loads)
+        {
+            bool const archive = load.m_service == "archive";
+            CPPUNIT_ASSERT_EQUAL(archive ? 0U : 4U, load.m_free_slots);
+            CPPUNIT_ASSERT_EQUAL(archive ? 1U : 0U, load.m_queued_tasks);
+        }
+    }
+
+    void probe_of_ejected_upstream_is_a_task_of_its_service()
+    {
+        m_configuration.m_kinds.back().m_repeatable = true;
+        definition_of("up-0").m_service = "archive";
+        m_configuration.m_dispatch.m_ejection_cap_percent = 90;
+        m_configuration.m_dispatch.m_max_attempts = 10;
+        apply();
+        while (m_state.m_counters.m_ejections == 0)
+        {
+            submit("lodge", 1);
+            for (attempt_start const & start : take_starts())
+            {
+                finish(start.m_attempt, start.m_upstream == "up-0"
+                                            ? attempt_outcome::failed
+                                            : attempt_outcome::succeeded);
+            }
+            m_now += 10ms;
+        }
+        step(m_configuration.m_dispatch.m_ejection_cooling * 10);
+        take_starts();
+        submit("check", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("up-1"), take_one_start().m_upstream);
+        submit("lodge", 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("up-0"), take_one_start().m_upstream);
+    }
+
+    void failures_of_one_service_do_not_excuse_upstream_of_another()
+    {
+        m_configuration.m_dispatch.m_ejection_cap_percent = 90;
+        apply();
+        for (int round = 0; round < 40; ++round)
+        {
+            submit("lodge", 1);
+            for (attempt_start const & start : take_starts())
+            {
+                finish(start.m_attempt, attempt_outcome::failed);
+            }
+            submit("check", 4);
+            for (attempt_start const & start : take_starts())
+            {
+                finish(start.m_attempt, start.m_upstream == "up-0"
+                                            ? attempt_outcome::failed
+                                            : attempt_outcome::succeeded);
+            }
+            m_now += 10ms;
+        }
+        CPPUNIT_ASSERT_EQUAL(1U, pool("pool").m_ejected_count);
+    }
+
+    void reservation_in_one_service_leaves_another_free()
+    {
+        submit("check", 3);
+        take_starts();
+        job_spec large = make_spec("check", 1);
+        large.m_tasks[0].m_demand = {16'000, 512, 0};
+        submit(std::move(large));
+        step(m_configuration.m_dispatch.m_reservation_delay * 2);
+        step(m_configuration.m_dispatch.m_reservation_delay * 2);
+        CPPUNIT_ASSERT(pool("pool").m_reservation.m_job != 0);
+        CPPUNIT_ASSERT_EQUAL(2U, pool("archive").m_offered_slots);
+    }
+
+    void expected_wait_counts_own_service_only()
+    {
+        for (int round = 0; round < 30; ++round)
+        {
+            submit("check", 1);
+            m_now += 100ms;
+            finish(take_one_start().m_attempt, attempt_outcome::succeeded);
+        }
+        submit("bulk", 50);
+        job_spec spec = make_spec("lodge", 1);
+        spec.m_key.m_key = "next";
+        spec.m_time_limit = 200ms;
+        CPPUNIT_ASSERT(!check_admission(m_state, spec, m_now));
+        submit("lodge", 2);
+        take_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool("archive").m_queued_tasks);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_service_test);
+
+} // namespace
+
+} // namespace cassiahub::dispatch
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -118,9 +118,9 @@
         CPPUNIT_ASSERT(answer.m_error == job_errc::deadline_exceeded);
         CPPUNIT_ASSERT(answer.m_ran == run_state::unknown);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_cancels.size());
-        CPPUNIT_ASSERT_EQUAL(5U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(5U, total_load(m_state).m_free_slots);
         finish(start.m_attempt, attempt_outcome::failed);
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_state.m_counters.m_late_results);
     }
 
@@ -128,9 +128,9 @@
     {
         submit("check", 1);
         step(15s - 1ms);
-        CPPUNIT_ASSERT_EQUAL(5U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(5U, total_load(m_state).m_free_slots);
         step(1ms);
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
     }
 
     void result_repeated_is_dropped_and_counted()
@@ -233,13 +233,13 @@
         cancel_job(m_state, key, m_now, m_out);
         step();
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), m_out.m_cancels.size());
-        CPPUNIT_ASSERT_EQUAL(0U, current_load(m_state).m_queued_tasks);
-        CPPUNIT_ASSERT_EQUAL(0U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(0U, total_load(m_state).m_queued_tasks);
+        CPPUNIT_ASSERT_EQUAL(0U, total_load(m_state).m_free_slots);
         for (attempt_start const & start : starts)
         {
             finish(start.m_attempt, attempt_outcome::not_run);
         }
-        CPPUNIT_ASSERT_EQUAL(6U, current_load(m_state).m_free_slots);
+        CPPUNIT_ASSERT_EQUAL(6U, total_load(m_state).m_free_slots);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), wasted_messages(m_state.m_counters));
     }
 
