Test fixture: a request without a response has no status

The fixture of the gateway tests took the status of an empty response when no connection was made, and that is 200 by default. Each wait for readiness or for the first job passed at once.

--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -473,7 +473,8 @@
         return send(m_ready_address, {"GET", "/cassiahub/ready", {}, {}, {}}) == 200;
     }
 
-    /// Submits a job of one task and waits for its end. \returns the status.
+    /// Submits a job of one task and waits for its end. \returns the status, or 0 without
+    /// a response.
     int run_job(std::string const & id) const
     {
         return send(m_caller_address,
@@ -519,6 +520,7 @@
         return fmt::format("127.0.0.1:{}", find_free_port());
     }
 
+    /// \returns the status of the response, or 0 without a response.
     static int send(std::string const & address, http::request sent)
     {
         asio::io_context loop(1);
@@ -526,9 +528,9 @@
         int status = 0;
         http::send_request(
             *client, address, std::move(sent), 10s,
-            [&loop, &status](std::error_code, http::response const & received)
+            [&loop, &status](std::error_code error, http::response const & received)
             {
-                status = received.m_status;
+                status = error ? 0 : received.m_status;
                 loop.stop();
             });
         loop.run();
