Refuse malformed ids, paths, hosts, request ids and specs with 400

The id of a job was taken from its path without a check. One byte that is not UTF-8 reached the encoder of the calls to upstreams, which threw: the duty ended with all calls in flight, and several such jobs ended the process.

The adapter now checks the id (16 hexadecimal digits), the path, the host and the request id (UTF-8 without control characters, with the check that the documents of the configuration use, now in core) and the spec (at most 4,000 bytes, no zero byte). The decision refuses a key that is not exactly one segment of the path, because only the route shows where it begins; peers end the session on such a key. The id's format is the platform's, so the other front end keeps its own keys.

--- a/fuzz/platform_wire_fuzz.cpp
+++ b/fuzz/platform_wire_fuzz.cpp
@@ -55,7 +55,8 @@
         }
         break;
     default:
-        wire.m_decode_request({"POST", "/queue/1", "", {{"Host", "h"}}, text}, request);
+        wire.m_decode_request(
+            {"POST", "/queue/5c0e7a21d94b36f8", "", {{"Host", "h"}}, text}, request);
         break;
     }
     return 0;
--- a/include/cassiahub/core.hpp
+++ b/include/cassiahub/core.hpp
@@ -9,6 +9,7 @@
 #include <cassiahub/core/job.hpp>
 #include <cassiahub/core/random.hpp>
 #include <cassiahub/core/resources.hpp>
+#include <cassiahub/core/text.hpp>
 #include <cassiahub/core/time.hpp>
 
 #endif
--- a/include/cassiahub/decision/event.hpp
+++ b/include/cassiahub/decision/event.hpp
@@ -25,8 +25,8 @@
 };
 
 /// A caller's request whose kind is determined by a route of the configuration. The rest
-/// of the path after the route's prefix is the key of the job. The operation count has no
-/// key and asks for the number of waiting jobs.
+/// of the path after the route's prefix is the key of the job, one segment. The operation
+/// count has no key and asks for the number of waiting jobs.
 struct routed_request
 {
     caller_id m_caller = 0;
--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -90,7 +90,9 @@
     // Requests from callers and their responses.
 
     /// Decodes \p received into \p request, without determining the route.
-    /// \returns an error when \p received is malformed or cannot be served.
+    /// \returns an error when \p received is malformed or cannot be served. Without an
+    /// error all texts of \p request are UTF-8, and the last segment of its path is an
+    /// id unless the operation is count.
     std::error_code (*m_decode_request)(http::request received,
                                         decision::routed_request & request);
     http::response (*m_encode_answer)(decision::key_operation operation,
--- a/src/config/ini_document.cpp
+++ b/src/config/ini_document.cpp
@@ -1,7 +1,7 @@
 #include <cassiahub/config/ini_document.hpp>
+#include <cassiahub/core/text.hpp>
 
 #include <ini.h>
-#include <openssl/asn1.h>
 
 #include <algorithm>
 #include <set>
@@ -37,25 +37,6 @@
         ini_section{std::string(name), state.m_line, {}});
 }
 
-/// \returns true when \p line is UTF-8 without control characters except tab and carriage
-/// return. JSON cannot carry other bytes, and inih would end the line at a zero byte.
-bool is_printable_utf8(std::string_view line) noexcept
-{
-    while (!line.empty())
-    {
-        auto const * const bytes = reinterpret_cast<unsigned char const *>(line.data());
-        unsigned long character = 0;
-        int const length = UTF8_getc(bytes, static_cast<int>(line.size()), &character);
-        bool const is_control = character < 0x20 || character == 0x7f;
-        if (length <= 0 || (is_control && character != '\t' && character != '\r'))
-        {
-            return false;
-        }
-        line.remove_prefix(static_cast<std::size_t>(length));
-    }
-    return true;
-}
-
 /// Adds a section when \p line is a section header.
 void parse_section_header(ini_parse_state & state, std::string_view line)
 {
@@ -92,6 +73,7 @@
                                   "lines of at most 199 bytes"});
     }
     std::string_view const line = state.m_rest.substr(0, std::min(copied, newline));
+    // inih would end the line at a zero byte.
     if (!is_printable_utf8(line))
     {
         state.m_faults.push_back({config_errc::syntax_error, "", "", state.m_line,
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -261,9 +261,18 @@
         refuse(context, caller, job_errc::unknown_kind);
         return;
     }
+    std::string key_text = request.m_path.substr(route->m_prefix.size());
+    // Peers end the session on a key that does not satisfy codec::is_valid_key().
+    if (request.m_operation != key_operation::count &&
+        (key_text.empty() || key_text.find('/') != std::string::npos))
+    {
+        log_refusal(context, request.m_path, request.m_request_id,
+                    job_errc::malformed_request);
+        refuse(context, caller, job_errc::malformed_request);
+        return;
+    }
     job_spec & spec = request.m_spec;
-    spec.m_key = {route->m_tenant, state.m_identity.m_domain,
-                  request.m_path.substr(route->m_prefix.size())};
+    spec.m_key = {route->m_tenant, state.m_identity.m_domain, std::move(key_text)};
     spec.m_kind = route->m_kind;
     if (request.m_operation == key_operation::count)
     {
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -304,6 +304,7 @@
     CPPUNIT_TEST_SUITE(leasing_job_test);
     CPPUNIT_TEST(request_without_configuration_is_refused_as_not_run);
     CPPUNIT_TEST(request_without_route_is_refused_as_unknown_kind);
+    CPPUNIT_TEST(request_without_key_of_one_segment_is_refused_as_malformed);
     CPPUNIT_TEST(request_without_upstreams_is_refused_as_not_run);
     CPPUNIT_TEST(job_completes_when_its_run_has_succeeded);
     CPPUNIT_TEST(job_with_failed_run_is_started_again_with_higher_generation);
@@ -326,6 +327,21 @@
         CPPUNIT_ASSERT(answer_to(submit("/other/1"))->m_error == job_errc::unknown_kind);
     }
 
+    // Guards against a key with which a forwarded task makes the peer end the session.
+    void request_without_key_of_one_segment_is_refused_as_malformed()
+    {
+        start_without_peers();
+        for (char const * const path : {"/q/", "/q/a/5c0e7a21d94b36f8"})
+        {
+            caller_id const caller = submit(path);
+            std::optional<job_answer> const answer = answer_to(caller);
+            CPPUNIT_ASSERT_MESSAGE(path, answer);
+            CPPUNIT_ASSERT(answer->m_error == job_errc::malformed_request &&
+                           answer->m_ran == run_state::no);
+            CPPUNIT_ASSERT(take_calls<lease::start_call>().empty());
+        }
+    }
+
     void request_without_upstreams_is_refused_as_not_run()
     {
         handle(fleet_clock_read{store_clock_ms});
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck.h>
 
 #include <string>
+#include <vector>
 
 using namespace cassiahub;
 using namespace std::chrono_literals;
@@ -52,6 +53,9 @@
     CPPUNIT_TEST(submission_malformed_is_refused);
     CPPUNIT_TEST(submission_of_231_tasks_is_refused);
     CPPUNIT_TEST(submission_random_bytes_never_throws);
+    CPPUNIT_TEST(submission_with_malformed_spec_is_refused);
+    CPPUNIT_TEST(request_with_malformed_id_is_refused);
+    CPPUNIT_TEST(request_with_text_not_utf8_is_refused);
     CPPUNIT_TEST(request_of_each_method_decodes_to_its_operation);
     CPPUNIT_TEST(answer_of_completed_job_has_state_completed);
     CPPUNIT_TEST(answer_of_failed_job_has_state_failed);
@@ -136,17 +140,75 @@
         CPPUNIT_ASSERT(property_holds);
     }
 
+    // Guards against a spec that upstreams do not accept, and against a refusal of the
+    // largest one that they do.
+    void submission_with_malformed_spec_is_refused()
+    {
+        auto const with_spec = [](std::string const & spec)
+        {
+            return R"({"spec":")" + spec +
+                   R"(","best-effort":true,"steps":[{"count":1}]})";
+        };
+        CPPUNIT_ASSERT(!read(with_spec(std::string(4000, 's'))));
+        for (std::string const & spec :
+             {std::string(4001, 's'), std::string(R"(a\u0000b)"), std::string("\xe9")})
+        {
+            CPPUNIT_ASSERT(read(with_spec(spec)) == job_errc::malformed_request);
+        }
+    }
+
+    // Guards against an id whose bytes the encoder of calls to upstreams cannot write:
+    // one such job ended the calls of all others.
+    void request_with_malformed_id_is_refused()
+    {
+        for (char const * const id :
+             {"5c0e7a21d94b36f\xe9", "5c0e7a21d94b36f", "5c0e7a21d94b36f80",
+              "5c0e7a21d94b36g8", "5c0e7a21d94b36f8/x", "%35c0e7a21d94b36f"})
+        {
+            for (char const * const method : {"POST", "GET", "DELETE"})
+            {
+                CPPUNIT_ASSERT_MESSAGE(id, m_wire.m_decode_request(
+                                               call(method, std::string("/q/") + id),
+                                               m_request) == job_errc::malformed_request);
+            }
+        }
+    }
+
+    // Guards against text that reaches logs, calls and peers although JSON cannot carry
+    // it.
+    void request_with_text_not_utf8_is_refused()
+    {
+        using namespace std::string_literals;
+        for (std::string const & bytes :
+             {"\xe9"s, "\0"s, "\xc0\xaf"s, "\xed\xa0\x80"s, "\xf4\x90\x80\x80"s})
+        {
+            std::string const path = "/q/5c0e7a21d94b36f8";
+            http::request const sound = call("GET", path);
+            std::vector<http::request> odd = {sound, sound, sound,
+                                              call("GET", "/" + bytes + "/")};
+            odd[0].m_path.insert(1, bytes + "/");
+            odd[1].m_headers[0].m_value = bytes + ".example";
+            odd[2].m_headers[2].m_value = "r" + bytes;
+            for (http::request const & request : odd)
+            {
+                CPPUNIT_ASSERT(m_wire.m_decode_request(request, m_request) ==
+                               job_errc::malformed_request);
+            }
+        }
+    }
+
     void request_of_each_method_decodes_to_its_operation()
     {
         using decision::key_operation;
         decision::routed_request request;
-        CPPUNIT_ASSERT(!m_wire.m_decode_request(call("GET", "/q/1"), request));
+        std::string const path = "/q/5c0e7a21d94b36f8";
+        CPPUNIT_ASSERT(!m_wire.m_decode_request(call("GET", path), request));
         CPPUNIT_ASSERT(request.m_operation == key_operation::query);
-        CPPUNIT_ASSERT(!m_wire.m_decode_request(call("DELETE", "/q/1"), request));
+        CPPUNIT_ASSERT(!m_wire.m_decode_request(call("DELETE", path), request));
         CPPUNIT_ASSERT(request.m_operation == key_operation::cancel);
         CPPUNIT_ASSERT(!m_wire.m_decode_request(call("GET", "/q/"), request));
         CPPUNIT_ASSERT(request.m_operation == key_operation::count);
-        CPPUNIT_ASSERT(m_wire.m_decode_request(call("PATCH", "/q/1"), request) ==
+        CPPUNIT_ASSERT(m_wire.m_decode_request(call("PATCH", path), request) ==
                        job_errc::malformed_request);
     }
 
