Fail only the one call that cannot be encoded or decoded

An exception of the encoder or the decoder left the event loop of the duty that calls upstreams, so every call in flight was lost without a reply.

The duty now catches what the codec throws for each call. A call that cannot be encoded is reported as unreachable, since nothing was sent, and its run as not run; a reply that cannot be decoded as lost, since the call may have been carried out. Either is logged as upstream_call_failed with a typed error, the upstream and at most 160 bytes of the reason. An invalid address also counts as unreachable now, for the same reason.

--- a/include/cassiahub/gateway/error.hpp
+++ b/include/cassiahub/gateway/error.hpp
@@ -22,8 +22,17 @@
     bad_member = 11      ///< another member is missing or of another type
 };
 
+/// Reasons why a call to an upstream fails at this instance.
+enum class call_errc
+{
+    not_encodable = 1, ///< the call cannot be written; nothing was sent
+    not_decodable = 2  ///< the reply cannot be read; the call may have been carried out
+};
+
 std::error_category const & registration_category() noexcept;
 std::error_code make_error_code(registration_errc value) noexcept;
+std::error_category const & call_category() noexcept;
+std::error_code make_error_code(call_errc value) noexcept;
 
 } // namespace cassiahub::gateway
 
@@ -32,4 +41,9 @@
 {
 };
 
+template <>
+struct std::is_error_code_enum<cassiahub::gateway::call_errc> : std::true_type
+{
+};
+
 #endif
--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -100,7 +100,7 @@
     /// \returns true for a readiness check of the load balancer.
     bool (*m_is_readiness_request)(http::request const & received);
 
-    // Calls to upstreams and their replies.
+    // Calls to upstreams and their replies. An exception fails only the call.
 
     http::request (*m_encode_call)(lease::upstream_call const & call);
     /// \returns the reply without its call number and upstream, which the calling code
--- a/include/cassiahub/lease/call.hpp
+++ b/include/cassiahub/lease/call.hpp
@@ -65,7 +65,8 @@
     unhealthy,         ///< the upstream accepts no work; nothing was done
     other_incarnation, ///< the address belongs to another upstream now
     malformed,         ///< the upstream cannot parse the call
-    unreachable,       ///< no connection was made; nothing was sent
+    unreachable,       ///< no connection was made, or the call cannot be encoded;
+                       ///< nothing was sent
     lost               ///< no reply; the call may still be carried out
 };
 
--- a/src/gateway/error.cpp
+++ b/src/gateway/error.cpp
@@ -39,6 +39,18 @@
     return "unknown_error";
 }
 
+std::string_view name_of(call_errc value) noexcept
+{
+    switch (value)
+    {
+    case call_errc::not_encodable:
+        return "not_encodable";
+    case call_errc::not_decodable:
+        return "not_decodable";
+    }
+    return "unknown_error";
+}
+
 } // namespace internal
 
 std::error_category const & registration_category() noexcept
@@ -53,4 +65,16 @@
     return {static_cast<int>(value), registration_category()};
 }
 
+std::error_category const & call_category() noexcept
+{
+    static named_error_category<call_errc, internal::name_of> const category(
+        "cassiahub.call");
+    return category;
+}
+
+std::error_code make_error_code(call_errc value) noexcept
+{
+    return {static_cast<int>(value), call_category()};
+}
+
 } // namespace cassiahub::gateway
--- a/src/gateway/upstream_calls.cpp
+++ b/src/gateway/upstream_calls.cpp
@@ -1,9 +1,15 @@
 #include "gateway/context.hpp"
 #include "gateway/event_loop.hpp"
 
+#include <cassiahub/gateway/error.hpp>
 #include <cassiahub/http/async_client.hpp>
 #include <cassiahub/http/error.hpp>
 
+#include <fmt/format.h>
+
+#include <exception>
+#include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +28,9 @@
 /// Connect timeout of upstreams; one round trip takes a few milliseconds.
 constexpr duration connect_timeout = std::chrono::milliseconds(300);
 
+/// Longest reason of a failed encoder or decoder in a log line, bytes.
+constexpr std::size_t max_logged_reason = 160;
+
 struct call_clients
 {
     http::async_client m_renewals;
@@ -36,36 +45,96 @@
     return http::make_async_client(loop, options);
 }
 
-lease::upstream_reply make_reply(gateway_context const & context, std::error_code error,
-                                 http::response const & received)
+/// Logs that the call \p number to \p upstream failed for what the codec has thrown.
+void log_failed_call(gateway_context & context, std::string const & upstream,
+                     lease::call_number number, call_errc error,
+                     std::exception const & thrown)
 {
-    if (!error)
+    std::string_view const reason = thrown.what();
+    record(context.m_daemon,
+           decision::log_event{"upstream_call_failed", upstream, error,
+                               fmt::format("call={} reason={}", number,
+                                           reason.substr(0, max_logged_reason))});
+}
+
+lease::call_outcome outcome_of(std::error_code error) noexcept
+{
+    return http::may_have_arrived(error) ? lease::call_outcome::lost
+                                         : lease::call_outcome::unreachable;
+}
+
+/// \returns the decoded reply. One that cannot be decoded is logged and counts as lost.
+lease::upstream_reply decode(gateway_context & context, std::string const & upstream,
+                             lease::call_number number, http::response const & received)
+{
+    // The exception must not leave the event loop, which would end all other calls.
+    try
     {
         return context.m_wire.m_decode_reply(received);
     }
+    catch (std::exception const & thrown)
+    {
+        log_failed_call(context, upstream, number, call_errc::not_decodable, thrown);
+        return {};
+    }
+}
+
+/// Reports the reply to the call \p number to the decision thread.
+/// \param error why there is no reply; \p received is then unspecified.
+void report_reply(gateway_context & context, std::string const & upstream,
+                  lease::call_number number, std::error_code error,
+                  http::response const & received, std::stop_token const & stop)
+{
     lease::upstream_reply reply;
-    reply.m_outcome = error == http::http_errc::connect_failed
-                          ? lease::call_outcome::unreachable
-                          : lease::call_outcome::lost;
-    return reply;
+    if (error)
+    {
+        reply.m_outcome = outcome_of(error);
+    }
+    else
+    {
+        reply = decode(context, upstream, number, received);
+    }
+    reply.m_number = number;
+    reply.m_upstream = upstream;
+    context.m_daemon.m_events.push(decision::upstream_replied{std::move(reply)}, stop);
+}
+
+/// \returns the encoded call, or nothing when it cannot be encoded, which is logged.
+std::optional<http::request> encode(gateway_context & context,
+                                    lease::upstream_call const & call)
+{
+    // The exception must not leave the event loop, which would end all other calls.
+    try
+    {
+        return context.m_wire.m_encode_call(call);
+    }
+    catch (std::exception const & thrown)
+    {
+        log_failed_call(context, call.m_upstream, call.m_number, call_errc::not_encodable,
+                        thrown);
+        return std::nullopt;
+    }
 }
 
 void send_call(gateway_context & context, call_clients & clients,
                lease::upstream_call const & call, std::stop_token const & stop)
 {
+    std::optional<http::request> encoded = encode(context, call);
+    if (!encoded)
+    {
+        report_reply(context, call.m_upstream, call.m_number, call_errc::not_encodable,
+                     {}, stop);
+        return;
+    }
     bool const renews = std::holds_alternative<lease::renew_call>(call.m_body);
     auto on_response = [&context, &stop, number = call.m_number,
                         upstream = call.m_upstream](std::error_code error,
                                                     http::response const & received)
     {
-        lease::upstream_reply reply = make_reply(context, error, received);
-        reply.m_number = number;
-        reply.m_upstream = upstream;
-        context.m_daemon.m_events.push(decision::upstream_replied{std::move(reply)},
-                                       stop);
+        report_reply(context, upstream, number, error, received, stop);
     };
     http::send_request(renews ? *clients.m_renewals : *clients.m_starts_and_stops,
-                       call.m_address, context.m_wire.m_encode_call(call), call.m_timeout,
+                       call.m_address, std::move(*encoded), call.m_timeout,
                        std::move(on_response));
 }
 
