--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
     CPPUNIT_TEST(submission_of_231_tasks_is_refused);
     CPPUNIT_TEST(submission_random_bytes_never_throws);
     CPPUNIT_TEST(submission_with_malformed_spec_is_refused);
+    CPPUNIT_TEST(submission_with_unusual_structure_is_refused);
+    CPPUNIT_TEST(submission_with_numbers_out_of_range_is_refused);
     CPPUNIT_TEST(request_with_malformed_id_is_refused);
     CPPUNIT_TEST(request_with_text_not_utf8_is_refused);
     CPPUNIT_TEST(request_of_each_method_decodes_to_its_operation);
@@ -157,6 +160,58 @@
         }
     }
 
+    // Guards against a document that exhausts the stack or the memory, or that two
+    // readers understand in two ways.
+    void submission_with_unusual_structure_is_refused()
+    {
+        auto const with_member = [](std::string const & member)
+        {
+            return R"({"spec":"t","best-effort":true,"steps":[{"count":1}],)" + member +
+                   "}";
+        };
+        auto const repeat = [](std::string const & text)
+        {
+            std::string repeated;
+            for (int count = 0; count < 20'000; ++count)
+            {
+                repeated += text;
+            }
+            return repeated;
+        };
+        CPPUNIT_ASSERT(!read(with_member(R"("note":{"a":[{"a":1}]})")));
+        for (std::string const & member :
+             {R"("x":)" + repeat("[") + repeat("]"),
+              R"("x":)" + repeat(R"({"a":)") + "1" + repeat("}"),
+              R"("x":[0)" + repeat(",0") + "]", R"("x":[0)" + repeat(",{}") + "]",
+              std::string(R"("spec":"u")"), std::string(R"("x":[{"a":1,"a":1}])")})
+        {
+            CPPUNIT_ASSERT_MESSAGE(member.substr(0, 20), read(with_member(member)) ==
+                                                             job_errc::malformed_request);
+        }
+    }
+
+    // Guards against a number that is cut to one in range.
+    void submission_with_numbers_out_of_range_is_refused()
+    {
+        for (char const * const number :
+             {"1e400", "1e30", "18446744073709551616", "-1", "1.0", "0x1", "\"1\""})
+        {
+            for (char const * const member : {"count", "cpu", "mem-mb", "estimate-ms"})
+            {
+                std::string const step = R"({"count":1,"cpu":1,"mem-mb":1,)"
+                                         R"("estimate-ms":1})";
+                std::size_t const value = step.find(member) + std::strlen(member) + 2;
+                std::string body = R"({"spec":"t","best-effort":true,"steps":[)" + step;
+                body.replace(body.size() - step.size() + value, 1, number);
+                CPPUNIT_ASSERT_MESSAGE(body,
+                                       read(body + "]}") == job_errc::malformed_request);
+            }
+        }
+        CPPUNIT_ASSERT(read(R"({"spec":"t","best-effort":true,"steps":)"
+                            R"([{"count":18446744073709551615}]})") ==
+                       job_errc::too_many_tasks);
+    }
+
     // Guards against an id whose bytes the encoder of calls to upstreams cannot write:
     // one such job ended the calls of all others.
     void request_with_malformed_id_is_refused()
