Bound what the gateway holds for its callers

Cause: the gateway's HTTP server limited the header and the body of one request, and nothing else. The read buffer grew with endless trailers and chunk extensions, 1,500 connections could hold a body of 1 MiB each, header fields took 16 times their text, and a job of 230 tasks copied a spec of up to 1 MiB for each task. With 1,500 connections open every further one was closed.

Change: one budget in bytes covers unparsed data, headers, bodies, waiting jobs and unwritten answers, for a connection and for the server. When it is spent, connections that transfer for more than 1 s are closed, then requests are refused with 503 and Retry-After. There are limits on header, body, chunk extensions and trailers, timeouts for each phase of a connection, and a limit on connections that leaves 800 descriptors free; a new connection replaces a slow, silent or idle one, never one that waits for a job. What to close and to refuse is decided by free functions in http/connection_limits. The readiness and metrics servers have 32 connections, bodies of 4 KiB and 4 MiB in all. The limits are settings of [gateway], with a counter each and the log line client_limited.

One timer and lists by phase take the place of a timer for each connection, and idle connections have no buffer: data is received into one buffer of the server.

--- a/include/cassiahub/config/gateway_settings.hpp
+++ b/include/cassiahub/config/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include <cassiahub/config/error.hpp>
 #include <cassiahub/core/time.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,33 @@
     duration m_grace = std::chrono::seconds(6);
     /// Longest lease that an upstream grants.
     duration m_longest_lease = std::chrono::milliseconds(1000);
+
+    // Limits for callers. A request of an ordinary caller has a spec of up to 4,000
+    // bytes, and the caller waits 1.5 s for its answer.
+
+    /// Most connections of callers. The smallest machine has 3,075 descriptors.
+    std::uint32_t m_max_connections = 2200;
+    /// Largest request line with its header fields.
+    std::uint32_t m_max_header_kib = 16;
+    /// Largest request body. A spec of 4,000 escaped characters has 24 KB.
+    std::uint32_t m_max_body_kib = 64;
+    /// Largest extension of a chunk, and largest trailer section.
+    std::uint32_t m_max_chunk_kib = 4;
+    /// Most bytes held for one connection. A job of 230 tasks with specs of 4,000 bytes
+    /// holds 1 MB.
+    std::uint32_t m_max_connection_kib = 2048;
+    /// Most bytes held for all callers. The smallest machine has 120 MB, of which the
+    /// gateway itself uses 29 MB.
+    std::uint32_t m_max_held_mib = 48;
+    /// Longest time to receive the header of a request; twice the time that a caller
+    /// waits for its answer.
+    duration m_head_timeout = std::chrono::seconds(3);
+    duration m_body_timeout = std::chrono::seconds(3); ///< to receive the rest of a body
+    /// Longest time without a request. A caller may keep its connection for its next one.
+    duration m_idle_timeout = std::chrono::seconds(60);
+    /// Longest time until the caller has taken its answer.
+    duration m_response_timeout = std::chrono::seconds(3);
+
     bool operator==(gateway_settings const &) const = default;
 };
 
--- a/include/cassiahub/http.hpp
+++ b/include/cassiahub/http.hpp
@@ -6,6 +6,7 @@
 
 #include <cassiahub/http/address.hpp>
 #include <cassiahub/http/client.hpp>
+#include <cassiahub/http/connection_limits.hpp>
 #include <cassiahub/http/error.hpp>
 #include <cassiahub/http/message.hpp>
 #include <cassiahub/http/server.hpp>
--- a/include/cassiahub/http/async_server.hpp
+++ b/include/cassiahub/http/async_server.hpp
@@ -1,11 +1,13 @@
 #ifndef CASSIAHUB_HTTP_ASYNC_SERVER_HPP
 #define CASSIAHUB_HTTP_ASYNC_SERVER_HPP
 
-#include <cassiahub/core/time.hpp>
+#include <cassiahub/http/connection_limits.hpp>
 #include <cassiahub/http/message.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,19 +17,11 @@
 namespace cassiahub::http
 {
 
-/// Address, limits and timeouts of a server.
+/// Address and limits of a server.
 struct async_server_options
 {
-    std::string m_address;                      ///< "ip:port"
-    std::size_t m_max_header_bytes = 16 * 1024; ///< beyond it: status 431
-    std::size_t m_max_body_bytes = 1024 * 1024; ///< beyond it: status 413
-    std::size_t m_max_connections = 1500;       ///< further ones are closed at once
-    /// Longest time to receive the rest of a request whose first bytes arrived together
-    /// with the previous request.
-    duration m_request_timeout = std::chrono::seconds(3);
-    /// Longest time to receive any other request, counted from the opening of the
-    /// connection or from the previous response.
-    duration m_idle_timeout = std::chrono::seconds(15);
+    std::string m_address; ///< "ip:port"
+    connection_limits m_limits{};
 };
 
 /// Identifies a request until respond() is called for it. Never 0.
@@ -44,6 +38,9 @@
     /// The client had already disconnected when its request was read, so no response is
     /// written. May be empty.
     std::function<void(request)> m_abandoned{};
+    /// A client, whose address is given, has reached a limit: its request is refused or
+    /// its connection closed. May be empty.
+    std::function<void(client_limit, boost::asio::ip::address_v4)> m_limit_reached{};
 };
 
 struct async_server_state;
@@ -68,6 +65,12 @@
 /// \pre called on the thread that runs the loop.
 void respond(async_server_state & server, exchange_id exchange, response message);
 
+/// Counts \p bytes as held for a request, beside its connection's buffers, until
+/// respond() is called for it. \returns false, and counts nothing, when the limit of the
+/// connection or of all connections would be exceeded; the request must then be refused.
+/// \pre called on the thread that runs the loop.
+bool hold_bytes(async_server_state & server, exchange_id exchange, std::size_t bytes);
+
 /// Accepts no more connections and closes idle ones. Each busy connection is closed
 /// after its response is written.
 void stop_accepting(async_server_state & server);
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -39,10 +39,41 @@
     return value.size() >= min_length && value.size() <= max_length;
 }
 
+template <std::uint32_t gateway_settings::*Member, std::uint32_t Low, std::uint32_t High>
+bool assign_number(std::string_view value, gateway_settings & record)
+{
+    return parse_number(value, Low, High, record.*Member);
+}
+
+template <duration gateway_settings::*Member>
+bool assign_timeout(std::string_view value, gateway_settings & record)
+{
+    return parse_duration(value, 100ms, 10min, record.*Member);
+}
+
+/// Appends a fault for each limit that contradicts another one.
+void check_limits(gateway_settings const & settings, std::vector<config_error> & faults)
+{
+    constexpr std::uint64_t kib_per_mib = 1024;
+    if (settings.m_max_connection_kib <
+        std::uint64_t(settings.m_max_header_kib) + settings.m_max_body_kib)
+    {
+        faults.push_back({config_errc::inconsistent_value, "gateway",
+                          "max_connection_kib", 0,
+                          "at least max_header_kib + max_body_kib"});
+    }
+    if (settings.m_max_held_mib * kib_per_mib < settings.m_max_connection_kib)
+    {
+        faults.push_back({config_errc::inconsistent_value, "gateway", "max_held_mib", 0,
+                          "at least max_connection_kib"});
+    }
+}
+
 std::span<gateway_rule const> gateway_rules() noexcept
 {
     constexpr std::string_view name = "name of 1 to 64 letters, digits, - and _";
     constexpr std::string_view address = "IPv4 address:port";
+    constexpr std::string_view timeout = "100ms to 10min";
     static constexpr gateway_rule rules[] = {
         {"instance", name, true, &assign_name<&gateway_settings::m_instance>},
         {"domain", name, true, &assign_name<&gateway_settings::m_domain>},
@@ -67,6 +98,26 @@
          {
              return parse_duration(value, 200ms, 60s, record.m_longest_lease);
          }},
+        {"max_connections", "16 to 100000", false,
+         &assign_number<&gateway_settings::m_max_connections, 16, 100'000>},
+        {"max_header_kib", "1 to 1024", false,
+         &assign_number<&gateway_settings::m_max_header_kib, 1, 1024>},
+        {"max_body_kib", "1 to 16384", false,
+         &assign_number<&gateway_settings::m_max_body_kib, 1, 16'384>},
+        {"max_chunk_kib", "1 to 1024", false,
+         &assign_number<&gateway_settings::m_max_chunk_kib, 1, 1024>},
+        {"max_connection_kib", "16 to 1048576", false,
+         &assign_number<&gateway_settings::m_max_connection_kib, 16, 1'048'576>},
+        {"max_held_mib", "1 to 65536", false,
+         &assign_number<&gateway_settings::m_max_held_mib, 1, 65'536>},
+        {"head_timeout", timeout, false,
+         &assign_timeout<&gateway_settings::m_head_timeout>},
+        {"body_timeout", timeout, false,
+         &assign_timeout<&gateway_settings::m_body_timeout>},
+        {"idle_timeout", timeout, false,
+         &assign_timeout<&gateway_settings::m_idle_timeout>},
+        {"response_timeout", timeout, false,
+         &assign_timeout<&gateway_settings::m_response_timeout>},
     };
     return rules;
 }
@@ -98,6 +149,7 @@
         faults.push_back(
             {config_errc::missing_key, "gateway", "", 0, "section [gateway]"});
     }
+    internal::check_limits(settings, faults);
     return faults.size() == faults_before ? std::optional(settings) : std::nullopt;
 }
 
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -5,9 +5,11 @@
 
 #include <cassiahub/config/process_settings.hpp>
 #include <cassiahub/decision.hpp>
+#include <cassiahub/http/connection_limits.hpp>
 #include <cassiahub/peer.hpp>
 #include <cassiahub/runtime.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <deque>
@@ -131,6 +133,10 @@
 
     connection_pool m_connections; ///< idle connections of the upstream duties
     peer::exchange_counters m_peer_counters;
+    /// How often clients of this instance's servers reached each http::client_limit.
+    /// Written by the gateway's callers duty, read by the telemetry duty.
+    std::array<std::atomic<std::uint64_t>, http::client_limit_count>
+        m_client_limit_hits{};
 
     // State of the decision thread.
     decision::entry_state m_state;
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -3,6 +3,8 @@
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/telemetry.hpp>
 
+#include <fmt/format.h>
+
 #include <array>
 #include <cstdlib>
 #include <utility>
@@ -108,6 +110,13 @@
               daemon.m_peer_counters.m_messages_sent);
     set_total(target, "cassiahub_peer_sessions_broken_total",
               daemon.m_peer_counters.m_sessions_broken);
+    for (std::size_t index = 0; index < http::client_limit_count; ++index)
+    {
+        set_total(target,
+                  fmt::format("cassiahub_client_limit_{}_total",
+                              http::to_string(static_cast<http::client_limit>(index))),
+                  daemon.m_client_limit_hits[index]);
+    }
     report_broken_invariants(context, sample);
 }
 
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -399,8 +399,10 @@
 class gateway_process
 {
 public:
+    /// \param settings further lines of the settings file.
     explicit gateway_process(std::string const & store_address,
-                             std::string const & grace = "6s")
+                             std::string const & grace = "6s",
+                             std::string const & settings = {})
     {
         std::filesystem::create_directories(m_folder);
         std::ofstream(m_folder / "gateway.ini")
@@ -408,14 +410,13 @@
                            "caller_address = {}\nready_address = {}\n"
                            "metrics_address = {}\npeer_address = {}\n"
                            "peer_secret = secret-of-the-test\nstore_address = {}\n"
-                           "grace = {}\n",
-                           m_caller_address, m_ready_address, free_address(),
-                           free_address(), store_address, grace);
+                           "grace = {}\n{}",
+                           m_caller_address, m_ready_address, m_metrics_address,
+                           free_address(), store_address, grace, settings);
         std::string program = std::string(CASSIAHUB_BIN_DIR) + "/cassiahub-gateway";
         std::string option = "--settings";
-        std::string settings = m_folder / "gateway.ini";
-        char * const arguments[] = {program.data(), option.data(), settings.data(),
-                                    nullptr};
+        std::string path = m_folder / "gateway.ini";
+        char * const arguments[] = {program.data(), option.data(), path.data(), nullptr};
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path().c_str(),
@@ -440,6 +441,26 @@
         std::filesystem::remove_all(m_folder, ignored);
     }
 
+    int pid() const noexcept
+    {
+        return m_pid;
+    }
+
+    std::string const & caller_address() const noexcept
+    {
+        return m_caller_address;
+    }
+
+    std::string const & ready_address() const noexcept
+    {
+        return m_ready_address;
+    }
+
+    std::string const & metrics_address() const noexcept
+    {
+        return m_metrics_address;
+    }
+
     bool is_running()
     {
         if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) != 0)
@@ -544,6 +565,7 @@
 
     std::string m_caller_address = free_address();
     std::string m_ready_address = free_address();
+    std::string m_metrics_address = free_address();
     std::filesystem::path m_folder =
         std::filesystem::temp_directory_path() /
         fmt::format("cassiahub-gateway-test-{}-{}", getpid(), find_free_port());
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -123,7 +123,7 @@
         m_address = "127.0.0.1:" + std::to_string(m_port);
         http::async_server_options options;
         options.m_address = m_address;
-        options.m_max_body_bytes = 1000;
+        options.m_limits.m_max_body_bytes = 1000;
         std::error_code error;
         m_server = http::start_async_server(
             m_loop, options,
