Bound the bodies that an entry instance holds

Cause: each of the 512 threads of cassiahub-entry could hold a body of 4 MiB while its client sent it, and the allocator kept the memory of bodies that were given up.

Change: the server counts the bytes of all bodies until their responses are written. Beyond max_held_mib (64, section [entry]) a request gets 503 with Retry-After; nothing ran. A body of declared length is allocated once and counted as it arrives. client_limited and the counters of body_bytes and held_bytes name such callers. The threshold from which the allocator maps blocks is fixed, so that the memory of large bodies is returned at once.

--- a/include/cassiahub/config/process_settings.hpp
+++ b/include/cassiahub/config/process_settings.hpp
@@ -27,6 +27,9 @@
     std::uint32_t m_caller_threads = 512;   ///< that serve callers and operators
     std::uint32_t m_upstream_threads = 128; ///< that send tasks to upstreams
     std::uint32_t m_max_body_kib = 4096;    ///< largest request body, in KiB
+    /// Largest sum of the bodies held for callers, in MiB. 512 bodies of 230 tasks with a
+    /// few hundred bytes each take 51 MiB.
+    std::uint32_t m_max_held_mib = 64;
     /// Interval between polls of the platform service.
     duration m_poll_period = std::chrono::seconds(1);
     /// Longest time from the stop signal to the end of the process; requests still in
--- a/include/cassiahub/http/server.hpp
+++ b/include/cassiahub/http/server.hpp
@@ -2,6 +2,7 @@
 #define CASSIAHUB_HTTP_SERVER_HPP
 
 #include <cassiahub/core/time.hpp>
+#include <cassiahub/http/connection_limits.hpp>
 #include <cassiahub/http/message.hpp>
 
 #include <cstddef>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <stop_token>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 namespace cassiahub::http
@@ -21,6 +23,11 @@
     std::string m_address;        ///< "ip:port"
     std::uint32_t m_threads = 16; ///< each handles one connection at a time
     std::size_t m_max_body_bytes = 4 * 1024 * 1024; ///< beyond it: status 413
+    /// Largest sum of the bodies that are received or served; beyond it: status 503
+    std::size_t m_max_held_bytes = 64 * 1024 * 1024;
+    /// Called when a body exceeds a limit, with the client's IP address, on the thread
+    /// that serves the connection. May be empty.
+    std::function<void(client_limit, std::string_view)> m_limit_reached{};
     /// Longest time for a client to send its request.
     duration m_request_timeout = std::chrono::seconds(10);
     /// Longest time for which an idle connection is kept.
--- a/programs/cassiahub-entry.cpp
+++ b/programs/cassiahub-entry.cpp
@@ -10,6 +10,7 @@
 
 #include <CLI/CLI.hpp>
 #include <civetweb.h>
+#include <malloc.h>
 
 #include <iostream>
 #include <string>
@@ -39,6 +40,10 @@
         return cassiahub::runtime::exit_success;
     }
     cassiahub::telemetry::configure_logging();
+    // A fixed threshold returns the memory of large bodies to the system at once. By
+    // default it grows, and the heaps of 512 threads would keep that memory.
+    constexpr int mmap_threshold_bytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
     mg_init_library(MG_FEATURES_DEFAULT);
     return cassiahub::runtime::run_until_signal(
         "cassiahub-entry",
--- a/src/config/process_settings.cpp
+++ b/src/config/process_settings.cpp
@@ -88,6 +88,11 @@
          {
              return parse_number(value, 1, 65'536, record.m_max_body_kib);
          }},
+        {"max_held_mib", "1 to 65536", false,
+         [](std::string_view value, entry_settings & record)
+         {
+             return parse_number(value, 1, 65'536, record.m_max_held_mib);
+         }},
         {"poll_period", "100ms to 3s", false,
          [](std::string_view value, entry_settings & record)
          {
@@ -128,6 +133,12 @@
     {
         faults.push_back({config_errc::missing_key, "entry", "", 0, "section [entry]"});
     }
+    constexpr std::uint64_t kib_per_mib = 1024;
+    if (settings.m_max_held_mib * kib_per_mib < settings.m_max_body_kib)
+    {
+        faults.push_back({config_errc::inconsistent_value, "entry", "max_held_mib", 0,
+                          "at least max_body_kib"});
+    }
     if (faults.size() != faults_before)
     {
         return std::nullopt;
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -134,7 +134,7 @@
     connection_pool m_connections; ///< idle connections of the upstream duties
     peer::exchange_counters m_peer_counters;
     /// How often clients of this instance's servers reached each http::client_limit.
-    /// Written by the gateway's callers duty, read by the telemetry duty.
+    /// Written by the threads that serve callers, read by the telemetry duty.
     std::array<std::atomic<std::uint64_t>, http::client_limit_count>
         m_client_limit_hits{};
 
--- a/src/entry/listener_duty.cpp
+++ b/src/entry/listener_duty.cpp
@@ -270,7 +270,19 @@
     http::server_options options;
     options.m_address = context.m_settings.m_caller_address;
     options.m_threads = context.m_settings.m_caller_threads;
-    options.m_max_body_bytes = std::size_t(context.m_settings.m_max_body_kib) * 1024;
+    constexpr std::size_t kib = 1024;
+    options.m_max_body_bytes = context.m_settings.m_max_body_kib * kib;
+    options.m_max_held_bytes = context.m_settings.m_max_held_mib * kib * kib;
+    options.m_limit_reached =
+        [&context](http::client_limit limit, std::string_view client)
+    {
+        ++context.m_client_limit_hits[static_cast<std::size_t>(limit)];
+        record(context,
+               decision::log_event{"client_limited",
+                                   std::string(client),
+                                   {},
+                                   fmt::format("limit={}", http::to_string(limit))});
+    };
     std::error_code error;
     operator_state operator_endpoints(context);
     http::server const server = http::start_server(
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <iterator>
 #include <mutex>
@@ -21,6 +22,7 @@
     std::mutex m_mutex;
     std::condition_variable m_idle;
     std::size_t m_active_requests = 0;
+    std::atomic<std::size_t> m_held_bytes{0}; ///< of bodies until their response
 };
 
 namespace internal
@@ -31,6 +33,41 @@
     R"({"type":"about:blank","title":"body_too_large","status":413,)"
     R"("code":"body_too_large","ran":"no"})";
 
+/// Response to a body for which there is no memory. The handler isn't called, so nothing
+/// ran.
+constexpr char const * overloaded_problem =
+    R"({"type":"about:blank","title":"overloaded","status":503,)"
+    R"("code":"overloaded","ran":"no"})";
+
+/// Counts the bytes of a body as held until its request is finished.
+class held_body
+{
+public:
+    explicit held_body(server_state & state) : m_state(state) {}
+
+    held_body(held_body const &) = delete;
+    held_body & operator=(held_body const &) = delete;
+
+    ~held_body()
+    {
+        m_state.m_held_bytes -= m_bytes;
+    }
+
+    /// Counts \p bytes instead of the previous number.
+    /// \returns false when all bodies together exceed the limit.
+    bool update(std::size_t bytes)
+    {
+        std::size_t const added = bytes - m_bytes; // wraps around when bytes shrink
+        m_bytes = bytes;
+        return m_state.m_held_bytes.fetch_add(added) + added <=
+               m_state.m_options.m_max_held_bytes;
+    }
+
+private:
+    server_state & m_state;
+    std::size_t m_bytes = 0;
+};
+
 /// Counts a request as active, from reading its body until its response is written.
 class active_request
 {
@@ -61,24 +98,37 @@
 {
     complete,
     too_large,
+    no_memory,
     incomplete
 };
 
 body_status read_body(mg_connection * connection, long long content_length,
-                      std::size_t limit, std::string & body)
+                      std::size_t limit, std::string & body, held_body & held)
 {
     if (content_length > 0 && static_cast<std::size_t>(content_length) > limit)
     {
         return body_status::too_large;
     }
+    // Pages that the client hasn't filled take no memory, so a declared length costs
+    // nothing before the body arrives.
+    body.reserve(content_length > 0 ? static_cast<std::size_t>(content_length) : 0);
     char buffer[16 * 1024];
     int count = 0;
     while ((count = mg_read(connection, buffer, sizeof buffer)) > 0)
     {
-        if (body.size() + static_cast<std::size_t>(count) > limit)
+        std::size_t const size = body.size() + static_cast<std::size_t>(count);
+        if (size > limit)
         {
             return body_status::too_large;
         }
+        // A body of unknown length doubles its memory when it grows.
+        std::size_t const needed = content_length > 0        ? size
+                                   : size <= body.capacity() ? body.capacity()
+                                                             : 2 * size;
+        if (!held.update(needed))
+        {
+            return body_status::no_memory;
+        }
         body.append(buffer, static_cast<std::size_t>(count));
     }
     bool const complete =
@@ -87,6 +137,14 @@
     return complete ? body_status::complete : body_status::incomplete;
 }
 
+void report_limit(server_state const & state, client_limit limit, std::string_view client)
+{
+    if (state.m_options.m_limit_reached)
+    {
+        state.m_options.m_limit_reached(limit, client);
+    }
+}
+
 request make_request(mg_request_info const & info)
 {
     request converted;
@@ -149,16 +207,29 @@
     active_request const active(state);
     mg_request_info const & info = *mg_get_request_info(connection);
     request received = make_request(info);
+    held_body held(state);
     body_status const outcome =
         read_body(connection, info.content_length, state.m_options.m_max_body_bytes,
-                  received.m_body);
+                  received.m_body, held);
     if (outcome == body_status::incomplete)
     {
         mg_close_connection(connection);
         return 499;
     }
+    if (outcome == body_status::no_memory)
+    {
+        report_limit(state, client_limit::held_bytes, info.remote_addr);
+        received.m_body = std::string();
+        write_response(
+            connection,
+            {503, "application/problem+json", {{"Retry-After", "1"}}, overloaded_problem},
+            false);
+        mg_close_connection(connection);
+        return 503;
+    }
     if (outcome == body_status::too_large)
     {
+        report_limit(state, client_limit::body_bytes, info.remote_addr);
         write_response(connection,
                        {413, "application/problem+json", {}, too_large_problem}, false);
         return 413;
--- a/tests/entry_processes.hpp
+++ b/tests/entry_processes.hpp
@@ -98,6 +98,11 @@
         }
     }
 
+    pid_t pid() const noexcept
+    {
+        return m_pid;
+    }
+
     void signal(int number) const
     {
         CPPUNIT_ASSERT_EQUAL(0, kill(m_pid, number));
