Choose upstreams by the objective and by fit

Where tasks take about half an upstream, which two share one decides whether the next one fits, and a task on a slow upstream makes its whole job late. The choice was the better of two random upstreams by free slots, and by speed only beyond a ratio of 1.5.

Now a task with an objective prefers upstreams whose slowness the objective still allows, takes the best fit among them, and waits while it has slack left when none is fast enough here and no peer has room.

--- a/include/cassiahub/dispatch/service_pool.hpp
+++ b/include/cassiahub/dispatch/service_pool.hpp
@@ -66,6 +66,7 @@
     /// Tasks of typical demand that fit into m_total_capacity.
     std::uint32_t m_total_task_capacity = 0;
     std::uint32_t m_offered_slots = 0; ///< sum of the slots in m_free_capacity
+    std::uint32_t m_usable_slots = 0;  ///< sum of the slots in m_total_capacity
     std::uint32_t m_owned_slots = 0;   ///< slots of the owned upstreams
     std::uint32_t m_owned_count = 0;   ///< number of owned upstreams
     /// Number of owned upstreams that are ejected or probing.
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -65,9 +65,10 @@
     /// Tasks in a retry delay, each with the end of its delay.
     std::map<std::uint32_t, time_point> m_delayed;
     std::uint32_t m_running_count = 0; ///< running attempts of all tasks
-    time_point m_on_time_until;        ///< latest start that meets the objective, or zero
-    time_point m_late_until; ///< latest start for an answer that is still useful
-    bool m_late = false;     ///< still queued after m_on_time_until
+    duration m_expected_run{0}; ///< of the longest task; set if there is an objective
+    time_point m_on_time_until; ///< latest start that meets the objective, or zero
+    time_point m_late_until;    ///< latest start for an answer that is still useful
+    bool m_late = false;        ///< still queued after m_on_time_until
     /// Time since which the next task of the job has found no capacity, or zero.
     time_point m_blocked_since;
     bool m_ran = false;          ///< some attempt is known to have run
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -99,15 +99,19 @@
 };
 
 placement_request make_placement_request(dispatch_state const & state,
-                                         job_state const & job, std::uint32_t task)
+                                         job_state const & job, std::uint32_t task,
+                                         time_point now)
 {
-    return {
-        state.m_kinds[job.m_kind].m_pool,
-        job.m_spec.m_tasks[task].m_demand,
-        may_probe(state.m_kinds[job.m_kind].m_definition, job.m_tasks[task].m_failures),
-        job.m_tasks[task].m_last_upstream,
-        false,
-        judge_task(state, job, task) != crash_verdict::unsuspected};
+    kind_state const & kind = state.m_kinds[job.m_kind];
+    placement_request request{kind.m_pool,
+                              job.m_spec.m_tasks[task].m_demand,
+                              may_probe(kind.m_definition, job.m_tasks[task].m_failures),
+                              job.m_tasks[task].m_last_upstream,
+                              false,
+                              judge_task(state, job, task) != crash_verdict::unsuspected};
+    request.m_max_slowness = max_slowness(job, now);
+    request.m_may_wait = now < job.m_on_time_until;
+    return request;
 }
 
 head_result try_start_job_task(advance_context & context, std::uint64_t serial)
@@ -126,7 +130,8 @@
         return head_result::no_capacity;
     }
     attempt_target target;
-    placement_request const request = make_placement_request(state, job, next);
+    placement_request const request =
+        make_placement_request(state, job, next, context.m_now);
     if (refuse_if_oversized(state, job, request.m_demand, context.m_out))
     {
         return head_result::dequeued;
--- a/src/dispatch/objective.cpp
+++ b/src/dispatch/objective.cpp
@@ -90,6 +90,7 @@
     double const run = expected_seconds(state, job);
     double const slack = std::chrono::duration<double>(kind.m_objective_slack).count();
     double const objective = run * kind.m_objective_stretch + slack;
+    job.m_expected_run = to_duration(run);
     job.m_on_time_until = now + to_duration(std::max(0.0, objective - run));
     job.m_late_until = job.m_on_time_until + to_duration(objective);
     state.m_timers.insert(objective_timer(job, job.m_on_time_until));
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -3,6 +3,8 @@
 #include "dispatch/reservation.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 
 namespace cassiahub::dispatch::internal
 {
@@ -10,19 +12,78 @@
 namespace
 {
 
-/// \returns true when \p left is clearly faster than \p right or, at similar speed, has
-/// fewer slots in use.
-bool is_better(upstream_state const & left, upstream_state const & right)
+/// Ratio of the slowness of two upstreams above which one is clearly faster: the run
+/// times of single tasks vary.
+constexpr double slowness_ratio_threshold = 1.5;
+/// Number of upstreams up to which one placement compares all that have capacity.
+constexpr std::size_t max_compared_upstreams = 32;
+/// Upstreams that one placement compares otherwise (power of two choices).
+constexpr int random_draws = 2;
+
+/// What a placement on one upstream would mean.
+struct candidate
+{
+    std::uint32_t m_upstream = no_upstream;
+    double m_slowness = 1;
+    /// Part of the upstream's resources that would remain free, in the scarcest
+    /// dimension.
+    double m_remainder = 1;
+    std::uint32_t m_taken_slots = 0;
+};
+
+double remaining_part(std::uint32_t free, std::uint32_t demand, std::uint32_t capacity)
 {
-    constexpr double slowness_ratio_threshold = 1.5;
-    double const left_slowness = left.m_health.m_slowness;
-    double const right_slowness = right.m_health.m_slowness;
-    if (left_slowness > slowness_ratio_threshold * right_slowness ||
-        right_slowness > slowness_ratio_threshold * left_slowness)
+    return capacity == 0 ? 1.0 : double(free - demand) / double(capacity);
+}
+
+candidate make_candidate(dispatch_state const & state, placement_request const & request,
+                         std::uint32_t id)
+{
+    service_pool const & pool = state.m_pools[request.m_pool];
+    upstream_state const & upstream = state.m_upstreams[id];
+    resources const & free =
+        pool.m_free_capacity.m_nodes[pool.m_free_capacity.m_leaves + id].m_free;
+    resources const & capacity = upstream.m_definition.m_capacity;
+    double const remainder =
+        std::min({remaining_part(free.m_millicores, request.m_demand.m_millicores,
+                                 capacity.m_millicores),
+                  remaining_part(free.m_memory_mib, request.m_demand.m_memory_mib,
+                                 capacity.m_memory_mib),
+                  remaining_part(free.m_accelerators, request.m_demand.m_accelerators,
+                                 capacity.m_accelerators)});
+    return {id, upstream.m_health.m_slowness, remainder,
+            upstream.m_running + upstream.m_withheld};
+}
+
+/// \returns true when tasks of typical demand use up the resources of the upstreams
+/// before their slots, so that it matters which tasks share an upstream.
+bool is_bound_by_resources(service_pool const & pool)
+{
+    return pool.m_total_task_capacity < pool.m_usable_slots;
+}
+
+/// Prefers upstreams that are fast enough for the objective; where none is, or without an
+/// objective, one that is clearly faster. Among equals the best fit follows, which leaves
+/// others whole for tasks that need one, or where slots are scarcer than resources the
+/// upstream with fewer tasks.
+bool is_better(service_pool const & pool, placement_request const & request,
+               candidate const & left, candidate const & right)
+{
+    bool const left_suits = left.m_slowness <= request.m_max_slowness;
+    bool const right_suits = right.m_slowness <= request.m_max_slowness;
+    if (left_suits != right_suits)
     {
-        return left_slowness < right_slowness;
+        return left_suits;
     }
-    return left.m_running + left.m_withheld < right.m_running + right.m_withheld;
+    bool const has_objective = std::isfinite(request.m_max_slowness);
+    bool const differ = left.m_slowness > slowness_ratio_threshold * right.m_slowness ||
+                        right.m_slowness > slowness_ratio_threshold * left.m_slowness;
+    if (differ && !(has_objective && left_suits))
+    {
+        return left.m_slowness < right.m_slowness;
+    }
+    return is_bound_by_resources(pool) ? left.m_remainder < right.m_remainder
+                                       : left.m_taken_slots < right.m_taken_slots;
 }
 
 std::optional<std::uint32_t> pick_probe(dispatch_state const & state,
@@ -45,21 +106,56 @@
     return found != targets.end() ? std::optional(*found) : std::nullopt;
 }
 
-/// \returns the better of two random upstreams with capacity (power of two choices).
-std::optional<std::uint32_t> pick_of_two(dispatch_state const & state,
-                                         placement_request const & request,
-                                         random_source & random)
+/// Calls \p visit with upstreams of the pool that have capacity for the task: all of them
+/// where the fit matters and the instance owns few, two random ones otherwise.
+template <typename Visit>
+void visit_candidates(dispatch_state const & state, placement_request const & request,
+                      std::uint32_t avoid, random_source & random, Visit visit)
 {
-    capacity_index const & index = state.m_pools[request.m_pool].m_free_capacity;
-    auto const first = find_leaf(index, request.m_demand, request.m_avoid, random);
-    if (!first)
+    service_pool const & pool = state.m_pools[request.m_pool];
+    capacity_index const & index = pool.m_free_capacity;
+    std::size_t const count = std::min(state.m_upstreams.size(), index.m_leaves);
+    if (count > max_compared_upstreams || !is_bound_by_resources(pool))
     {
-        return first;
+        for (int draw = 0; draw < random_draws; ++draw)
+        {
+            if (auto const id = find_leaf(index, request.m_demand, avoid, random))
+            {
+                visit(*id);
+            }
+        }
+        return;
+    }
+    std::size_t const first = random() % count;
+    for (std::size_t step = 0; step < count; ++step)
+    {
+        auto const id = static_cast<std::uint32_t>((first + step) % count);
+        offered_capacity const & offered = index.m_nodes[index.m_leaves + id];
+        if (id != avoid && offered.m_slots > 0 && fits(request.m_demand, offered.m_free))
+        {
+            visit(id);
+        }
     }
-    auto const second = find_leaf(index, request.m_demand, request.m_avoid, random);
-    return second && is_better(state.m_upstreams[*second], state.m_upstreams[*first])
-               ? second
-               : first;
+}
+
+std::optional<std::uint32_t> pick_best(dispatch_state const & state,
+                                       placement_request const & request,
+                                       std::uint32_t avoid, random_source & random)
+{
+    service_pool const & pool = state.m_pools[request.m_pool];
+    std::optional<candidate> best;
+    visit_candidates(state, request, avoid, random,
+                     [&](std::uint32_t id)
+                     {
+                         candidate const next = make_candidate(state, request, id);
+                         if (!best || is_better(pool, request, next, *best))
+                         {
+                             best = next;
+                         }
+                     });
+    bool const waits =
+        best && request.m_may_wait && best->m_slowness > request.m_max_slowness;
+    return best && !waits ? std::optional(best->m_upstream) : std::nullopt;
 }
 
 /// Upstreams that one search for an idle one examines.
@@ -97,6 +193,20 @@
 
 } // namespace
 
+double max_slowness(job_state const & job, time_point now) noexcept
+{
+    // The expected run time is that of an upstream of mean speed, with an error of its
+    // own.
+    constexpr double margin = 0.9;
+    if (job.m_on_time_until == time_point())
+    {
+        return std::numeric_limits<double>::infinity();
+    }
+    double const slack = std::chrono::duration<double>(job.m_on_time_until - now).count();
+    double const run = std::chrono::duration<double>(job.m_expected_run).count();
+    return margin * (1 + slack / std::max(run, 0.001));
+}
+
 bool may_probe(config::work_kind const & kind, std::uint32_t failures) noexcept
 {
     return kind.m_repeatable || (kind.m_restartable && failures == 0);
@@ -117,13 +227,12 @@
     {
         return probe;
     }
-    auto const found = pick_of_two(state, request, random);
+    auto const found = pick_best(state, request, request.m_avoid, random);
     if (found || request.m_avoid == no_upstream || request.m_avoid_strictly)
     {
         return found;
     }
-    return find_leaf(state.m_pools[request.m_pool].m_free_capacity, request.m_demand,
-                     no_upstream, random);
+    return pick_best(state, request, no_upstream, random);
 }
 
 bool any_capacity(dispatch_state const & state, std::uint32_t pool_id)
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -4,6 +4,7 @@
 #include <cassiahub/core/random.hpp>
 #include <cassiahub/dispatch/state.hpp>
 
+#include <limits>
 #include <optional>
 
 namespace cassiahub::dispatch::internal
@@ -19,8 +20,16 @@
     std::uint32_t m_avoid = no_upstream;
     bool m_avoid_strictly = false; ///< true: m_avoid is excluded altogether
     bool m_suspected = false;      ///< to run apart from other tasks, if possible
+    /// Slowness of an upstream up to which the job still meets its objective.
+    double m_max_slowness = std::numeric_limits<double>::infinity();
+    /// true: waiting for an upstream that is fast enough is better than using another.
+    bool m_may_wait = false;
 };
 
+/// \returns the slowness of an upstream up to which a task of \p job that starts at \p
+/// now meets the objective; infinity without an objective.
+double max_slowness(job_state const & job, time_point now) noexcept;
+
 /// \returns true when a task of \p kind that has failed \p failures times may run on a
 /// probing upstream, where it is likely to fail.
 bool may_probe(config::work_kind const & kind, std::uint32_t failures) noexcept;
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -87,7 +87,10 @@
 {
     upstream_state & upstream = state.m_upstreams[id];
     service_pool & pool = state.m_pools[upstream.m_pool];
-    set_leaf(pool.m_total_capacity, id, {total.m_slots > 0 ? 1U : 0U, total.m_free});
+    pool.m_usable_slots -=
+        pool.m_total_capacity.m_nodes[pool.m_total_capacity.m_leaves + id].m_slots;
+    pool.m_usable_slots += total.m_slots;
+    set_leaf(pool.m_total_capacity, id, total);
     pool.m_offered_slots -=
         pool.m_free_capacity.m_nodes[pool.m_free_capacity.m_leaves + id].m_slots;
     pool.m_offered_slots += free.m_slots;
