Ask peers for capacity while tasks wait

With 45 instances load reports go out as rarely as heartbeats, every 250 to 500 ms, while most tasks last 50 to 200 ms. Jobs waited and were refused at instances whose upstreams were full while upstreams of others were free.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -8,6 +8,7 @@
 #include <cassiahub/ownership/state.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -90,6 +91,20 @@
     std::uint64_t m_last_generation = 0; ///< generation of the last start of a task
 };
 
+/// A peer that has asked for capacity and was not told of any yet.
+struct waiting_peer
+{
+    instance_id m_instance;
+    time_point m_until; ///< its tasks have found another place or given up by then
+};
+
+/// Requests for capacity of one service, sent and received.
+struct capacity_requests
+{
+    time_point m_next; ///< earliest time of the next request of this instance
+    std::deque<waiting_peer> m_waiting;
+};
+
 /// Whole state of the decision thread; no other thread accesses it.
 struct entry_state
 {
@@ -128,6 +143,8 @@
     /// load report to each peer.
     std::map<std::string, std::uint32_t> m_last_reported_slots;
     std::map<instance_id, std::map<std::string, std::uint32_t>> m_reported_slots;
+    std::map<std::string, capacity_requests> m_capacity_requests; ///< by service
+    std::uint64_t m_capacity_requests_sent = 0;
 };
 
 } // namespace cassiahub::decision
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -122,10 +122,17 @@
     dispatch::upstream_loss m_loss;
 };
 
+/// Asks for a load_report when the sender's tasks of a service find no capacity. The
+/// receiver answers at once if it has free slots, otherwise when it has some soon after.
+struct capacity_request
+{
+    std::string m_service;
+};
+
 using peer_message =
     std::variant<forward_request, request_answered, forward_task, task_reported,
                  cancel_task, heartbeat, load_report, key_notice, key_notice_received,
-                 configuration_notice, loss_notice>;
+                 configuration_notice, loss_notice, capacity_request>;
 
 } // namespace cassiahub::decision
 
--- a/include/cassiahub/dispatch/service_pool.hpp
+++ b/include/cassiahub/dispatch/service_pool.hpp
@@ -73,6 +73,9 @@
     std::uint32_t m_ejected_count = 0;
     std::set<std::uint32_t> m_probe_targets; ///< upstreams that may get a probe now
     reservation m_reservation;
+    /// In the last advance() a task of this instance found no capacity, here or at a
+    /// peer.
+    bool m_short_of_capacity = false;
     result_window m_all_results; ///< results of all owned upstreams
     /// Capacities in the configuration that no other capacity covers in every dimension.
     std::vector<resources> m_largest_capacities;
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -380,6 +380,9 @@
     case protocol::Message::CONFIGURATION_NOTICE:
         return decode_alternative<decision::configuration_notice>(
             source.getConfigurationNotice(), message);
+    case protocol::Message::CAPACITY_REQUEST:
+        return decode_service(source.getCapacityRequest(),
+                              message.emplace<decision::capacity_request>().m_service);
     case protocol::Message::LOSS_NOTICE:
         return decode_alternative<decision::loss_notice>(source.getLossNotice(), message);
     }
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -221,6 +221,11 @@
     part.setDocument(to_text(message.m_document));
 }
 
+void encode(decision::capacity_request const & message, protocol::Message::Builder target)
+{
+    target.setCapacityRequest(to_text(message.m_service));
+}
+
 void encode(decision::loss_notice const & message, protocol::Message::Builder target)
 {
     dispatch::upstream_loss const & loss = message.m_loss;
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -126,6 +126,13 @@
 /// message.
 void append_load_reports(step_context & context, std::size_t first_action);
 
+/// Asks some peers for capacity for each service whose tasks find none, and tells peers
+/// that have asked of slots that have become free.
+void advance_capacity_requests(step_context & context);
+
+void receive_capacity_request(step_context & context, instance_id const & from,
+                              std::string const & service);
+
 // Losses of upstreams under tasks.
 
 /// Logs losses that the dispatcher has recorded and sends them to every live member.
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -183,6 +183,12 @@
     receive_loss(context, message.m_loss);
 }
 
+void handle_message(step_context & context, instance_id const & from,
+                    capacity_request & message)
+{
+    receive_capacity_request(context, from, message.m_service);
+}
+
 void handle(step_context & context, peer_message_received & received)
 {
     std::visit([&](auto & message) { handle_message(context, received.m_from, message); },
@@ -379,6 +385,7 @@
     internal::advance(context);
     if (state.m_identity.m_leases_upstreams)
     {
+        internal::advance_capacity_requests(context);
         internal::append_load_reports(context, first_action);
     }
 }
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -8,6 +8,7 @@
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
 #include "dispatch/retry.hpp"
+#include "dispatch/service_pools.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
 #include "dispatch/verdict.hpp"
@@ -156,6 +157,7 @@
     }
     else
     {
+        pool_of(state, job.m_kind).m_short_of_capacity = true;
         reserve_if_starved(state, job, request.m_demand, context.m_now, context.m_random);
         return head_result::no_capacity;
     }
@@ -230,6 +232,8 @@
 {
     service_pool & pool = context.m_state.m_pools[pool_id];
     skipped_heads skipped;
+    pool.m_short_of_capacity =
+        pool.m_queued_tasks > 0 && !any_capacity(context.m_state, pool_id);
     while (skipped.m_tenants.size() < max_skipped_heads &&
            any_capacity(context.m_state, pool_id))
     {
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -31,6 +31,7 @@
 {
     dispatch::dispatch_counters m_counters;
     dispatch::peer_load m_load;
+    std::uint64_t m_capacity_requests_sent = 0;
     std::size_t m_open_jobs = 0;
     std::size_t m_live_members = 0;  ///< other live instances that share work with
                                      ///< this one
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -97,6 +97,8 @@
     set_total(target, "cassiahub_retries_total", counters.m_retries);
     set_total(target, "cassiahub_hedges_total", counters.m_hedges);
     set_total(target, "cassiahub_forwards_total", counters.m_forwards);
+    set_total(target, "cassiahub_capacity_requests_total",
+              sample.m_capacity_requests_sent);
     set_total(target, "cassiahub_useful_results_total", counters.m_useful_results);
     set_total(target, "cassiahub_wasted_messages_total", wasted_messages(counters));
     set_total(target, "cassiahub_ejections_total", counters.m_ejections);
--- a/src/peer/exchange.cpp
+++ b/src/peer/exchange.cpp
@@ -144,7 +144,8 @@
 bool is_periodic(decision::peer_message const & message) noexcept
 {
     return std::holds_alternative<decision::heartbeat>(message) ||
-           std::holds_alternative<decision::load_report>(message);
+           std::holds_alternative<decision::load_report>(message) ||
+           std::holds_alternative<decision::capacity_request>(message);
 }
 
 std::error_code run_exchange(exchange_options const & options,
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -145,6 +145,7 @@
     keyNoticeReceived @8 :UInt64;
     configurationNotice @9 :ConfigurationNotice;
     lossNotice @10 :LossNotice;
+    capacityRequest @11 :Text;  # name of a service
   }
 }
 
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(cancel_task_attempt_is_preserved);
     CPPUNIT_TEST(heartbeat_all_fields_are_preserved);
     CPPUNIT_TEST(load_report_all_fields_are_preserved);
+    CPPUNIT_TEST(capacity_request_service_is_preserved);
     CPPUNIT_TEST(key_notice_keys_are_preserved);
     CPPUNIT_TEST(key_notice_received_request_is_preserved);
     CPPUNIT_TEST(configuration_notice_document_is_preserved);
@@ -165,6 +166,12 @@
                        decoded.m_loads[1].m_service == "b");
     }
 
+    void capacity_request_service_is_preserved()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                             round_trip(capacity_request{"a"}).m_service);
+    }
+
     void load_report_all_fields_are_preserved()
     {
         auto const decoded = round_trip(load_report{{9, 10, {11, 12, 13}, "a"}});
