Bound the replies of upstreams and of the store

Cause: the client limited a body to 16 MiB for each of up to 7 connections to an upstream, and its buffer grew with chunk extensions and trailers without end. A reply beyond the limit was reported like a broken connection.

Change: a reply of an upstream has at most 256 KiB and one of the store 8 MiB. What is buffered before it is parsed has at most 64 KiB.

--- a/include/cassiahub/http/async_client.hpp
+++ b/include/cassiahub/http/async_client.hpp
@@ -23,13 +23,14 @@
     /// A connection fails when sent data stays unacknowledged for longer
     /// (TCP_USER_TIMEOUT).
     duration m_user_timeout = std::chrono::seconds(2);
-    /// Largest response body accepted; a larger one fails with response_lost.
+    /// Largest response body accepted; a larger one fails with
+    /// response_too_large.
     std::size_t m_max_body_bytes = 16 * 1024 * 1024;
 };
 
 /// Called once for each request. The response is complete when there is no error. After
-/// bad_address or connect_failed nothing was sent; after response_lost the server may
-/// have processed the request.
+/// bad_address or connect_failed nothing was sent; after response_lost and
+/// response_too_large the server may have processed the request.
 using response_handler = std::function<void(std::error_code, response)>;
 
 struct async_client_state;
--- a/include/cassiahub/http/error.hpp
+++ b/include/cassiahub/http/error.hpp
@@ -17,7 +17,9 @@
     bind_failed = 5,    ///< the server cannot listen on its address
     /// The server broke the connection before it sent any of the response. Only the
     /// blocking client tells this from response_lost.
-    connection_broken = 6
+    connection_broken = 6,
+    /// The response exceeds a limit. The blocking client reports response_lost instead.
+    response_too_large = 7
 };
 
 std::error_category const & http_category() noexcept;
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -48,6 +48,9 @@
 /// Two watches, a listing and a renewal may be open at the same time.
 constexpr std::size_t store_connections = 6;
 
+/// Largest reply of the store. The registrations of 7,400 upstreams take about 5 MB.
+constexpr std::size_t max_reply_bytes = 8 * 1024 * 1024;
+
 /// Local copy of a store table: read once in full, then updated by watches.
 struct replicated_table
 {
@@ -426,6 +429,7 @@
     http::async_client_options options;
     options.m_connections = store_connections;
     options.m_connect_timeout = reply_timeout;
+    options.m_max_body_bytes = max_reply_bytes;
     state.m_client = http::make_async_client(state.m_loop, options);
     state.m_upstreams.m_table = store_table::upstreams;
     state.m_upstreams.m_watch_pause = upstream_watch_pause;
--- a/src/gateway/upstream_calls.cpp
+++ b/src/gateway/upstream_calls.cpp
@@ -31,6 +31,10 @@
 /// Longest reason of a failed encoder or decoder in a log line, bytes.
 constexpr std::size_t max_logged_reason = 160;
 
+/// Largest reply of an upstream. One with the ends of hundreds of runs takes tens of KiB;
+/// a gateway has up to 7 connections to each of 11 upstreams.
+constexpr std::size_t max_reply_bytes = 256 * 1024;
+
 struct call_clients
 {
     http::async_client m_renewals;
@@ -42,6 +46,7 @@
     http::async_client_options options;
     options.m_connections = connections;
     options.m_connect_timeout = connect_timeout;
+    options.m_max_body_bytes = max_reply_bytes;
     return http::make_async_client(loop, options);
 }
 
@@ -131,6 +136,11 @@
                         upstream = call.m_upstream](std::error_code error,
                                                     http::response const & received)
     {
+        if (error == http::http_errc::response_too_large)
+        {
+            record(context.m_daemon,
+                   decision::log_event{"reply_too_large", upstream, error});
+        }
         report_reply(context, upstream, number, error, received, stop);
     };
     http::send_request(renews ? *clients.m_renewals : *clients.m_starts_and_stops,
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -28,6 +28,10 @@
 namespace beast = boost::beast;
 using response_parser = beast::http::response_parser<beast::http::string_body>;
 
+/// Largest part of a response that is buffered before it is parsed: the header, the
+/// extension of a chunk or the trailer section.
+constexpr std::size_t max_buffer_bytes = 64 * 1024;
+
 /// A request that waits for a connection or for its response.
 struct client_request
 {
@@ -47,12 +51,13 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     std::string m_address;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_buffer_bytes};
     std::optional<response_parser> m_parser;
     std::optional<client_request> m_request; ///< waiting for its response
     beast_request m_message; ///< kept here, since m_request can end before its write
     bool m_writing = false;
     bool m_write_started = false; ///< the server may have received the request
+    bool m_too_large = false;     ///< the response exceeds a limit
     bool m_open = true;
 };
 
@@ -132,8 +137,9 @@
 {
     close_connection(client, connection);
     finish_request(client, connection,
-                   connection->m_write_started ? http_errc::response_lost
-                                               : http_errc::connect_failed,
+                   connection->m_too_large       ? http_errc::response_too_large
+                   : connection->m_write_started ? http_errc::response_lost
+                                                 : http_errc::connect_failed,
                    {});
     if (!client->m_closed)
     {
@@ -155,6 +161,14 @@
                                     });
 }
 
+/// \returns true for the error of a response that exceeds a limit of its parser.
+bool is_limit(boost::system::error_code error)
+{
+    return error == beast::http::error::body_limit ||
+           error == beast::http::error::header_limit ||
+           error == beast::http::error::buffer_overflow;
+}
+
 void receive_response(client_pointer const & client,
                       connection_pointer const & connection)
 {
@@ -166,6 +180,7 @@
         {
             if (error || !connection->m_open)
             {
+                connection->m_too_large = connection->m_open && is_limit(error);
                 fail_connection(client, connection);
                 return;
             }
--- a/src/http/error.cpp
+++ b/src/http/error.cpp
@@ -26,6 +26,8 @@
         return "bind_failed";
     case http_errc::connection_broken:
         return "connection_broken";
+    case http_errc::response_too_large:
+        return "response_too_large";
     }
     return "unknown_error";
 }
@@ -46,7 +48,8 @@
 
 bool may_have_arrived(std::error_code error) noexcept
 {
-    return error == http_errc::response_lost || error == http_errc::connection_broken;
+    return error == http_errc::response_lost || error == http_errc::connection_broken ||
+           error == http_errc::response_too_large;
 }
 
 } // namespace cassiahub::http
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(request_waiting_at_its_deadline_fails_as_not_sent);
     CPPUNIT_TEST(request_at_its_deadline_while_written_is_lost);
     CPPUNIT_TEST(response_while_request_is_written_closes_connection);
+    CPPUNIT_TEST(response_beyond_limits_fails_as_too_large);
     CPPUNIT_TEST(client_that_disconnects_is_reported);
     CPPUNIT_TEST(request_of_connection_that_was_reset_is_not_served);
     CPPUNIT_TEST(body_beyond_limit_is_refused);
@@ -243,6 +244,33 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), http::opened_connections(*m_client));
     }
 
+    // Guards against memory that grows with a response without end.
+    void response_beyond_limits_fails_as_too_large()
+    {
+        m_server.reset();
+        asio::ip::tcp::acceptor acceptor(
+            m_loop, {asio::ip::make_address_v4("127.0.0.1"), m_port});
+        std::string const chunked =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        std::string const endless(200'000, 'x');
+        for (std::string const & response :
+             {std::string("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"),
+              "HTTP/1.1 200 OK\r\nX: " + endless, chunked + "1;" + endless,
+              chunked + "0\r\nX: " + endless})
+        {
+            std::size_t const failures = m_errors.size();
+            send("x");
+            run_for(20ms);
+            asio::ip::tcp::socket accepted = acceptor.accept();
+            asio::async_write(accepted, asio::buffer(response),
+                              [](boost::system::error_code, std::size_t) {});
+            wait_for(failures + 1);
+            CPPUNIT_ASSERT(m_errors.back() == http::http_errc::response_too_large);
+            accepted.close();
+            run_for(10ms);
+        }
+    }
+
     void client_that_disconnects_is_reported()
     {
         m_echo = false;
