Ignore upstreams whose names peers reject

A registration was accepted under any name of visible ASCII characters, for example a/b. Once claimed, the upstream is listed in each heartbeat, and peers accept only names that satisfy codec::is_valid_key(): they ended the session each time.

--- a/include/cassiahub/gateway/error.hpp
+++ b/include/cassiahub/gateway/error.hpp
@@ -9,7 +9,7 @@
 /// Reasons why an entry of a store table is no registration.
 enum class registration_errc
 {
-    bad_name = 1,        ///< no name, or one that is no value for an HTTP header
+    bad_name = 1,        ///< no name, or one that peers reject
     not_an_object = 2,   ///< bytes that cannot be read
     bad_service = 3,     ///< missing, empty, too long or of another type
     bad_address = 4,     ///< not the address and port of one host
--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -80,8 +80,8 @@
     /// malformed.
     std::optional<config::fleet_configuration> (*m_decode_configuration)(
         std::string_view document);
-    /// Decodes the row of a registered upstream into \p upstream. Its name is a valid
-    /// HTTP header value and its address can be connected to.
+    /// Decodes the row of a registered upstream into \p upstream. Its name satisfies
+    /// codec::is_valid_key() and its address can be connected to.
     /// \returns a registration_errc when the row is no valid registration of an upstream
     /// that is ready or draining; \p upstream is then unspecified.
     std::error_code (*m_decode_upstream)(std::string_view key, std::string_view value,
--- a/tests/platform_registration_test.cpp
+++ b/tests/platform_registration_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(state_unknown_is_ignored);
     CPPUNIT_TEST(text_too_long_is_ignored);
     CPPUNIT_TEST(name_not_fit_for_a_header_is_ignored);
+    CPPUNIT_TEST(name_that_peers_reject_is_ignored);
     CPPUNIT_TEST(number_beyond_double_is_ignored);
     CPPUNIT_TEST(bytes_not_utf_8_are_ignored);
     CPPUNIT_TEST(value_not_an_object_is_ignored);
@@ -265,6 +266,20 @@
         }
     }
 
+    // Guards against a claimed upstream whose name makes every peer end the session at
+    // the next heartbeat, which lists the claimed upstreams.
+    void name_that_peers_reject_is_ignored()
+    {
+        std::string const entry = registration().dump();
+        for (std::string const & name :
+             {std::string("a/b"), std::string("10.0.0.1:1"), std::string(129, 'i')})
+        {
+            CPPUNIT_ASSERT_MESSAGE(name,
+                                   decode(entry, name) == registration_errc::bad_name);
+        }
+        CPPUNIT_ASSERT(!decode(entry, std::string(128, 'i')));
+    }
+
     void number_beyond_double_is_ignored()
     {
         CPPUNIT_ASSERT(decode_with_text(R"("slots":1e999)") ==
