Reject problem documents with members of another type

parse_problem() threw when detail or ran was not a string, which ended the program that had received the document.

It now returns false, as for every other document that is no problem.

Before the change codec_json_test ended with json.exception.type_error.302; after it it passes (1 case).

--- a/src/codec/job_json.cpp
+++ b/src/codec/job_json.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace cassiahub::codec
 {
@@ -67,6 +68,23 @@
     return true;
 }
 
+/// Reads an optional string. \p value keeps its value when the member is missing.
+/// \returns false when the member is not a string.
+bool read_optional_text(json const & object, char const * key, std::string & value)
+{
+    auto const found = object.find(key);
+    if (found == object.end())
+    {
+        return true;
+    }
+    if (!found->is_string())
+    {
+        return false;
+    }
+    value = found->get<std::string>();
+    return true;
+}
+
 std::error_code parse_tasks(json const & tasks, job_spec & spec)
 {
     if (tasks.empty() || tasks.size() > max_tasks_per_job)
@@ -183,17 +201,19 @@
 bool parse_problem(std::string_view body, problem & parsed)
 {
     internal::json const document = internal::json::parse(body, nullptr, false);
+    problem read;
+    std::string ran = "unknown";
     if (!document.is_object() || !document.contains("code") ||
-        !document["code"].is_string())
+        !internal::read_optional_text(document, "code", read.m_code) ||
+        !internal::read_optional_text(document, "detail", read.m_detail) ||
+        !internal::read_optional_text(document, "ran", ran))
     {
         return false;
     }
-    parsed.m_code = document["code"].get<std::string>();
-    parsed.m_detail = document.value("detail", "");
-    std::string const ran = document.value("ran", "unknown");
-    parsed.m_ran = ran == "no"    ? run_state::no
-                   : ran == "yes" ? run_state::yes
-                                  : run_state::unknown;
+    read.m_ran = ran == "no"    ? run_state::no
+                 : ran == "yes" ? run_state::yes
+                                : run_state::unknown;
+    parsed = std::move(read);
     return true;
 }
 
