Use no clock reading that overflows sums

The store's clock and the clock of the fleet in a heartbeat were taken as they came. Readings near the largest integer overflow when the time since the reading is added, which is undefined, and the numbers of starts follow the clock.

--- a/include/cassiahub/codec/peer_codec.hpp
+++ b/include/cassiahub/codec/peer_codec.hpp
@@ -31,6 +31,9 @@
 /// Longest duration accepted in a peer message, such as the time limit of a forwarded
 /// job.
 constexpr duration max_peer_duration = std::chrono::hours(1);
+/// Largest reading of the fleet's clock accepted in a peer message, ms: sums with the
+/// time since the reading stay in range.
+constexpr std::int64_t max_peer_clock_ms = std::int64_t(1) << 53;
 
 /// Encodes \p message into \p target. Errors that are not a job_errc become
 /// job_errc::outcome_unknown, because the protocol transfers only numbers of job_errc.
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -250,6 +250,10 @@
     target.m_store_contact = source.getStoreContact();
     target.m_fleet_clock_ms = source.getFleetClockMs();
     target.m_selected = source.getSelected();
+    if (target.m_fleet_clock_ms < 0 || target.m_fleet_clock_ms > max_peer_clock_ms)
+    {
+        return peer_codec_errc::out_of_range;
+    }
     if (source.getPeerAddress().size() > max_address_length)
     {
         return peer_codec_errc::bad_name;
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -7,6 +7,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <limits>
 #include <string>
 
 using namespace cassiahub;
@@ -222,6 +223,7 @@
     CPPUNIT_TEST(too_many_tasks_are_rejected);
     CPPUNIT_TEST(submission_without_tasks_is_rejected);
     CPPUNIT_TEST(loss_notice_out_of_range_is_rejected);
+    CPPUNIT_TEST(fleet_clock_out_of_range_is_rejected);
     CPPUNIT_TEST(rejected_message_leaves_target_unchanged);
     CPPUNIT_TEST_SUITE_END();
 
@@ -303,6 +305,20 @@
         assert_rejected(peer_codec_errc::too_many_items, sent);
     }
 
+    // Guards against a sum with the clock that overflows, and against numbers of starts
+    // that no later clock reaches.
+    void fleet_clock_out_of_range_is_rejected()
+    {
+        heartbeat sent;
+        sent.m_domain = "north";
+        for (std::int64_t const clock :
+             {std::int64_t(-1), std::numeric_limits<std::int64_t>::max()})
+        {
+            sent.m_fleet_clock_ms = clock;
+            assert_rejected(peer_codec_errc::out_of_range, sent);
+        }
+    }
+
     void submission_without_tasks_is_rejected()
     {
         forward_request sent = m_request;
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -354,6 +354,7 @@
     CPPUNIT_TEST(configuration_malformed_is_refused);
     CPPUNIT_TEST(store_rows_valid_are_decoded);
     CPPUNIT_TEST(read_from_odd_key_encodes_the_key);
+    CPPUNIT_TEST(store_clock_out_of_range_is_not_used);
     CPPUNIT_TEST(store_row_with_unreadable_value_is_kept_without_value);
     CPPUNIT_TEST(store_reply_status_decodes_to_its_outcome);
     CPPUNIT_TEST(store_row_value_is_encoded_in_base64);
@@ -589,6 +590,20 @@
             sent.m_query);
     }
 
+    // Guards against a sum with the clock that overflows.
+    void store_clock_out_of_range_is_not_used()
+    {
+        for (char const * const clock :
+             {"9223372036854775807", "18446744073709551615", "-1", "1e300"})
+        {
+            gateway::store_rows rows;
+            std::string const body = std::string(R"({"ver":1,"now-ms":)") + clock + "}";
+            CPPUNIT_ASSERT(m_wire.m_decode_rows(received(200, body), rows) ==
+                           gateway::store_status::done);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(clock, std::int64_t(0), rows.m_clock_ms);
+        }
+    }
+
     // Guards against an entry that is kept as it was after another writer changed it.
     void store_row_with_unreadable_value_is_kept_without_value()
     {
