Bound the values in log lines

A caller's path and Request-Id reach the log when the request is refused. Each may have 16 KiB, and a byte that is not UTF-8 takes three in the log.

Values are cut after 4,096 bytes, beyond what decisions log. The line is formatted by format_log(), which the test calls.

Without the cut line_with_long_value_not_utf8_is_bounded_json failed for a value of 1,000,000 bytes; with it telemetry_test passes (8 cases).

--- a/include/cassiahub/telemetry/log.hpp
+++ b/include/cassiahub/telemetry/log.hpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/core/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -30,8 +31,16 @@
 /// \pre called once, before the first write_log().
 void configure_logging();
 
-/// Writes a JSON object with the members time (UTC), level, instance, code and \p fields
-/// as one line. Invalid UTF-8 is replaced by U+FFFD. Thread-safe.
+/// Longest value in a log line, in bytes; the rest is left out. Beyond what any decision
+/// logs; a caller's path may have 16 KiB.
+constexpr std::size_t max_log_value = 4'096;
+
+/// \returns a JSON object with the members time (UTC), level, instance, code and \p
+/// fields. Invalid UTF-8 is replaced by U+FFFD. Thread-safe.
+std::string format_log(log_level level, std::string_view instance, std::string_view code,
+                       std::span<log_field const> fields);
+
+/// Writes format_log() as one line. Thread-safe.
 void write_log(log_level level, std::string_view instance, std::string_view code,
                std::span<log_field const> fields);
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -52,8 +52,8 @@
     el::Loggers::reconfigureAllLoggers(configurations);
 }
 
-void write_log(log_level level, std::string_view instance, std::string_view code,
-               std::span<log_field const> fields)
+std::string format_log(log_level level, std::string_view instance, std::string_view code,
+                       std::span<log_field const> fields)
 {
     nlohmann::ordered_json line = {{"time", internal::utc_now()},
                                    {"level", internal::level_name(level)},
@@ -61,10 +61,15 @@
                                    {"code", code}};
     for (log_field const & field : fields)
     {
-        line[std::string(field.m_name)] = field.m_value;
+        line[std::string(field.m_name)] = field.m_value.substr(0, max_log_value);
     }
-    std::string const text =
-        line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+void write_log(log_level level, std::string_view instance, std::string_view code,
+               std::span<log_field const> fields)
+{
+    std::string const text = format_log(level, instance, code, fields);
     switch (level)
     {
     case log_level::info:
--- a/tests/telemetry_test.cpp
+++ b/tests/telemetry_test.cpp
@@ -13,6 +13,25 @@
 namespace
 {
 
+// Guards against a value of a caller that fills the log or ends the process.
+class log_line_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(log_line_test);
+    CPPUNIT_TEST(line_with_long_value_not_utf8_is_bounded_json);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void line_with_long_value_not_utf8_is_bounded_json()
+    {
+        std::string const value(1'000'000, '\xe9');
+        log_field const field{"subject", value};
+        std::string const line =
+            format_log(log_level::warning, "g1", "request_refused", {&field, 1});
+        CPPUNIT_ASSERT(line.size() < 4 * max_log_value);
+        CPPUNIT_ASSERT(line.starts_with('{') && line.ends_with("\xef\xbf\xbd\"}"));
+    }
+};
+
 // Guards against a burst of lines of one code that fills the log.
 class log_limiter_test : public CppUnit::TestFixture
 {
@@ -114,6 +133,7 @@
     }
 };
 
+CPPUNIT_TEST_SUITE_REGISTRATION(log_line_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(log_limiter_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(metrics_test);
 
