Leave out edits whose time cannot be formatted

The history of the configuration took the time of an edit as it stood in the store. fmt::gmtime() throws on a time beyond its calendar, so one such row made each request for the history end with status 500.

An edit whose time is negative or after the year 9999 is left out, like any other row that is no edit.

--- a/src/store/configuration_edit.cpp
+++ b/src/store/configuration_edit.cpp
@@ -17,6 +17,8 @@
 /// Differs from configuration_row_prefix, so that instances do not read the history as
 /// part of their configuration.
 constexpr std::string_view history_row_prefix = "config-history/";
+/// End of the year 9999, the last that RFC 3339 can write; seconds since 1970.
+constexpr std::int64_t max_history_time_s = 253'402'300'799;
 
 /// Attempts to write an edit that conflicts only on the version row. Each conflict means
 /// that another edit was accepted, so only a burst of edits uses up all attempts.
@@ -96,7 +98,7 @@
     stream >> entry.m_edit_number >> entry.m_time_s >> entry.m_action >> entry.m_team >>
         entry.m_section;
     entry.m_version = row.m_version;
-    return !stream.fail();
+    return !stream.fail() && entry.m_time_s >= 0 && entry.m_time_s <= max_history_time_s;
 }
 
 } // namespace internal
--- a/tests/ctl_edit_test.cpp
+++ b/tests/ctl_edit_test.cpp
@@ -143,6 +143,7 @@
 {
     CPPUNIT_TEST_SUITE(edit_fault_test);
     CPPUNIT_TEST(edit_with_lost_response_is_written_once);
+    CPPUNIT_TEST(history_with_time_out_of_range_leaves_out_that_edit);
     CPPUNIT_TEST(edit_store_down_is_refused_without_a_write);
     CPPUNIT_TEST(edit_store_down_after_the_write_has_unknown_outcome);
     CPPUNIT_TEST(edit_concurrent_with_other_section_is_checked_again);
@@ -241,6 +242,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), history[0].m_version);
     }
 
+    // Guards against one row whose time cannot be formatted, for which no operator gets
+    // the history.
+    void history_with_time_out_of_range_leaves_out_that_edit()
+    {
+        for (char const * const time : {"-1", "9000000000000000000"})
+        {
+            std::string const name = "config-history/99";
+            m_table->m_rows[name] = {name, 1, fmt::format("9 {} put t s", time)};
+            std::vector<store::history_entry> history;
+            CPPUNIT_ASSERT(!store::read_history(m_session.m_client, history));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(time, std::size_t(1), history.size());
+        }
+    }
+
     void edit_store_down_is_refused_without_a_write()
     {
         m_table->m_down = true;
