--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -350,6 +350,7 @@
     CPPUNIT_TEST(reply_random_bytes_never_throws);
     CPPUNIT_TEST(upstream_registration_valid_is_decoded);
     CPPUNIT_TEST(upstream_registration_malformed_is_ignored);
+    CPPUNIT_TEST(document_nested_deeply_is_refused_by_each_decoder);
     CPPUNIT_TEST(configuration_valid_is_decoded);
     CPPUNIT_TEST(configuration_malformed_is_refused);
     CPPUNIT_TEST(store_rows_valid_are_decoded);
@@ -535,6 +536,23 @@
         }
     }
 
+    // Guards against a document of an upstream, the store or a peer that exhausts the
+    // stack.
+    void document_nested_deeply_is_refused_by_each_decoder()
+    {
+        constexpr std::size_t depth = 1'000'000;
+        std::string const nested =
+            R"({"running":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+        gateway::store_rows rows;
+        decision::discovered_upstream upstream;
+        CPPUNIT_ASSERT(!read(200, nested).m_lists_error.empty());
+        CPPUNIT_ASSERT(m_wire.m_decode_rows(received(200, nested), rows) ==
+                       gateway::store_status::done);
+        CPPUNIT_ASSERT(rows.m_rows.empty());
+        CPPUNIT_ASSERT(!m_wire.m_decode_configuration(nested));
+        CPPUNIT_ASSERT(m_wire.m_decode_upstream("i", nested, upstream));
+    }
+
     void configuration_valid_is_decoded()
     {
         auto const read = m_wire.m_decode_configuration(
