Log why a peer's connection is closed, and lower the gateway's peer limits

Cause: a frame that is malformed or too large, a batch that cannot be decoded and a rejected open frame ended the connection, and only a counter told so. A gateway accepted 1,024 connections of peers and messages of 128 MiB: more than the descriptors that callers leave free, and more than the memory of the smallest machine.

A gateway accepts 256 connections of peers and messages of 24 MiB.

--- a/include/cassiahub/config/process_settings.hpp
+++ b/include/cassiahub/config/process_settings.hpp
@@ -4,6 +4,7 @@
 #include <cassiahub/config/error.hpp>
 #include <cassiahub/core/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,10 @@
     /// Largest sum of the bodies held for callers, in MiB. 512 bodies of 230 tasks with a
     /// few hundred bytes each take 51 MiB.
     std::uint32_t m_max_held_mib = 64;
+    // Without keys in the INI file.
+    std::uint32_t m_max_peer_connections = 1024; ///< incoming, of all peers together
+    /// Largest message of a peer. A job body has at most 64 MiB.
+    std::size_t m_max_peer_message_bytes = 128 * 1024 * 1024;
     /// Interval between polls of the platform service.
     duration m_poll_period = std::chrono::seconds(1);
     /// Longest time from the stop signal to the end of the process; requests still in
--- a/include/cassiahub/peer/error.hpp
+++ b/include/cassiahub/peer/error.hpp
@@ -6,11 +6,16 @@
 namespace cassiahub::peer
 {
 
-/// Errors that end the whole exchange with other instances.
+/// Errors of the exchange with other instances. The first two end all of it, the others
+/// one session or connection.
 enum class peer_errc
 {
-    bind_failed = 1,      ///< cannot listen on the peer address
-    event_loop_failed = 2 ///< the event loop threw an exception
+    bind_failed = 1,       ///< cannot listen on the peer address
+    event_loop_failed = 2, ///< the event loop threw an exception
+    frame_rejected = 3,    ///< malformed, too large or not expected
+    batch_rejected = 4,    ///< a message that cannot be decoded
+    open_rejected = 5,     ///< wrong secret or names, or no open frame
+    too_many_connections = 6
 };
 
 std::error_category const & peer_category() noexcept;
--- a/include/cassiahub/peer/exchange.hpp
+++ b/include/cassiahub/peer/exchange.hpp
@@ -10,8 +10,10 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <stop_token>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 namespace cassiahub::peer
@@ -51,6 +53,11 @@
     std::string m_listen_address;    ///< "ip:port"
     std::string m_secret;            ///< the same on all instances; never logged
     exchange_limits m_limits;
+    /// Called when a connection is closed because of what the peer has sent, with the
+    /// peer's name (empty before its open frame is accepted), the reason and its details,
+    /// on the thread of run_exchange(). May be empty.
+    std::function<void(std::string_view, std::error_code, std::string_view)>
+        m_on_rejected{};
 };
 
 /// Counters since process start. Thread-safe.
--- a/src/gateway/daemon.cpp
+++ b/src/gateway/daemon.cpp
@@ -19,6 +19,13 @@
 using entry::make_group;
 using runtime::supervisor_spec;
 
+/// There are up to 97 gateways, and each may open its connection anew before the earlier
+/// one is closed.
+constexpr std::uint32_t max_peer_connections = 256;
+/// A batch of 1 MiB that ends with a job of 230 tasks, each with a spec as large as the
+/// largest body, has 16 MiB. The smallest machine has 120 MB.
+constexpr std::size_t max_peer_message_bytes = 24 * 1024 * 1024;
+
 /// A duty starts before the duties that push into its ring. Duties stop in reverse order,
 /// so that callers are still answered while every duty they depend on runs.
 supervisor_spec make_root_supervisor(entry::daemon_context & daemon,
@@ -51,6 +58,8 @@
     entry.m_platform_address = settings.m_store_address;
     entry.m_peer_secret = settings.m_peer_secret;
     entry.m_caller_threads = 1; // one duty serves all callers
+    entry.m_max_peer_connections = max_peer_connections;
+    entry.m_max_peer_message_bytes = max_peer_message_bytes;
     return entry;
 }
 
--- a/src/peer/error.cpp
+++ b/src/peer/error.cpp
@@ -18,6 +18,14 @@
         return "bind_failed";
     case peer_errc::event_loop_failed:
         return "event_loop_failed";
+    case peer_errc::frame_rejected:
+        return "frame_rejected";
+    case peer_errc::batch_rejected:
+        return "batch_rejected";
+    case peer_errc::open_rejected:
+        return "open_rejected";
+    case peer_errc::too_many_connections:
+        return "too_many_connections";
     }
     return "unknown_error";
 }
--- a/src/peer/exchange.cpp
+++ b/src/peer/exchange.cpp
@@ -141,6 +141,35 @@
 
 } // namespace internal
 
+namespace internal
+{
+
+void report_rejection(exchange_state const & state, std::string_view instance,
+                      peer_errc reason, std::string_view detail)
+{
+    if (state.m_options.m_on_rejected)
+    {
+        state.m_options.m_on_rejected(instance, reason, detail);
+    }
+}
+
+bool report_failure(exchange_state const & state, std::string_view instance,
+                    kj::Exception const & failure)
+{
+    constexpr std::size_t max_detail_bytes = 200;
+    if (failure.getType() != kj::Exception::Type::FAILED)
+    {
+        return false;
+    }
+    kj::StringPtr const description = failure.getDescription();
+    report_rejection(state, instance, peer_errc::frame_rejected,
+                     std::string_view(description.begin(), description.size())
+                         .substr(0, max_detail_bytes));
+    return true;
+}
+
+} // namespace internal
+
 bool is_periodic(decision::peer_message const & message) noexcept
 {
     return std::holds_alternative<decision::heartbeat>(message) ||
--- a/src/peer/exchange_state.hpp
+++ b/src/peer/exchange_state.hpp
@@ -131,6 +131,15 @@
     kj::TaskSet m_tasks; ///< must be last: its tasks refer to the members above
 };
 
+/// Calls exchange_options::m_on_rejected.
+void report_rejection(exchange_state const & state, std::string_view instance,
+                      peer_errc reason, std::string_view detail);
+
+/// Reports frame_rejected when \p failure was caused by what the peer has sent.
+/// \returns true in that case.
+bool report_failure(exchange_state const & state, std::string_view instance,
+                    kj::Exception const & failure);
+
 /// \returns \p value as a duration of the KJ library.
 inline kj::Duration to_kj(duration value) noexcept
 {
--- a/src/peer/incoming.cpp
+++ b/src/peer/incoming.cpp
@@ -93,9 +93,12 @@
                    peer_protocol::Batch::Reader batch)
 {
     std::vector<decision::peer_message> messages;
-    if (decode_batch(batch.getMessages(), connection.m_incarnation, messages))
+    if (std::error_code const error =
+            decode_batch(batch.getMessages(), connection.m_incarnation, messages))
     {
         ++state.m_counters.m_batches_rejected;
+        report_rejection(state, connection.m_instance, peer_errc::batch_rejected,
+                         error.message());
         return false;
     }
     state.m_counters.m_messages_received += messages.size();
@@ -126,6 +129,7 @@
     if (!accepts_open(state.m_options, open))
     {
         ++state.m_counters.m_opens_rejected;
+        report_rejection(state, {}, peer_errc::open_rejected, "secret or names");
         return false;
     }
     std::string const instance(open.getInstance().begin(), open.getInstance().size());
@@ -154,6 +158,7 @@
     if (!opened)
     {
         ++state.m_counters.m_opens_rejected;
+        report_rejection(state, {}, peer_errc::open_rejected, "no open frame");
         return false;
     }
     return frame.isBatch() && receive_batch(state, connection, frame.getBatch());
@@ -265,6 +270,7 @@
     if (state.m_incoming.size() >= limits.m_incoming_connections)
     {
         ++state.m_counters.m_opens_rejected;
+        report_rejection(state, {}, peer_errc::too_many_connections, {});
         return;
     }
     set_socket_options(*stream);
@@ -274,17 +280,22 @@
     connection->m_stream = kj::mv(stream);
     incoming_connection & added = *connection;
     state.m_incoming.emplace(id, kj::mv(connection));
-    added.m_serving = serve_connection(state, added)
-                          .then([&state, id] { handle_close(state, id); },
-                                [&state, id](kj::Exception && failure)
-                                {
-                                    if (failure.getType() == kj::Exception::Type::FAILED)
-                                    {
-                                        ++state.m_counters.m_batches_rejected;
-                                    }
-                                    handle_close(state, id);
-                                })
-                          .eagerlyEvaluate(nullptr);
+    added.m_serving =
+        serve_connection(state, added)
+            .then([&state, id] { handle_close(state, id); },
+                  [&state, id](kj::Exception && failure)
+                  {
+                      auto const * const failed = find_connection(state, id);
+                      if (report_failure(state,
+                                         failed != nullptr ? failed->m_instance
+                                                           : std::string(),
+                                         failure))
+                      {
+                          ++state.m_counters.m_batches_rejected;
+                      }
+                      handle_close(state, id);
+                  })
+            .eagerlyEvaluate(nullptr);
     state.m_tasks.add(state.m_timer.afterDelay(to_kj(limits.m_call_timeout))
                           .then([&state, id] { close_unopened(state, id); }));
 }
--- a/src/peer/outgoing.cpp
+++ b/src/peer/outgoing.cpp
@@ -179,6 +179,8 @@
             }
             else
             {
+                report_rejection(state, link.m_instance, peer_errc::frame_rejected,
+                                 "not expected");
                 return false;
             }
         }
@@ -238,8 +240,11 @@
         read_answers(state, instance, generation)
             .then([&state, instance, generation]
                   { handle_connection_failure(state, instance, generation); },
-                  [&state, instance, generation](kj::Exception &&)
-                  { handle_connection_failure(state, instance, generation); })
+                  [&state, instance, generation](kj::Exception && failure)
+                  {
+                      report_failure(state, instance, failure);
+                      handle_connection_failure(state, instance, generation);
+                  })
             .eagerlyEvaluate(nullptr);
 }
 
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -227,6 +227,7 @@
     CPPUNIT_TEST(wrong_target_is_rejected);
     CPPUNIT_TEST(heartbeat_with_wrong_incarnation_is_rejected);
     CPPUNIT_TEST(malformed_frame_ends_only_its_session);
+    CPPUNIT_TEST(frame_beyond_limit_ends_session_with_reason);
     CPPUNIT_TEST(random_bytes_do_not_stop_exchange);
     CPPUNIT_TEST(address_in_use_returns_bind_failed);
     CPPUNIT_TEST_SUITE_END();
@@ -392,6 +393,26 @@
         m_south->expect_message(1);
     }
 
+    // Guards against a session that ends without a reason in the log, and against memory
+    // that is allocated for a frame as large as its sender claims.
+    void frame_beyond_limit_ends_session_with_reason()
+    {
+        runtime::bounded_ring<std::error_code> reasons(16);
+        m_south->m_options.m_limits.m_message_bytes = 100'000;
+        m_south->m_options.m_on_rejected =
+            [&reasons](std::string_view, std::error_code reason, std::string_view)
+        {
+            reasons.try_push(std::error_code(reason));
+        };
+        start_both();
+        m_north->send(*m_south, key_notice_received{1});
+        m_south->expect_message(1);
+        m_north->send(*m_south, configuration_notice{1, std::string(200'000, 'x')});
+        CPPUNIT_ASSERT_EQUAL(std::string("north-1"), m_south->next_disconnected());
+        CPPUNIT_ASSERT(reasons.pop(max_wait) == peer::peer_errc::frame_rejected);
+        m_south.reset(); // uses reasons
+    }
+
     void random_bytes_do_not_stop_exchange()
     {
         start_both();
