--- a/include/cassiahub/runtime/bounded_ring.hpp
+++ b/include/cassiahub/runtime/bounded_ring.hpp
@@ -4,12 +4,12 @@
 #include <cassiahub/core/time.hpp>
 
 #include <boost/assert.hpp>
-#include <boost/circular_buffer.hpp>
 #include <unistd.h>
 
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <stop_token>
@@ -30,7 +30,7 @@
     /// for a consumer that waits in an event loop; -1: no eventfd. Not owned.
     /// \pre \p capacity > 0
     explicit bounded_ring(std::size_t capacity, int wake_fd = -1)
-        : m_items(capacity), m_wake_fd(wake_fd)
+        : m_capacity(capacity), m_wake_fd(wake_fd)
     {
         BOOST_ASSERT(capacity > 0);
     }
@@ -45,7 +45,7 @@
         bool was_empty = false;
         {
             std::lock_guard<std::mutex> const lock(m_mutex);
-            if (m_closed || m_items.full())
+            if (m_closed || is_full())
             {
                 return false;
             }
@@ -68,8 +68,8 @@
         bool was_empty = false;
         {
             std::unique_lock<std::mutex> lock(m_mutex);
-            m_not_full.wait(lock, stop, [this] { return m_closed || !m_items.full(); });
-            if (m_closed || m_items.full())
+            m_not_full.wait(lock, stop, [this] { return m_closed || !is_full(); });
+            if (m_closed || is_full())
             {
                 return false;
             }
@@ -152,6 +152,12 @@
     }
 
 private:
+    /// \pre m_mutex is locked
+    bool is_full() const
+    {
+        return m_items.size() >= m_capacity;
+    }
+
     void wake_event_loop()
     {
         if (m_wake_fd >= 0)
@@ -167,7 +173,10 @@
     mutable std::mutex m_mutex;
     std::condition_variable_any m_not_empty;
     std::condition_variable_any m_not_full;
-    boost::circular_buffer<T> m_items;
+    /// Holds memory for the items in the ring only. A buffer of the whole capacity
+    /// becomes resident as the ring goes round, some 30 MB for the events of a gateway.
+    std::deque<T> m_items;
+    std::size_t m_capacity;
     int m_wake_fd;
     bool m_closed = false;
 };
