Exclude the upstreams of drained domains in the dispatcher

An operator must be able to keep tasks away from a failure domain without a change of ownership. dispatch::set_drained_domains marks its upstreams; they leave free and total capacity, probes, reservations and the counts of the ejection cap. Work that fits only there is refused as not run: at admission, when queued, and when a peer has forwarded it.

Guarded by dispatch_drain_test (15 tests). With the mark ignored in accepts_attempts() 10 of them fail; without the guard in readmit(), and without the release of reservations, 1 each.

--- a/include/cassiahub/dispatch/dispatcher.hpp
+++ b/include/cassiahub/dispatch/dispatcher.hpp
@@ -44,6 +44,14 @@
 void set_upstream_available(dispatch_state & state, std::string_view upstream,
                             bool available);
 
+/// Sets the failure domains whose upstreams get no new attempts. Running attempts there
+/// continue. The next call of advance() refuses queued work that fits nowhere else, as
+/// not run.
+void set_drained_domains(dispatch_state & state, std::span<std::string const> domains);
+
+/// \returns the number of owned upstreams in drained domains.
+std::size_t count_drained_upstreams(dispatch_state const & state);
+
 /// Checks a submission before the job is recorded or started.
 /// \returns the error with which to refuse the job as not run, or no error.
 std::error_code check_admission(dispatch_state const & state, job_spec const & spec,
--- a/include/cassiahub/dispatch/service_pool.hpp
+++ b/include/cassiahub/dispatch/service_pool.hpp
@@ -67,10 +67,10 @@
     std::uint32_t m_total_task_capacity = 0;
     std::uint32_t m_offered_slots = 0; ///< sum of the slots in m_free_capacity
     std::uint32_t m_usable_slots = 0;  ///< sum of the slots in m_total_capacity
-    std::uint32_t m_owned_slots = 0;   ///< slots of the owned upstreams
-    std::uint32_t m_owned_count = 0;   ///< number of owned upstreams
-    /// Number of owned upstreams that are ejected or probing.
-    std::uint32_t m_ejected_count = 0;
+    // Owned upstreams outside the drained domains.
+    std::uint32_t m_owned_slots = 0;         ///< their slots
+    std::uint32_t m_owned_count = 0;         ///< their number
+    std::uint32_t m_ejected_count = 0;       ///< how many of them are ejected or probing
     std::set<std::uint32_t> m_probe_targets; ///< upstreams that may get a probe now
     reservation m_reservation;
     /// In the last advance() a task of this instance found no capacity, here or at a
@@ -79,6 +79,8 @@
     result_window m_all_results; ///< results of all owned upstreams
     /// Capacities in the configuration that no other capacity covers in every dimension.
     std::vector<resources> m_largest_capacities;
+    /// The same without the upstreams of drained domains; empty while none is drained.
+    std::vector<resources> m_undrained_capacities;
     /// Earlier elements of m_largest_capacities that none of them covers now.
     std::vector<former_capacity> m_former_capacities;
 
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -115,8 +115,9 @@
     std::uint32_t m_suspects = 0; ///< running attempts of suspected tasks
     resources m_used;             ///< sum of the demands of the running attempts
     bool m_owned = true;
-    bool m_leaving = false;      ///< shutting down
-    std::uint32_t m_fitting = 0; ///< contribution to service_pool::m_fitting_tasks
+    bool m_leaving = false;        ///< shutting down
+    bool m_domain_drained = false; ///< in dispatch_state::m_drained_domains
+    std::uint32_t m_fitting = 0;   ///< contribution to service_pool::m_fitting_tasks
     /// Contribution to service_pool::m_total_task_capacity.
     std::uint32_t m_task_capacity = 0;
     bool m_available = true; ///< false while it is unreachable
@@ -208,6 +209,11 @@
     std::deque<service_pool> m_pools;
     std::map<std::string, std::uint32_t, std::less<>> m_pool_index; ///< by service
 
+    /// Failure domains whose upstreams get no new attempts.
+    std::set<std::string, std::less<>> m_drained_domains;
+    /// Queued tasks have to be checked by refuse_stranded().
+    bool m_may_be_stranded = false;
+
     std::vector<upstream_state> m_upstreams;
     std::map<std::string, std::uint32_t, std::less<>> m_upstream_index;
     /// Indexes of the unused elements of m_upstreams.
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/drained_domains.hpp"
 #include "dispatch/service_pools.hpp"
 #include "dispatch/shedding.hpp"
 #include "dispatch/upstreams.hpp"
@@ -149,6 +150,10 @@
     {
         return error;
     }
+    if (internal::has_stranded_task(state, kind, spec))
+    {
+        return job_errc::overloaded;
+    }
     if (std::error_code const error = internal::check_verdicts(state, spec))
     {
         return error;
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/attempts.hpp"
 #include "dispatch/baseline.hpp"
+#include "dispatch/drained_domains.hpp"
 #include "dispatch/ejection.hpp"
 #include "dispatch/forwarding.hpp"
 #include "dispatch/hedging.hpp"
@@ -279,6 +280,7 @@
     }
     internal::advance_context context{state, now, random, out};
     internal::handle_due_timers(context);
+    internal::refuse_stranded(state, out);
     internal::start_due_hedges(state, now, random, out);
     if (internal::is_baseline(state))
     {
--- a/src/dispatch/baseline.cpp
+++ b/src/dispatch/baseline.cpp
@@ -29,7 +29,7 @@
                        effects & out)
 {
     auto & assigned = state.m_upstreams[id].m_assigned;
-    while (!assigned.empty())
+    while (!assigned.empty() && !state.m_upstreams[id].m_domain_drained)
     {
         auto const [serial, task] = assigned.front();
         job_state * const job = find_job_by_serial(state, serial);
--- a/src/dispatch/ejection.cpp
+++ b/src/dispatch/ejection.cpp
@@ -101,7 +101,8 @@
 void eject(dispatch_state & state, std::uint32_t id, duration cooling, time_point now)
 {
     upstream_health & health = state.m_upstreams[id].m_health;
-    if (health.m_phase == health_phase::healthy)
+    if (health.m_phase == health_phase::healthy &&
+        !state.m_upstreams[id].m_domain_drained)
     {
         ++state.m_pools[state.m_upstreams[id].m_pool].m_ejected_count;
     }
@@ -117,7 +118,10 @@
 {
     upstream_health & health = state.m_upstreams[id].m_health;
     health = {};
-    --state.m_pools[state.m_upstreams[id].m_pool].m_ejected_count;
+    if (!state.m_upstreams[id].m_domain_drained)
+    {
+        --state.m_pools[state.m_upstreams[id].m_pool].m_ejected_count;
+    }
 }
 
 duration cooling_period(dispatch_state const & state, upstream_health const & health)
--- a/src/dispatch/forwarding.cpp
+++ b/src/dispatch/forwarding.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/attempts.hpp"
 #include "dispatch/baseline.hpp"
+#include "dispatch/drained_domains.hpp"
 #include "dispatch/forwarding.hpp"
 #include "dispatch/jobs.hpp"
 #include "dispatch/service_pools.hpp"
@@ -290,6 +291,14 @@
     state.m_timers.insert({until, timer_kind::finished_forwarded_expiry, id});
 }
 
+/// Returns a task that was never queued here as not run.
+void decline_forwarded(dispatch_state & state, instance_id const & from,
+                       attempt_id const & id, time_point now, effects & out)
+{
+    record_finished_forwarded(state, id, now + declined_memory);
+    out.m_forward_results.push_back({from, {id, attempt_outcome::not_run, "", false}});
+}
+
 } // namespace internal
 
 void set_peer(dispatch_state & state, peer_capacity peer)
@@ -298,6 +307,7 @@
     internal::remove_targets(state, known.m_capacity);
     known.m_capacity = std::move(peer);
     internal::add_targets(state, known.m_capacity);
+    internal::check_stranded_later(state);
 }
 
 void remove_peer(dispatch_state & state, instance_id const & instance, time_point now,
@@ -316,6 +326,7 @@
     peer_state const removed = std::move(found->second);
     internal::remove_targets(state, removed.m_capacity);
     state.m_peers.erase(found);
+    internal::check_stranded_later(state);
     for (attempt_id const & id : removed.m_forwarded)
     {
         // The instance may be live, with only its messages to this one lost.
@@ -393,9 +404,13 @@
     {
         // The instances have different configurations. The sender starts the task again
         // where its own configuration allows it.
-        internal::record_finished_forwarded(state, id, now + internal::declined_memory);
-        out.m_forward_results.push_back(
-            {from, {id, attempt_outcome::not_run, "", false}});
+        internal::decline_forwarded(state, from, id, now, out);
+        return;
+    }
+    if (internal::is_stranded_here(state, state.m_kinds[entry.m_kind].m_pool,
+                                   task.m_demand))
+    {
+        internal::decline_forwarded(state, from, id, now, out);
         return;
     }
     entry.m_start = std::move(task);
--- a/src/dispatch/forwarding.hpp
+++ b/src/dispatch/forwarding.hpp
@@ -5,6 +5,8 @@
 #include <cassiahub/dispatch/effects.hpp>
 #include <cassiahub/dispatch/state.hpp>
 
+#include <string_view>
+
 namespace cassiahub::dispatch::internal
 {
 
@@ -25,6 +27,10 @@
 /// \returns true when pick_busy_peer() may return a peer for some task queued in \p pool.
 bool may_wait_at_peers(dispatch_state const & state, std::uint32_t pool);
 
+/// \returns the load that \p peer reports for \p service, or nullptr when it has no
+/// upstream of it.
+peer_load const * find_load(peer_capacity const & peer, std::string_view service);
+
 /// Forwards \p start to \p peer and decrements the peer's known free slots.
 void forward_attempt(dispatch_state & state, instance_id const & peer,
                      attempt_start start, effects & out);
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -52,6 +52,8 @@
             offered[pool_id] += slots;
             add_if_violated(violations, slots > 0 && upstream.m_pool != pool_id,
                             "upstream_offered_to_its_service");
+            add_if_violated(violations, slots > 0 && upstream.m_domain_drained,
+                            "drained_upstream_not_offered");
         }
         add_if_violated(violations,
                         upstream.m_running != counted[id].m_running ||
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/drained_domains.hpp"
 #include "dispatch/objective.hpp"
 #include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
@@ -20,12 +21,13 @@
 /// fits.
 constexpr duration capacity_memory = std::chrono::minutes(10);
 
-/// \returns true when \p upstream is owned and reachable and neither an operator, the
-/// platform nor the upstream itself is shutting it down. Ignores its health.
+/// \returns true when \p upstream is owned and reachable, its failure domain is not
+/// drained, and neither an operator, the platform nor the upstream itself is shutting it
+/// down. Ignores its health.
 bool accepts_attempts(upstream_state const & upstream) noexcept
 {
     return upstream.m_owned && upstream.m_available && !upstream.m_leaving &&
-           !upstream.m_definition.m_draining;
+           !upstream.m_domain_drained && !upstream.m_definition.m_draining;
 }
 
 bool is_usable(upstream_state const & upstream) noexcept
@@ -34,13 +36,18 @@
            upstream.m_health.m_phase == health_phase::healthy;
 }
 
-bool fits_some_upstream(service_pool const & pool, resources const & demand)
+bool fits_any(std::span<resources const> largest, resources const & demand)
 {
-    return std::any_of(pool.m_largest_capacities.begin(), pool.m_largest_capacities.end(),
+    return std::any_of(largest.begin(), largest.end(),
                        [&demand](resources const & capacity)
                        { return fits(demand, capacity); });
 }
 
+bool fits_some_upstream(service_pool const & pool, resources const & demand)
+{
+    return fits_any(pool.m_largest_capacities, demand);
+}
+
 offered_capacity compute_offered_capacity(upstream_state const & upstream)
 {
     std::uint32_t const taken = upstream.m_running + upstream.m_withheld;
@@ -157,6 +164,7 @@
         leave_pool(state, id);
     }
     upstream.m_definition = definition;
+    upstream.m_domain_drained = state.m_drained_domains.contains(definition.m_domain);
     if (moves)
     {
         join_pool(state, id);
@@ -215,6 +223,8 @@
     }
     state.m_upstreams[id] = {};
     state.m_upstreams[id].m_definition = definition;
+    state.m_upstreams[id].m_domain_drained =
+        state.m_drained_domains.contains(definition.m_domain);
     join_pool(state, id);
     state.m_upstream_index.emplace(definition.m_name, id);
     return id;
@@ -249,7 +259,7 @@
     }
     for (upstream_state const & upstream : state.m_upstreams)
     {
-        if (upstream.m_owned)
+        if (upstream.m_owned && !upstream.m_domain_drained)
         {
             service_pool & pool = state.m_pools[upstream.m_pool];
             bool const ejected = upstream.m_health.m_phase != health_phase::healthy;
@@ -275,13 +285,6 @@
     }
 }
 
-bool is_covered_by_any(std::vector<resources> const & largest, resources const & capacity)
-{
-    return std::any_of(largest.begin(), largest.end(),
-                       [&capacity](resources const & other)
-                       { return fits(capacity, other); });
-}
-
 /// Keeps the elements of \p before that no capacity covers any more.
 void remember_capacities(service_pool & pool, std::vector<resources> const & before,
                          time_point now)
@@ -291,7 +294,7 @@
                   { return item.m_forgotten_at <= now; });
     for (resources const & capacity : before)
     {
-        if (!is_covered_by_any(pool.m_largest_capacities, capacity))
+        if (!fits_any(pool.m_largest_capacities, capacity))
         {
             std::erase_if(former, [&capacity](former_capacity const & item)
                           { return fits(item.m_capacity, capacity); });
@@ -300,6 +303,18 @@
     }
 }
 
+/// Adds \p capacity to \p largest, which keeps only capacities that no other one covers
+/// in every dimension.
+void add_capacity(std::vector<resources> & largest, resources const & capacity)
+{
+    if (!fits_any(largest, capacity))
+    {
+        std::erase_if(largest, [&capacity](resources const & other)
+                      { return fits(other, capacity); });
+        largest.push_back(capacity);
+    }
+}
+
 /// Stores for each service the capacities that no other capacity covers in every
 /// dimension. Fleets have few machine types, so the list is short.
 void update_largest_capacities(dispatch_state & state, time_point now)
@@ -316,15 +331,8 @@
         {
             continue; // no kind runs there
         }
-        std::vector<resources> & largest =
-            state.m_pools[pool->second].m_largest_capacities;
-        if (is_covered_by_any(largest, upstream.m_capacity))
-        {
-            continue;
-        }
-        std::erase_if(largest, [&upstream](resources const & other)
-                      { return fits(other, upstream.m_capacity); });
-        largest.push_back(upstream.m_capacity);
+        add_capacity(state.m_pools[pool->second].m_largest_capacities,
+                     upstream.m_capacity);
     }
     for (std::size_t id = 0; id < before.size(); ++id)
     {
@@ -332,6 +340,28 @@
     }
 }
 
+void update_undrained_capacities(dispatch_state & state)
+{
+    for (service_pool & pool : state.m_pools)
+    {
+        pool.m_undrained_capacities.clear();
+    }
+    if (state.m_drained_domains.empty())
+    {
+        return;
+    }
+    for (config::upstream const & upstream : state.m_configuration->m_upstreams)
+    {
+        auto const pool = state.m_pool_index.find(upstream.m_service);
+        if (pool != state.m_pool_index.end() &&
+            !state.m_drained_domains.contains(upstream.m_domain))
+        {
+            add_capacity(state.m_pools[pool->second].m_undrained_capacities,
+                         upstream.m_capacity);
+        }
+    }
+}
+
 void update_definitions(dispatch_state & state)
 {
     for (config::upstream const & definition : state.m_configuration->m_upstreams)
@@ -410,7 +440,9 @@
     internal::update_tenants(state);
     internal::update_definitions(state);
     internal::update_largest_capacities(state, now);
+    internal::update_undrained_capacities(state);
     internal::recount_owned(state);
+    internal::check_stranded_later(state);
 }
 
 void set_owned_upstreams(dispatch_state & state, std::span<std::string const> names)
@@ -435,6 +467,7 @@
         }
     }
     internal::recount_owned(state);
+    internal::check_stranded_later(state);
 }
 
 void set_upstream_leaving(dispatch_state & state, std::string_view upstream, bool leaving)
--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -3,6 +3,8 @@
 
 #include <cassiahub/dispatch/state.hpp>
 
+#include <span>
+
 namespace cassiahub::dispatch::internal
 {
 
@@ -13,6 +15,17 @@
 /// for \p demand.
 bool fits_some_upstream(service_pool const & pool, resources const & demand);
 
+/// Recounts the owned upstreams of each pool and what is derived from their number.
+/// \pre the state has a configuration
+void recount_owned(dispatch_state & state);
+
+/// Sets service_pool::m_undrained_capacities.
+/// \pre the state has a configuration
+void update_undrained_capacities(dispatch_state & state);
+
+/// \returns true when one of \p largest has room for \p demand.
+bool fits_any(std::span<resources const> largest, resources const & demand);
+
 /// Updates the capacity indexes and the totals derived from upstream \p id. Must be
 /// called after every change of the upstream.
 void update_offered_capacity(dispatch_state & state, std::uint32_t id);
