Decide about drained domains and pass them on to peers

The event domains_drained carries the set and the store version that it reflects; the newest version wins, whether from the store or a peer. Heartbeats carry the version, drained_domains_notice the set. A peer whose software does not know the notice gets none, since it would end the session. An instance is ready only once it knows a set. After a suspension of more than 1 s nothing starts until the store has confirmed the set, for at most 1 s: the row may have been written meanwhile.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -105,6 +105,17 @@
     std::deque<waiting_peer> m_waiting;
 };
 
+/// Failure domains that an operator has drained, as known to this instance.
+struct drain_state
+{
+    std::set<std::string, std::less<>> m_domains;
+    std::uint64_t m_version = 0; ///< of the store that m_domains reflects; 0: not known
+    /// Earliest time of the next drained_domains_notice to a peer with an older version.
+    std::map<instance_id, time_point> m_next_notice;
+    time_point m_confirmed_at; ///< domains_drained::m_asked_at of the last event
+    time_point m_resumed_at;   ///< end of the last suspension that may hide a change
+};
+
 /// Whole state of the decision thread; no other thread accesses it.
 struct entry_state
 {
@@ -122,6 +133,7 @@
     std::unordered_map<peer_request_number, forwarded_request> m_forwarded;
     peer_request_number m_next_request = 0;
     bool m_draining = false;
+    drain_state m_drains;
 
     std::string m_document; ///< text of the configuration in force
     /// Earliest time of the next configuration_notice to a peer with an older version.
--- a/include/cassiahub/decision/event.hpp
+++ b/include/cassiahub/decision/event.hpp
@@ -90,6 +90,18 @@
     std::string m_document; ///< text, to be sent to peers
 };
 
+/// The drained failure domains were read from the store. Sent for every change of the
+/// operator's table and, as a confirmation, for every other reply about it.
+struct domains_drained
+{
+    std::vector<std::string> m_domains;
+    std::uint64_t m_version = 0; ///< of the store that m_domains reflects
+    time_point m_asked_at;       ///< when the request for the last reply was sent
+    /// The store has lost its history and counts from a lower version: m_domains replace
+    /// those of any version.
+    bool m_replaces = false;
+};
+
 /// Registration of an upstream.
 struct discovered_upstream
 {
@@ -132,11 +144,11 @@
 {
 };
 
-using event =
-    std::variant<caller_request, routed_request, caller_disconnected, attempt_finished,
-                 peer_message_received, peer_disconnected, store_reply, instances_listed,
-                 configuration_changed, upstreams_discovered, fleet_clock_read,
-                 upstream_replied, tick, drain_requested, drain_expired>;
+using event = std::variant<caller_request, routed_request, caller_disconnected,
+                           attempt_finished, peer_message_received, peer_disconnected,
+                           store_reply, instances_listed, configuration_changed,
+                           domains_drained, upstreams_discovered, fleet_clock_read,
+                           upstream_replied, tick, drain_requested, drain_expired>;
 
 } // namespace cassiahub::decision
 
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -7,6 +7,7 @@
 #include <cassiahub/dispatch/state.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -84,6 +85,9 @@
     std::int64_t m_fleet_clock_ms = 0; ///< clock of the store at m_sent_at; 0: not known
     /// The sender has selected the receiver as its partner (membership::is_selected()).
     bool m_selected = false;
+    /// Version of the drained domains that the sender knows; 0: it knows none yet. Empty:
+    /// it does not take a drained_domains_notice.
+    std::optional<std::uint64_t> m_drains_version;
 };
 
 /// Load and free capacity of the sender's upstreams of one service. Sent between
@@ -116,6 +120,14 @@
     std::string m_document;
 };
 
+/// Carries the drained failure domains to an instance that may be unable to reach the
+/// store. They replace those of an earlier version.
+struct drained_domains_notice
+{
+    std::uint64_t m_version = 0; ///< of the store that the domains reflect
+    std::vector<std::string> m_domains;
+};
+
 /// Reports upstreams that were lost while they ran tasks, or the fate of a lost upstream.
 struct loss_notice
 {
@@ -132,7 +144,8 @@
 using peer_message =
     std::variant<forward_request, request_answered, forward_task, task_reported,
                  cancel_task, heartbeat, load_report, key_notice, key_notice_received,
-                 configuration_notice, loss_notice, capacity_request>;
+                 configuration_notice, loss_notice, capacity_request,
+                 drained_domains_notice>;
 
 } // namespace cassiahub::decision
 
--- a/include/cassiahub/decision/step.hpp
+++ b/include/cassiahub/decision/step.hpp
@@ -29,8 +29,9 @@
 /// known instances has a live one. O(shards * members).
 bool knows_every_owner(entry_state const & state);
 
-/// \returns true when a configuration is in force and an upstream is served here, or a
-/// live peer can be asked to run tasks.
+/// \returns true when a configuration is in force, the drained domains are known from the
+/// store or a peer, and an upstream is served here or a live peer can be asked to run
+/// tasks.
 bool can_serve(entry_state const & state);
 
 /// \returns true when the instance is draining and has no jobs, requests, upstreams or
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,8 @@
     std::vector<held_shard> m_holdings;
     std::vector<std::string> m_held_upstreams;
     bool m_selected = false; ///< the sender has selected this instance as its partner
+    /// Version of the drained domains that it knows; empty: it takes no notice of them.
+    std::optional<std::uint64_t> m_drains_version;
 };
 
 /// An entry instance in the platform's list.
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -118,8 +118,9 @@
     return {source.getMillicores(), source.getMemoryMib(), source.getAccelerators()};
 }
 
-/// Decodes the name of a service, which the configuration may choose freely.
-std::error_code decode_service(capnp::Text::Reader source, std::string & target)
+/// Decodes the name of a service or of a drained failure domain, which the configuration
+/// and the operator may choose freely.
+std::error_code decode_free_name(capnp::Text::Reader source, std::string & target)
 {
     target.assign(source.begin(), std::min(source.size(), max_key_length));
     return source.size() <= max_key_length ? std::error_code()
@@ -131,7 +132,7 @@
     target.m_free_slots = source.getFreeSlots();
     target.m_queued_tasks = source.getQueuedTasks();
     target.m_largest_free = to_resources(source.getLargestFree());
-    return decode_service(source.getService(), target.m_service);
+    return decode_free_name(source.getService(), target.m_service);
 }
 
 std::error_code decode(protocol::JobSpec::Reader source, job_spec & target)
@@ -221,7 +222,7 @@
     return first_error(
         {decode(source.getJob(), start.m_job),
          decode_name(source.getKind(), false, start.m_kind),
-         decode_service(source.getService(), start.m_service),
+         decode_free_name(source.getService(), start.m_service),
          decode_shard_name(source.getToken().getShard(), start.m_token.m_shard),
          decode_time(source.getDeadlineNs(), start.m_deadline),
          decode_time(source.getSendBeforeNs(), start.m_send_before)});
@@ -254,6 +255,10 @@
     {
         return peer_codec_errc::out_of_range;
     }
+    if (source.getTakesDrains())
+    {
+        target.m_drains_version = source.getDrainsVersion();
+    }
     if (source.getPeerAddress().size() > max_address_length)
     {
         return peer_codec_errc::bad_name;
@@ -307,6 +312,19 @@
     return {};
 }
 
+std::error_code decode(protocol::DrainedDomainsNotice::Reader source,
+                       decision::drained_domains_notice & target)
+{
+    auto const domains = source.getDomains();
+    target.m_version = source.getVersion();
+    std::error_code error = check_count(domains.size(), max_listed_items);
+    for (unsigned index = 0; !error && index < domains.size(); ++index)
+    {
+        error = decode_free_name(domains[index], target.m_domains.emplace_back());
+    }
+    return error;
+}
+
 std::error_code decode(protocol::TaskIdentity::Reader source,
                        dispatch::task_identity & target)
 {
@@ -385,10 +403,13 @@
         return decode_alternative<decision::configuration_notice>(
             source.getConfigurationNotice(), message);
     case protocol::Message::CAPACITY_REQUEST:
-        return decode_service(source.getCapacityRequest(),
+        return decode_free_name(source.getCapacityRequest(),
                               message.emplace<decision::capacity_request>().m_service);
     case protocol::Message::LOSS_NOTICE:
         return decode_alternative<decision::loss_notice>(source.getLossNotice(), message);
+    case protocol::Message::DRAINED_DOMAINS_NOTICE:
+        return decode_alternative<decision::drained_domains_notice>(
+            source.getDrainedDomainsNotice(), message);
     }
     return peer_codec_errc::unknown_message;
 }
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -166,6 +166,8 @@
     part.setConfigurationVersion(message.m_configuration_version);
     part.setLeaving(message.m_leaving);
     part.setStoreContact(message.m_store_contact);
+    part.setTakesDrains(message.m_drains_version.has_value());
+    part.setDrainsVersion(message.m_drains_version.value_or(0));
     auto holdings = part.initHoldings(narrow_size(message.m_holdings.size()));
     for (unsigned index = 0; index < holdings.size(); ++index)
     {
@@ -226,6 +228,18 @@
     target.setCapacityRequest(to_text(message.m_service));
 }
 
+void encode(decision::drained_domains_notice const & message,
+            protocol::Message::Builder target)
+{
+    auto part = target.initDrainedDomainsNotice();
+    part.setVersion(message.m_version);
+    auto domains = part.initDomains(narrow_size(message.m_domains.size()));
+    for (unsigned index = 0; index < domains.size(); ++index)
+    {
+        domains.set(index, to_text(message.m_domains[index]));
+    }
+}
+
 void encode(decision::loss_notice const & message, protocol::Message::Builder target)
 {
     dispatch::upstream_loss const & loss = message.m_loss;
--- a/src/codec/peer_message_size.cpp
+++ b/src/codec/peer_message_size.cpp
@@ -69,6 +69,14 @@
     return message.m_document.size();
 }
 
+std::size_t variable_size(decision::drained_domains_notice const & message) noexcept
+{
+    return std::accumulate(message.m_domains.begin(), message.m_domains.end(),
+                           std::size_t(0),
+                           [](std::size_t sum, std::string const & domain)
+                           { return sum + domain.size() + 16; });
+}
+
 std::size_t variable_size(decision::loss_notice const & message) noexcept
 {
     return std::accumulate(message.m_loss.m_tasks.begin(), message.m_loss.m_tasks.end(),
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -113,6 +113,27 @@
 /// Requests the validation of a newer document that a peer has sent.
 void receive_configuration(step_context & context, configuration_notice & notice);
 
+// Drained failure domains.
+
+/// Applies the domains read from the store unless newer ones are known.
+void receive_drained_domains(step_context & context, domains_drained const & drained);
+
+/// Applies the domains told by the peer \p from if they are newer.
+void receive_drained_domains(step_context & context, instance_id const & from,
+                             drained_domains_notice const & notice);
+
+/// Sends the drained domains to a peer that knows an older version.
+void send_drained_domains(step_context & context, instance_id const & peer,
+                          membership::member_report const & report);
+
+/// Records a suspension of this process that ends at \p now if it may hide a change of
+/// the drained domains.
+void detect_missed_drains(entry_state & state, time_point now) noexcept;
+
+/// \returns true while no task may be started because a change of the drained domains may
+/// have been missed in a suspension.
+bool may_miss_drains(entry_state const & state, time_point now) noexcept;
+
 /// Detects failed members, updates the assignment of upstreams and shards, and sends due
 /// heartbeats and load reports.
 void advance_peers(step_context & context);
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -142,6 +142,7 @@
     message.m_peer_address = state.m_identity.m_peer_address;
     message.m_sent_at = context.m_now;
     message.m_configuration_version = configuration_version(state);
+    message.m_drains_version = state.m_drains.m_version;
     message.m_leaving = state.m_draining;
     message.m_store_contact = has_store_contact(state, context.m_now);
     message.m_held_upstreams = lease::held_upstreams(state.m_leasing.m_sessions);
@@ -185,7 +186,8 @@
                                      message.m_store_contact,
                                      {},
                                      std::move(message.m_held_upstreams),
-                                     message.m_selected};
+                                     message.m_selected,
+                                     message.m_drains_version};
     for (shard_holding const & holding : message.m_holdings)
     {
         report.m_holdings.push_back({holding.m_shard, holding.m_epoch});
@@ -225,6 +227,8 @@
         }
         observe_holdings(context, entry);
     }
+    // Before the configuration, without which the peer starts no task.
+    send_drained_domains(context, from, entry.m_report);
     send_configuration(context, from, entry.m_report);
     if (effect != membership::report_effect::refreshed)
     {
--- a/src/decision/readiness.cpp
+++ b/src/decision/readiness.cpp
@@ -67,7 +67,7 @@
         std::any_of(sessions.begin(), sessions.end(),
                     [](auto const & entry)
                     { return entry.second.m_phase == lease::session_phase::serving; });
-    return state.m_dispatch.m_configuration != nullptr &&
+    return state.m_dispatch.m_configuration != nullptr && state.m_drains.m_version != 0 &&
            (serves || !membership::near_members(state.m_membership).empty());
 }
 
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -178,6 +178,12 @@
     receive_configuration(context, message);
 }
 
+void handle_message(step_context & context, instance_id const & from,
+                    drained_domains_notice & message)
+{
+    receive_drained_domains(context, from, message);
+}
+
 void handle_message(step_context & context, instance_id const &, loss_notice & message)
 {
     receive_loss(context, message.m_loss);
@@ -232,6 +238,11 @@
     }
 }
 
+void handle(step_context & context, domains_drained & drained)
+{
+    receive_drained_domains(context, drained);
+}
+
 void handle(step_context & context, upstreams_discovered & discovered)
 {
     receive_upstreams(context, discovered);
@@ -285,7 +296,8 @@
     }
     dispatch::effects dispatch_effects;
     if (state.m_identity.m_leases_upstreams &&
-        membership::is_catching_up(state.m_membership, context.m_now))
+        (membership::is_catching_up(state.m_membership, context.m_now) ||
+         may_miss_drains(state, context.m_now)))
     {
         // Callers may have left, and submitted their jobs elsewhere, in the suspension.
         dispatch::advance_timers(state.m_dispatch, context.m_now, context.m_random,
@@ -375,6 +387,7 @@
 void step(entry_state & state, event occurred, time_point now, random_source & random,
           std::vector<action> & actions)
 {
+    internal::detect_missed_drains(state, now);
     state.m_now = now;
     ownership::detect_suspension(state.m_ownership, now);
     lease::detect_gap(state.m_leasing.m_sessions, now);
--- a/src/dispatch/drained_domains.cpp
+++ b/src/dispatch/drained_domains.cpp
@@ -8,6 +8,7 @@
 #include <cassiahub/dispatch/dispatcher.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,10 @@
 namespace
 {
 
+/// Delay after which the caller of a refused job may retry. A drain lasts for minutes,
+/// but by then another instance may have told this one of free upstreams.
+constexpr duration stranded_retry_after = std::chrono::seconds(1);
+
 /// \returns true when an upstream owned here, in a drained domain or outside as \p
 /// drained tells, has room for \p demand while it is idle.
 bool fits_owned(dispatch_state const & state, std::uint32_t pool, bool drained,
@@ -80,8 +85,10 @@
     for (std::uint64_t const serial : stranded)
     {
         job_state & job = state.m_jobs.at(serial);
+        job_answer answer = failed_answer(job, job_errc::overloaded);
+        answer.m_retry_after = stranded_retry_after;
         ++state.m_counters.m_shed_jobs;
-        finish_job(state, job, failed_answer(job, job_errc::overloaded), out);
+        finish_job(state, job, std::move(answer), out);
     }
 }
 
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -105,6 +105,8 @@
   selected @11 :Bool;       # the sender has selected the receiver as its partner
   otherLoads @12 :List(PeerLoad);
   # `load` is that of the sender's first service, these are those of its other ones.
+  drainsVersion @13 :UInt64; # of the drained domains known to the sender; 0: not known
+  takesDrains @14 :Bool;     # the sender takes drainedDomainsNotice
 }
 
 struct KeyNotice {
@@ -118,6 +120,11 @@
   document @1 :Text;
 }
 
+struct DrainedDomainsNotice {
+  version @0 :UInt64;       # of the store
+  domains @1 :List(Text);
+}
+
 struct TaskIdentity {
   tenant @0 :Text;
   job @1 :Text;             # key of the job
@@ -146,6 +153,7 @@
     configurationNotice @9 :ConfigurationNotice;
     lossNotice @10 :LossNotice;
     capacityRequest @11 :Text;  # name of a service
+    drainedDomainsNotice @12 :DrainedDomainsNotice;
   }
 }
 
