Read drained domains from the store and bound late starts

The registry publishes the set on every change of the operator's table and after each full read, before the configuration, and confirms it with every other reply. A full read of several pages took the version of its last page, so a change to an earlier page could be missed; it takes that of the first.

src/lease sends a start once, when it is decided, but the call could wait behind it for as long as the process was suspended: its time limit began when the duty took it from the ring, and a connection opened after the deadline still sent the request. A start call now carries a limit, and the HTTP client checks the deadline before it sends.

--- a/include/cassiahub/gateway/wire_format.hpp
+++ b/include/cassiahub/gateway/wire_format.hpp
@@ -47,9 +47,11 @@
 /// Tables of the store that the gateway uses.
 enum class store_table
 {
-    configuration, ///< the fleet configuration, at m_configuration_key()
-    upstreams,     ///< registrations of upstreams
-    instances      ///< registrations of gateway instances
+    /// The operator's rows: the fleet configuration, at m_configuration_key(), and the
+    /// drained failure domains.
+    configuration,
+    upstreams, ///< registrations of upstreams
+    instances  ///< registrations of gateway instances
 };
 
 /// Encoders and decoders of one wire format. They make no decisions; all are thread-safe.
@@ -73,6 +75,9 @@
     store_status (*m_decode_rows)(http::response const & received, store_rows & rows);
     /// \returns the key of the fleet configuration in store_table::configuration.
     std::string_view (*m_configuration_key)();
+    /// \returns the failure domain that the row \p key of store_table::configuration
+    /// drains while it exists, whatever its value, or nothing for any other row.
+    std::optional<std::string_view> (*m_drained_domain)(std::string_view key);
 
     // Documents in the store.
 
--- a/include/cassiahub/lease/call.hpp
+++ b/include/cassiahub/lease/call.hpp
@@ -52,6 +52,9 @@
     std::uint64_t m_token = 0; ///< fencing token
     duration m_timeout{0};
     std::variant<start_call, stop_call, renew_call> m_body;
+    /// A start is not sent from this time on. If the process was suspended since the
+    /// start was decided, its upstream may have to get no more tasks by now.
+    time_point m_send_before = time_point::max();
 };
 
 /// Result of a call.
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -33,9 +33,10 @@
     dispatch::peer_load m_load;
     std::uint64_t m_capacity_requests_sent = 0;
     std::size_t m_open_jobs = 0;
-    std::size_t m_live_members = 0;  ///< other live instances that share work with
-                                     ///< this one
-    std::size_t m_served_shards = 0; ///< shards that this instance owns and serves
+    std::size_t m_live_members = 0;      ///< other live instances that share work with
+                                         ///< this one
+    std::size_t m_served_shards = 0;     ///< shards that this instance owns and serves
+    std::size_t m_drained_upstreams = 0; ///< owned upstreams in drained failure domains
     std::uint64_t m_configuration_version = 0;
     bool m_store_contact = false;                      ///< the store is reachable
     std::vector<std::string_view> m_broken_invariants; ///< names of violated invariants
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -186,6 +186,7 @@
         sample.m_served_shards +=
             shard.m_phase == ownership::shard_phase::serving ? 1 : 0;
     }
+    sample.m_drained_upstreams = dispatch::count_drained_upstreams(state.m_dispatch);
     sample.m_configuration_version = context.m_configuration_version;
     sample.m_store_contact = ownership::has_store_contact(state.m_ownership, state.m_now);
     sample.m_broken_invariants = decision::check_invariants(state);
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -3,6 +3,7 @@
 #include "gateway/event_loop.hpp"
 #include "gateway/registration.hpp"
 
+#include <cassiahub/codec/job_json.hpp>
 #include <cassiahub/gateway/error.hpp>
 #include <cassiahub/http/async_client.hpp>
 #include <cassiahub/http/error.hpp>
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -57,11 +59,14 @@
     store_table m_table = store_table::configuration;
     std::map<std::string, store_row> m_rows; ///< by key
     std::uint64_t m_version = 0;  ///< the next watch asks for changes after this version
+    time_point m_asked_at;        ///< when the current read or watch began
+    time_point m_replied_at;      ///< when the last one succeeded
     bool m_loaded = false;        ///< read in full since the store last lost its history
     std::uint32_t m_failures = 0; ///< consecutive failed requests
     duration m_watch_pause{0};    ///< pause between two watches
     std::map<std::string, store_row>
-        m_partial_rows; ///< rows of the paged read in progress
+        m_partial_rows;                  ///< rows of the paged read in progress
+    std::uint64_t m_partial_version = 0; ///< version of its first page
     std::unique_ptr<boost::asio::steady_timer> m_timer;
 };
 
@@ -86,6 +91,12 @@
     std::map<std::string, std::error_code> m_ignored_instances{};
     boost::asio::steady_timer m_registration_timer{m_loop};
     boost::asio::steady_timer m_listing_timer{m_loop};
+    /// Store version of the last change or full read of the operator's table, and the
+    /// highest one so far.
+    std::uint64_t m_drains_version = 0;
+    std::uint64_t m_highest_drains_version = 0;
+    std::set<std::string>
+        m_ignored_drains{};         ///< keys of rows that were logged as ignored
     bool m_store_reachable = true;  ///< the last store request succeeded
     std::size_t m_listed_count = 0; ///< instances in the last listing, with this one
     std::int64_t m_clock_ms = 0;    ///< store clock in its last reply, ms; 0: none yet
@@ -145,6 +156,36 @@
     }
 }
 
+/// Publishes the drained domains with the version of the last change, which every reply
+/// about the table confirms.
+void publish_drained_domains(registry_state & state)
+{
+    decision::domains_drained drained;
+    for (auto const & [key, row] : state.m_configuration.m_rows)
+    {
+        auto const domain = state.m_context.m_wire.m_drained_domain(key);
+        if (domain && (domain->empty() || domain->size() > codec::max_key_length))
+        {
+            if (state.m_ignored_drains.insert(key).second)
+            {
+                record(state.m_context.m_daemon,
+                       decision::log_event{"drain_ignored",
+                                           key.substr(0, codec::max_key_length),
+                                           make_error_code(registration_errc::bad_domain),
+                                           fmt::format("version={}", row.m_version)});
+            }
+        }
+        else if (domain)
+        {
+            drained.m_domains.emplace_back(*domain);
+        }
+    }
+    drained.m_version = state.m_drains_version;
+    drained.m_asked_at = state.m_configuration.m_asked_at;
+    drained.m_replaces = state.m_drains_version < state.m_highest_drains_version;
+    push_event(state, std::move(drained));
+}
+
 /// Decodes a row that has changed. Logs when it is ignored for another reason than
 /// before.
 void decode_registration(registry_state & state, store_row const & row,
@@ -187,6 +228,11 @@
 {
     if (table.m_table == store_table::configuration)
     {
+        state.m_drains_version = table.m_version;
+        state.m_highest_drains_version =
+            std::max(state.m_highest_drains_version, table.m_version);
+        // Before the configuration, without which no task is started.
+        publish_drained_domains(state);
         publish_configuration(state);
     }
     else
@@ -231,6 +277,10 @@
             replicate_after_pause(state, table);
             return;
         }
+        if (table.m_partial_rows.empty())
+        {
+            table.m_partial_version = rows.m_version;
+        }
         std::string last_key;
         for (store_row & row : rows.m_rows)
         {
@@ -245,11 +295,11 @@
             return;
         }
         table.m_rows = std::exchange(table.m_partial_rows, {});
-        // Version of the last page. The pages are read one after another, so only
-        // changes up to the version of the first page are certain to be included; a
-        // later change to a row of an earlier page can be missed.
-        table.m_version = rows.m_version;
+        // The pages are read one after another, so only changes up to the version of the
+        // first page are certain to be included. The watch returns the later ones.
+        table.m_version = table.m_partial_version;
         table.m_loaded = true;
+        table.m_replied_at = runtime::read_boot_clock();
         table.m_failures = 0;
         publish(state, table);
         replicate(state, table);
@@ -261,6 +311,7 @@
 void apply_changes(registry_state & state, replicated_table & table, store_rows rows)
 {
     table.m_failures = 0;
+    table.m_replied_at = runtime::read_boot_clock();
     table.m_version = std::max(table.m_version, rows.m_version);
     for (store_row & row : rows.m_rows)
     {
@@ -278,6 +329,10 @@
     {
         publish(state, table);
     }
+    else if (table.m_table == store_table::configuration)
+    {
+        publish_drained_domains(state);
+    }
 }
 
 void watch_table(registry_state & state, replicated_table & table)
@@ -294,14 +349,17 @@
         table.m_loaded = table.m_loaded && status != store_status::history_lost;
         replicate_after_pause(state, table);
     };
-    send(
-        state,
-        state.m_context.m_wire.m_encode_watch(table.m_table, table.m_version, watch_wait),
-        watch_wait, std::move(on_rows));
+    // After a suspension or an outage the reply is needed at once.
+    bool const overdue = table.m_asked_at - table.m_replied_at > watch_wait;
+    duration const wait = overdue ? duration::zero() : watch_wait;
+    send(state,
+         state.m_context.m_wire.m_encode_watch(table.m_table, table.m_version, wait),
+         wait, std::move(on_rows));
 }
 
 void replicate(registry_state & state, replicated_table & table)
 {
+    table.m_asked_at = runtime::read_boot_clock();
     if (table.m_loaded)
     {
         watch_table(state, table);
--- a/src/gateway/upstream_calls.cpp
+++ b/src/gateway/upstream_calls.cpp
@@ -4,9 +4,11 @@
 #include <cassiahub/gateway/error.hpp>
 #include <cassiahub/http/async_client.hpp>
 #include <cassiahub/http/error.hpp>
+#include <cassiahub/runtime/boot_clock.hpp>
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <exception>
 #include <optional>
 #include <string_view>
@@ -132,6 +134,7 @@
         return;
     }
     bool const renews = std::holds_alternative<lease::renew_call>(call.m_body);
+    duration const time_left = call.m_send_before - runtime::read_boot_clock();
     auto on_response = [&context, &stop, number = call.m_number,
                         upstream = call.m_upstream](std::error_code error,
                                                     http::response const & received)
@@ -143,9 +146,14 @@
         }
         report_reply(context, upstream, number, error, received, stop);
     };
+    if (time_left <= duration::zero())
+    {
+        on_response(http::http_errc::connect_failed, {}); // nothing was sent
+        return;
+    }
     http::send_request(renews ? *clients.m_renewals : *clients.m_starts_and_stops,
-                       call.m_address, std::move(*encoded), call.m_timeout,
-                       std::move(on_response));
+                       call.m_address, std::move(*encoded),
+                       std::min(call.m_timeout, time_left), std::move(on_response));
 }
 
 } // namespace internal
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -282,7 +282,10 @@
         *endpoint,
         [client, connection](boost::system::error_code error)
         {
-            if (error || !connection->m_open)
+            // After a suspension of the process the connection may be ready before the
+            // timer has expired.
+            if (error || !connection->m_open ||
+                connection->m_request->m_deadline <= std::chrono::steady_clock::now())
             {
                 fail_connection(client, connection);
                 return;
--- a/src/lease/session_calls.cpp
+++ b/src/lease/session_calls.cpp
@@ -19,9 +19,12 @@
     pending.m_address = session.m_address;
     pending.m_token = session.m_token;
     pending.m_sent_at = context.m_now;
+    time_point const send_before =
+        pending.m_is_start ? context.m_now + timeout : time_point::max();
     context.m_state.m_pending.emplace(number, std::move(pending));
     context.m_out.m_calls.push_back({number, session.m_name, session.m_address,
-                                     session.m_token, timeout, std::move(body)});
+                                     session.m_token, timeout, std::move(body),
+                                     send_before});
     return number;
 }
 
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -99,6 +99,32 @@
         call([&] { put_on_loop(table, key, value); });
     }
 
+    void remove(std::string const & table, std::string const & key)
+    {
+        call(
+            [&]
+            {
+                m_rows.erase({table, key});
+                m_changes.push_back({{"table", table},
+                                     {"part", ""},
+                                     {"key", key},
+                                     {"ver", ++m_version},
+                                     {"removed", true}});
+            });
+    }
+
+    /// Removes a row, and forgets this and all earlier changes.
+    void lose_history_with(std::string const & table, std::string const & key)
+    {
+        call(
+            [&]
+            {
+                m_rows.erase({table, key});
+                m_changes.clear();
+                m_history_from = ++m_version;
+            });
+    }
+
     /// Starts an upstream and registers it under \p id.
     void add_upstream(std::string const & id)
     {
@@ -285,6 +311,11 @@
         poll(steady_ms() + wait,
              [this, exchange, table, after](bool expired)
              {
+                 if (after < m_history_from)
+                 {
+                     send(m_store, exchange, 410, json::object());
+                     return true;
+                 }
                  json rows = json::array();
                  for (json const & row : m_changes)
                  {
@@ -387,6 +418,7 @@
     std::map<std::pair<std::string, std::string>, json> m_rows;
     std::vector<json> m_changes;
     std::uint64_t m_version = 0;
+    std::uint64_t m_history_from = 0; ///< first version whose changes are known
     std::int64_t m_born = 1'700'000'000'000;
     std::int64_t m_run_time_ms = 50;
     std::map<std::string, upstream_state> m_upstreams;
@@ -489,6 +521,11 @@
         return -1;
     }
 
+    void signal(int number) const
+    {
+        kill(m_pid, number);
+    }
+
     bool is_ready() const
     {
         return send(m_ready_address, {"GET", "/cassiahub/ready", {}, {}, {}}) == 200;
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -13,6 +13,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cassiahub;
@@ -32,6 +33,7 @@
     CPPUNIT_TEST(request_to_closed_port_fails_as_not_sent);
     CPPUNIT_TEST(request_without_response_at_its_deadline_fails_as_response_lost);
     CPPUNIT_TEST(request_waiting_at_its_deadline_fails_as_not_sent);
+    CPPUNIT_TEST(request_whose_connection_opens_after_its_deadline_is_not_sent);
     CPPUNIT_TEST(request_at_its_deadline_while_written_is_lost);
     CPPUNIT_TEST(response_while_request_is_written_closes_connection);
     CPPUNIT_TEST(response_beyond_limits_fails_as_too_large);
@@ -209,6 +211,21 @@
         CPPUNIT_ASSERT(m_errors[1] == http::http_errc::response_lost);
     }
 
+    // Guards against a start that reaches its upstream after a suspension of the process.
+    void request_whose_connection_opens_after_its_deadline_is_not_sent()
+    {
+        for (std::size_t round = 0; round < 10; ++round)
+        {
+            m_echo = false;
+            m_client = http::make_async_client(m_loop, {});
+            send("a", 20ms);
+            std::this_thread::sleep_for(30ms);
+            wait_for(round + 1);
+            CPPUNIT_ASSERT(m_errors[round] == http::http_errc::connect_failed);
+        }
+        CPPUNIT_ASSERT(m_open_exchanges.empty());
+    }
+
     // Guards against freeing a message at its deadline while it is still being written.
     void request_at_its_deadline_while_written_is_lost()
     {
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(claim_does_not_extend_lease);
     CPPUNIT_TEST(claim_with_run_of_earlier_owner_stops_it_before_starts);
     CPPUNIT_TEST(start_before_claim_is_not_run);
+    CPPUNIT_TEST(start_call_has_a_limit_on_its_sending);
     CPPUNIT_TEST(fenced_renewal_reports_runs_as_unknown);
     CPPUNIT_TEST(fenced_start_is_not_run);
     CPPUNIT_TEST(start_refused_by_other_upstream_is_not_run);
@@ -65,6 +66,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_calls<start_call>());
     }
 
+    // Guards against a start that a suspended process sends long after it was decided.
+    void start_call_has_a_limit_on_its_sending()
+    {
+        claim_upstream();
+        start_run(0);
+        auto const call = take_call<start_call>();
+        CPPUNIT_ASSERT(call.m_send_before == m_now + call.m_timeout);
+        CPPUNIT_ASSERT(call.m_timeout < 1s);
+        CPPUNIT_ASSERT(take_call<renew_call>().m_send_before == time_point::max());
+    }
+
     void fenced_renewal_reports_runs_as_unknown()
     {
         claim_upstream();
--- a/tests/platform_wire_test.cpp
+++ b/tests/platform_wire_test.cpp
@@ -354,6 +354,7 @@
     CPPUNIT_TEST(configuration_valid_is_decoded);
     CPPUNIT_TEST(configuration_malformed_is_refused);
     CPPUNIT_TEST(store_rows_valid_are_decoded);
+    CPPUNIT_TEST(key_of_drained_domain_names_it);
     CPPUNIT_TEST(read_from_odd_key_encodes_the_key);
     CPPUNIT_TEST(store_clock_out_of_range_is_not_used);
     CPPUNIT_TEST(store_row_with_unreadable_value_is_kept_without_value);
@@ -597,6 +598,17 @@
     }
 
     // Guards against a read that cannot go on after an odd key, or changes its meaning.
+    // Guards against a drain that another row of the operator's table causes.
+    void key_of_drained_domain_names_it()
+    {
+        CPPUNIT_ASSERT(m_wire.m_drained_domain("evacuate/zone a/b") == "zone a/b");
+        CPPUNIT_ASSERT(m_wire.m_drained_domain("evacuate/") == "");
+        for (char const * key : {"config", "evacuate", "Evacuate/a", "x/evacuate/a", ""})
+        {
+            CPPUNIT_ASSERT(!m_wire.m_drained_domain(key));
+        }
+    }
+
     void read_from_odd_key_encodes_the_key()
     {
         http::request const sent =
