Let the fault soak drain failure domains

While the other faults are injected, the operator drains one failure domain after another for 3 to 10 s. A start there more than 5 s after the later of the row and the end of the store's last outage is a violation.

--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -141,11 +141,10 @@
     std::string m_service;
 };
 
-using peer_message =
-    std::variant<forward_request, request_answered, forward_task, task_reported,
-                 cancel_task, heartbeat, load_report, key_notice, key_notice_received,
-                 configuration_notice, loss_notice, capacity_request,
-                 drained_domains_notice>;
+using peer_message = std::variant<forward_request, request_answered, forward_task,
+                                  task_reported, cancel_task, heartbeat, load_report,
+                                  key_notice, key_notice_received, configuration_notice,
+                                  loss_notice, capacity_request, drained_domains_notice>;
 
 } // namespace cassiahub::decision
 
--- a/soak/fakes.py
+++ b/soak/fakes.py
@@ -24,6 +24,9 @@
         self.calls = 0
         self.rewrite_peer_address = rewrite_peer_address
 
+    def answers(self):
+        return self.mode in ("up", "slow")
+
     def put(self, table, key, value):
         self.version += 1
         row = {"table": table, "part": "", "key": key, "value": value,
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,6 +25,7 @@
 BREAK_SHARE = 0.04  # of the requests whose connection breaks before the response
 RECOVERY_LIMIT_S = 12  # from the last fault until jobs must complete again
 STOP_GRACE_S = 6  # limit of a graceful stop, as set in the gateways
+DRAIN_LIMIT_S = 5  # from the operator's row until no task starts in its domain
 
 
 class Checks:
@@ -34,6 +35,8 @@
         self.running = collections.defaultdict(list)  # by task: its current runs
         self.started = collections.Counter()  # runs by job
         self.submitted = set()  # jobs
+        self.drained_at = {}  # by failure domain, while it is drained
+        self.store_away_at = 0  # last time at which the store did not answer
         self.violations = []
         self.counts = collections.Counter()
         self.trace_file = open(trace_path, "w")
@@ -59,6 +62,13 @@
         job = run.task.split(".")[0]
         if job not in self.submitted:
             self.add_violation(f"{run.task} runs but its job was not submitted")
+        domain = run.upstream.domain
+        if domain in self.drained_at:
+            # Without the store a gateway may not hear of the row in time.
+            since = max(self.drained_at[domain], self.store_away_at)
+            if time.monotonic() - since > DRAIN_LIMIT_S:
+                self.add_violation(f"{run.task} starts {time.monotonic() - since:.3f} s "
+                                   f"after the drain of {domain}: {run.describe()}")
         self.running[run.task].append(run)
         self.started[job] += 1
 
@@ -207,6 +217,8 @@
             for upstream in self.upstreams:
                 upstream.advance()
                 upstream.write_registration(self.store)
+            if not self.store.answers():
+                self.checks.store_away_at = time.monotonic()
             await asyncio.sleep(0.01)
 
     async def restart(self, gateway, rng):
@@ -298,6 +310,27 @@
         await asyncio.sleep(rng.uniform(0.5, 6))
         self.store.mode = "up"
 
+    async def drain_domains(self, until):
+        """The operator drains one failure domain after another and takes it back."""
+        rng = random.Random(f"{self.options.seed}-drains")
+        while time.monotonic() < until:
+            domain = f"domain-{rng.randrange(self.options.domains)}"
+            await self.wait_for_store()
+            self.store.put("op", f"evacuate/{domain}", "")
+            self.checks.drained_at[domain] = time.monotonic()
+            self.checks.trace(f"{domain} is drained")
+            self.faults["store drain"] += 1
+            await asyncio.sleep(rng.uniform(3, 10))
+            await self.wait_for_store()
+            del self.checks.drained_at[domain]
+            self.store.remove("op", f"evacuate/{domain}")
+            self.checks.trace(f"{domain} is restored")
+            await asyncio.sleep(rng.uniform(0, 3))
+
+    async def wait_for_store(self):
+        while not self.store.answers():
+            await asyncio.sleep(0.02)
+
     async def inject(self, until):
         """Injects the faults of gateways, upstreams and the store, and, with random
         sources of their own, those of the platform that hit calls to upstreams."""
@@ -314,7 +347,9 @@
         upstream_kinds += [(self.break_upstream, kind) for kind in
                            ("crash", "crash", "slow", "late_orders", "late_orders+crash",
                             "late_renewals", "lag", "lag+crash")]
+        drains = not self.options.only or "store-drain" in self.options.only
         await asyncio.gather(
+            self.drain_domains(until if drains else 0),
             self.inject_kinds(fault_kinds, f"{self.options.seed}", until),
             self.inject_kinds(upstream_kinds, f"{self.options.seed}-upstreams", until))
         self.last_fault = time.monotonic()
--- a/tests/gateway_drain_test.cpp
+++ b/tests/gateway_drain_test.cpp
@@ -146,8 +146,10 @@
         m_platform.put("op", drain_row, "");
         std::this_thread::sleep_for(5500ms);
         int const first = m_next_job;
+        constexpr int job_count = 6;
         std::vector<std::future<int>> jobs;
-        for (int job = 0; job < 6; ++job)
+        jobs.reserve(job_count);
+        for (int job = 0; job < job_count; ++job)
         {
             jobs.push_back(std::async(std::launch::async, [this, id = next_id()]
                                       { return m_gateway->run_job(id); }));
