--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -404,7 +404,7 @@
             source.getConfigurationNotice(), message);
     case protocol::Message::CAPACITY_REQUEST:
         return decode_free_name(source.getCapacityRequest(),
-                              message.emplace<decision::capacity_request>().m_service);
+                                message.emplace<decision::capacity_request>().m_service);
     case protocol::Message::LOSS_NOTICE:
         return decode_alternative<decision::loss_notice>(source.getLossNotice(), message);
     case protocol::Message::DRAINED_DOMAINS_NOTICE:
