Refuse work that only unreachable upstreams outside a drain could take

An instance that is cut off together with a drained domain owns upstreams of other domains that it cannot reach, so its jobs waited for their deadline instead of being refused. Owned upstreams that are unreachable or shutting down no longer count as a place outside the drain.

--- a/src/dispatch/drained_domains.cpp
+++ b/src/dispatch/drained_domains.cpp
@@ -25,16 +25,16 @@
 /// but by then another instance may have told this one of free upstreams.
 constexpr duration stranded_retry_after = std::chrono::seconds(1);
 
-/// \returns true when an upstream owned here, in a drained domain or outside as \p
-/// drained tells, has room for \p demand while it is idle.
-bool fits_owned(dispatch_state const & state, std::uint32_t pool, bool drained,
-                resources const & demand)
+/// \returns true when an upstream of \p pool that \p predicate accepts has room for
+/// \p demand while it is idle.
+template <typename Predicate>
+bool fits_any_with(dispatch_state const & state, std::uint32_t pool,
+                   resources const & demand, Predicate predicate)
 {
     return std::any_of(state.m_upstreams.begin(), state.m_upstreams.end(),
                        [&](upstream_state const & upstream)
                        {
-                           return upstream.m_owned && upstream.m_pool == pool &&
-                                  upstream.m_domain_drained == drained &&
+                           return upstream.m_pool == pool && predicate(upstream) &&
                                   fits(demand, upstream.m_definition.m_capacity);
                        });
 }
@@ -129,8 +129,13 @@
 bool is_stranded_here(dispatch_state const & state, std::uint32_t pool,
                       resources const & demand)
 {
-    return !state.m_drained_domains.empty() && !fits_owned(state, pool, false, demand) &&
-           fits_owned(state, pool, true, demand);
+    auto const is_drained = [](upstream_state const & upstream)
+    {
+        return upstream.m_owned && upstream.m_domain_drained;
+    };
+    return !state.m_drained_domains.empty() &&
+           !fits_any_with(state, pool, demand, &accepts_attempts) &&
+           fits_any_with(state, pool, demand, is_drained);
 }
 
 bool has_stranded_task(dispatch_state const & state, std::uint32_t kind,
--- a/src/dispatch/drained_domains.hpp
+++ b/src/dispatch/drained_domains.hpp
@@ -9,8 +9,8 @@
 
 // A task is stranded when only upstreams of drained domains have room for it.
 
-/// \returns true when of the upstreams owned here only drained ones have room for
-/// \p demand.
+/// \returns true when of the upstreams owned here only drained ones, apart from those
+/// that cannot be reached or are shutting down, have room for \p demand.
 bool is_stranded_here(dispatch_state const & state, std::uint32_t pool,
                       resources const & demand);
 
@@ -19,7 +19,8 @@
                        job_spec const & spec);
 
 /// Makes the next call of refuse_stranded() check the queued tasks. Must be called after
-/// every change of the drained domains, the owned upstreams or the peers.
+/// every change of the drained domains, the owned upstreams, their reachability or the
+/// peers.
 void check_stranded_later(dispatch_state & state) noexcept;
 
 /// If a check is due, ends queued jobs with a stranded task and refuses stranded tasks of
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -21,9 +21,6 @@
 /// fits.
 constexpr duration capacity_memory = std::chrono::minutes(10);
 
-/// \returns true when \p upstream is owned and reachable, its failure domain is not
-/// drained, and neither an operator, the platform nor the upstream itself is shutting it
-/// down. Ignores its health.
 bool accepts_attempts(upstream_state const & upstream) noexcept
 {
     return upstream.m_owned && upstream.m_available && !upstream.m_leaving &&
@@ -488,6 +485,7 @@
     {
         state.m_upstreams[found->second].m_available = available;
         internal::update_offered_capacity(state, found->second);
+        internal::check_stranded_later(state);
     }
 }
 
--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -8,6 +8,11 @@
 namespace cassiahub::dispatch::internal
 {
 
+/// \returns true when \p upstream is owned and reachable, its failure domain is not
+/// drained, and neither an operator, the platform nor the upstream itself is shutting it
+/// down. Ignores its health.
+bool accepts_attempts(upstream_state const & upstream) noexcept;
+
 /// \returns true when the upstream accepts new attempts other than probes.
 bool is_usable(upstream_state const & upstream) noexcept;
 
--- a/tests/decision_large_fleet_test.cpp
+++ b/tests/decision_large_fleet_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(rolling_restart_of_all_never_gives_an_upstream_two_owners);
     CPPUNIT_TEST(joining_instances_take_their_share_without_a_second_owner);
     CPPUNIT_TEST(loss_notice_reaches_instances_that_are_no_peers);
+    CPPUNIT_TEST(drained_domain_read_by_one_is_known_to_all_within_4_s);
     CPPUNIT_TEST_SUITE_END();
 
     random_source m_random{11};
@@ -489,6 +490,23 @@
         CPPUNIT_ASSERT_EQUAL(m_instances.size() - 1, m_reached_by_loss.size());
     }
 
+    // Guards against starts in a drained domain by instances that have lost the store:
+    // here all but one, which reads the row.
+    void drained_domain_read_by_one_is_known_to_all_within_4_s()
+    {
+        build(97, 540);
+        simulated_instance & reader = m_instances.begin()->second;
+        handle(reader, domains_drained{{"domain-0"}, 7, local_time(), false});
+        play(4s);
+        for (auto const & [name, entry] : m_instances)
+        {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::uint64_t(7),
+                                         entry.m_state.m_drains.m_version);
+            CPPUNIT_ASSERT(
+                entry.m_state.m_dispatch.m_drained_domains.contains("domain-0"));
+        }
+    }
+
     void setUp() override
     {
         m_instances.clear();
--- a/tests/dispatch_drain_test.cpp
+++ b/tests/dispatch_drain_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(queued_job_when_everything_is_drained_is_refused_as_not_run);
     CPPUNIT_TEST(submission_when_everything_is_drained_is_overloaded);
     CPPUNIT_TEST(job_waits_for_peer_when_own_upstreams_are_drained);
+    CPPUNIT_TEST(job_when_upstreams_outside_the_drain_are_unreachable_is_refused);
     CPPUNIT_TEST(job_that_has_run_is_not_refused_by_drain);
     CPPUNIT_TEST(forwarded_task_that_fits_only_drained_upstream_is_returned);
     CPPUNIT_TEST(drain_of_one_service_leaves_another_alone);
@@ -266,6 +267,25 @@
         CPPUNIT_ASSERT(check_admission(m_state, spec, m_now) == job_errc::overloaded);
     }
 
+    // An instance that is cut off together with the domain.
+    void job_when_upstreams_outside_the_drain_are_unreachable_is_refused()
+    {
+        drain({"south"});
+        submit("check", 4);
+        submit("check", 1);
+        set_upstream_available(m_state, "up-1", false);
+        step();
+        CPPUNIT_ASSERT(m_out.m_finished.empty());
+        set_upstream_available(m_state, "up-2", false);
+        step();
+        CPPUNIT_ASSERT(take_answer().m_error == job_errc::overloaded);
+        job_spec spec = make_spec("check", 1);
+        spec.m_key.m_key = "next";
+        CPPUNIT_ASSERT(check_admission(m_state, spec, m_now) == job_errc::overloaded);
+        set_upstream_available(m_state, "up-2", true);
+        CPPUNIT_ASSERT(!check_admission(m_state, spec, m_now));
+    }
+
     void job_that_has_run_is_not_refused_by_drain()
     {
         submit("check", 7);
