Keep interfering kinds apart in placement and exchange the evidence

dispatch observes finished runs with their neighbours and prefers, between upstreams that are both fast enough or both not, the one where the task and those that run there are expected to slow each other down less. It never excludes an upstream and never makes a task wait. In the mode avoid, the slowness of an upstream is divided by the slowdown that established pairs explain, so that interference does not eject it. Heartbeats carry a summary of the sender's own evidence, at most every 10 s for each peer: totals with a sequence number.

Settings interference (off, observe, avoid), keep_apart and never_apart in [dispatch], with the default observe, and in [gateway], with the default avoid. Log lines kinds_kept_apart and kinds_together_again; metrics cassiahub_pairs_apart, cassiahub_moved_placements_total and cassiahub_interference_ignored_total.

--- a/include/cassiahub/config/dispatch_settings.hpp
+++ b/include/cassiahub/config/dispatch_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef CASSIAHUB_CONFIG_DISPATCH_SETTINGS_HPP
 #define CASSIAHUB_CONFIG_DISPATCH_SETTINGS_HPP
 
+#include <cassiahub/config/interference_settings.hpp>
 #include <cassiahub/core/time.hpp>
 
 #include <cstdint>
@@ -80,6 +81,8 @@
     /// Time for which a job's idempotency key and response are kept, so that a
     /// resubmission gets the same response. 10 s to 24 h.
     duration m_resubmission_window = std::chrono::minutes(10);
+    /// Kinds that slow each other down on a shared upstream.
+    interference_settings m_interference;
 };
 
 } // namespace cassiahub::config
--- a/include/cassiahub/config/gateway_settings.hpp
+++ b/include/cassiahub/config/gateway_settings.hpp
@@ -2,6 +2,7 @@
 #define CASSIAHUB_CONFIG_GATEWAY_SETTINGS_HPP
 
 #include <cassiahub/config/error.hpp>
+#include <cassiahub/config/interference_settings.hpp>
 #include <cassiahub/core/time.hpp>
 
 #include <cstdint>
@@ -28,6 +29,9 @@
     duration m_grace = std::chrono::seconds(6);
     /// Longest lease that an upstream grants.
     duration m_longest_lease = std::chrono::milliseconds(1000);
+    /// Copied to dispatch_settings: the gateway's configuration documents have no such
+    /// section.
+    interference_settings m_interference{interference_mode::avoid, {}, {}};
 
     // Limits for callers. A request of an ordinary caller has a spec of up to 4,000
     // bytes, and the caller waits 1.5 s for its answer.
--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -149,6 +149,9 @@
     std::set<std::string> m_leaving_upstreams; ///< as in the last instance list
     std::set<std::string> m_listed_upstreams;  ///< in the last instance list
 
+    /// Earliest time of the next summary of interference to each peer.
+    std::map<instance_id, time_point> m_next_summary;
+
     time_point m_next_scan;
     time_point m_next_load_report;
     /// Free slots by service, when reports were last due and in the last heartbeat or
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -5,6 +5,7 @@
 #include <cassiahub/dispatch/attempt.hpp>
 #include <cassiahub/dispatch/crash_history.hpp>
 #include <cassiahub/dispatch/state.hpp>
+#include <cassiahub/interference/state.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -88,6 +89,9 @@
     /// Version of the drained domains that the sender knows; 0: it knows none yet. Empty:
     /// it does not take a drained_domains_notice.
     std::optional<std::uint64_t> m_drains_version;
+    /// Evidence of the sender about kinds that slow each other down; without pairs in
+    /// most heartbeats. m_incarnation is that of the heartbeat.
+    interference::summary m_interference{};
 };
 
 /// Load and free capacity of the sender's upstreams of one service. Sent between
--- a/include/cassiahub/dispatch/counters.hpp
+++ b/include/cassiahub/dispatch/counters.hpp
@@ -30,6 +30,9 @@
     std::uint64_t m_losses = 0;         ///< attempts whose upstream was lost
     std::uint64_t m_convicted_jobs = 0; ///< ended with crashes_upstreams
     std::uint64_t m_withheld_jobs = 0;  ///< ended, as a task of them was withheld
+    /// Tasks placed on another upstream because of the kinds that run on the first
+    /// choice.
+    std::uint64_t m_moved_placements = 0;
     /// Jobs refused or failed, by job_errc.
     std::array<std::uint64_t, job_errc_count> m_jobs_by_error{};
 };
--- a/include/cassiahub/dispatch/effects.hpp
+++ b/include/cassiahub/dispatch/effects.hpp
@@ -4,6 +4,7 @@
 #include <cassiahub/core/job.hpp>
 #include <cassiahub/dispatch/attempt.hpp>
 #include <cassiahub/dispatch/crash_history.hpp>
+#include <cassiahub/interference/state.hpp>
 
 #include <vector>
 
@@ -45,6 +46,14 @@
     instance_id m_from; ///< instance that forwarded the task, or empty
 };
 
+/// Start or end of keeping a pair of kinds apart.
+struct pair_report
+{
+    std::string m_kind;
+    std::string m_neighbour; ///< kind that slows m_kind down
+    interference::pair_change m_change;
+};
+
 /// Actions for the caller to perform after an event, in order within each list.
 struct effects
 {
@@ -56,6 +65,7 @@
     std::vector<task_loss> m_losses;
     std::vector<forward_result> m_forward_results;
     std::vector<job_outcome> m_finished;
+    std::vector<pair_report> m_pair_changes;
 };
 
 } // namespace cassiahub::dispatch
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -11,6 +11,8 @@
 #include <cassiahub/dispatch/run_time.hpp>
 #include <cassiahub/dispatch/service_pool.hpp>
 #include <cassiahub/dispatch/timer.hpp>
+#include <cassiahub/interference/occupancy.hpp>
+#include <cassiahub/interference/state.hpp>
 
 #include <array>
 #include <cstdint>
@@ -96,9 +98,10 @@
     /// Time of the current entry of this attempt in dispatch_state::m_hedges. Entries of
     /// it with another time are ignored.
     time_point m_hedge_at;
-    double m_charge = 0;           ///< slot-seconds charged to the kind at the start
-    double m_slots = 1;            ///< slots whose resources the task uses
-    bool m_hedge_deferred = false; ///< the second delay of a straggler has begun
+    double m_charge = 0;             ///< slot-seconds charged to the kind at the start
+    double m_slots = 1;              ///< slots whose resources the task uses
+    duration m_declared_run_time{0}; ///< of the task; 0: not declared or not known
+    bool m_hedge_deferred = false;   ///< the second delay of a straggler has begun
     bool m_probe = false;
     bool m_suspected = false; ///< its upstream takes no other task until it ends
     bool m_cancelled = false; ///< its result is not needed; it still occupies its slot
@@ -122,6 +125,7 @@
     std::uint32_t m_task_capacity = 0;
     bool m_available = true; ///< false while it is unreachable
     upstream_health m_health;
+    interference::occupancy m_occupants; ///< running attempts by kind
     std::deque<std::pair<std::uint64_t, std::uint32_t>>
         m_assigned; ///< baseline policy: assigned (job, task) pairs
 };
@@ -174,6 +178,10 @@
     run_time_estimate m_run_time;
     std::size_t m_queued_tasks = 0; ///< of local jobs and received from peers
     std::uint32_t m_pool = 0;       ///< pool of the kind's service
+    /// Number of the kind in dispatch_state::m_interference.
+    std::uint8_t m_tracked = interference::untracked_kind;
+    /// Moving average of the run time divided by the declared one.
+    double m_declared_ratio = 1;
 };
 
 /// Settings and quota use of one tenant.
@@ -226,6 +234,11 @@
     /// Losses of upstreams under tasks, here and at other instances.
     crash_history m_crashes;
 
+    /// Kinds that slow each other down on a shared upstream.
+    interference::interference_state m_interference;
+    std::size_t m_pairs_apart = 0; ///< pairs of m_interference that are kept apart
+    time_point m_next_pair_update;
+
     attempt_budget m_retry_budget;
     attempt_budget m_hedge_budget;
     dispatch_counters m_counters;
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -5,6 +5,7 @@
 #include <kj/exception.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <string>
 #include <string_view>
@@ -118,8 +119,8 @@
     return {source.getMillicores(), source.getMemoryMib(), source.getAccelerators()};
 }
 
-/// Decodes the name of a service or of a drained failure domain, which the configuration
-/// and the operator may choose freely.
+/// Decodes the name of a service, a kind or a drained failure domain, which the
+/// configuration and the operator may choose freely.
 std::error_code decode_free_name(capnp::Text::Reader source, std::string & target)
 {
     target.assign(source.begin(), std::min(source.size(), max_key_length));
@@ -238,6 +239,49 @@
                              target.m_result.m_outcome);
 }
 
+/// Decodes the evidence about one pair. Sums that no instance can have are rejected.
+/// \param kinds number of kinds in the summary.
+std::error_code decode(protocol::PairEvidence::Reader source, std::size_t kinds,
+                       interference::summary_pair & target)
+{
+    // Far above interference's limit of the weight and the clamped run times.
+    constexpr float max_sum = 1e5F;
+
+    target.m_kind = source.getKind();
+    target.m_neighbour = source.getNeighbour();
+    target.m_sums = {source.getWeight(), source.getExposure(), source.getEffect(),
+                     source.getSquare(), source.getContrasts()};
+    interference::pair_sums const & sums = target.m_sums;
+    // Comparisons with NaN are false.
+    bool const allowed =
+        target.m_kind < kinds && target.m_neighbour < kinds && sums.m_weight >= 0 &&
+        sums.m_weight <= max_sum && std::abs(sums.m_exposure) <= max_sum &&
+        std::abs(sums.m_effect) <= max_sum && sums.m_square >= 0 &&
+        sums.m_square <= max_sum && sums.m_contrasts >= 0 && sums.m_contrasts <= max_sum;
+    return allowed ? decode_duration(source.getAgeNs(), target.m_age)
+                   : make_error_code(peer_codec_errc::out_of_range);
+}
+
+std::error_code decode(protocol::InterferenceSummary::Reader source,
+                       interference::summary & target)
+{
+    auto const kinds = source.getKinds();
+    auto const pairs = source.getPairs();
+    target.m_sequence = source.getSequence();
+    std::error_code error =
+        first_error({check_count(kinds.size(), interference::max_kinds),
+                     check_count(pairs.size(), interference::max_summary_pairs)});
+    for (unsigned index = 0; !error && index < kinds.size(); ++index)
+    {
+        error = decode_free_name(kinds[index], target.m_kinds.emplace_back());
+    }
+    for (unsigned index = 0; !error && index < pairs.size(); ++index)
+    {
+        error = decode(pairs[index], kinds.size(), target.m_pairs.emplace_back());
+    }
+    return error;
+}
+
 std::error_code decode(protocol::Heartbeat::Reader source, decision::heartbeat & target)
 {
     // Longest "ip:port", with room for IPv6.
@@ -288,6 +332,11 @@
     {
         error = decode_name(held[index], false, target.m_held_upstreams.emplace_back());
     }
+    if (!error && source.hasInterference())
+    {
+        target.m_interference.m_incarnation = target.m_incarnation;
+        error = decode(source.getInterference(), target.m_interference);
+    }
     return error;
 }
 
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -156,6 +156,30 @@
     encode(message.m_attempt, target.initCancelTask());
 }
 
+void encode(interference::summary const & evidence,
+            protocol::InterferenceSummary::Builder target)
+{
+    target.setSequence(evidence.m_sequence);
+    auto kinds = target.initKinds(narrow_size(evidence.m_kinds.size()));
+    for (unsigned index = 0; index < kinds.size(); ++index)
+    {
+        kinds.set(index, to_text(evidence.m_kinds[index]));
+    }
+    auto pairs = target.initPairs(narrow_size(evidence.m_pairs.size()));
+    for (unsigned index = 0; index < pairs.size(); ++index)
+    {
+        interference::summary_pair const & pair = evidence.m_pairs[index];
+        pairs[index].setKind(pair.m_kind);
+        pairs[index].setNeighbour(pair.m_neighbour);
+        pairs[index].setWeight(pair.m_sums.m_weight);
+        pairs[index].setExposure(pair.m_sums.m_exposure);
+        pairs[index].setEffect(pair.m_sums.m_effect);
+        pairs[index].setSquare(pair.m_sums.m_square);
+        pairs[index].setContrasts(pair.m_sums.m_contrasts);
+        pairs[index].setAgeNs(pair.m_age.count());
+    }
+}
+
 void encode(decision::heartbeat const & message, protocol::Message::Builder target)
 {
     auto part = target.initHeartbeat();
@@ -190,6 +214,10 @@
     }
     part.setFleetClockMs(message.m_fleet_clock_ms);
     part.setSelected(message.m_selected);
+    if (!message.m_interference.m_pairs.empty())
+    {
+        encode(message.m_interference, part.initInterference());
+    }
 }
 
 void encode(decision::load_report const & message, protocol::Message::Builder target)
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -98,6 +98,21 @@
          {
              return parse_duration(value, 200ms, 60s, record.m_longest_lease);
          }},
+        {"interference", "off, observe or avoid", false,
+         [](std::string_view value, gateway_settings & record)
+         {
+             return parse_interference_mode(value, record.m_interference.m_mode);
+         }},
+        {"keep_apart", "pairs of kinds as in a+b, c+d", false,
+         [](std::string_view value, gateway_settings & record)
+         {
+             return parse_kind_pairs(value, record.m_interference.m_keep_apart);
+         }},
+        {"never_apart", "pairs of kinds as in a+b, c+d", false,
+         [](std::string_view value, gateway_settings & record)
+         {
+             return parse_kind_pairs(value, record.m_interference.m_never_apart);
+         }},
         {"max_connections", "16 to 100000", false,
          &assign_number<&gateway_settings::m_max_connections, 16, 100'000>},
         {"max_header_kib", "1 to 1024", false,
--- a/src/config/key_rules.cpp
+++ b/src/config/key_rules.cpp
@@ -289,6 +289,19 @@
         {"resubmission_window", "10s to 1440min", false,
          apply_duration<&dispatch_settings::m_resubmission_window, 10000, 86400000>,
          "10min", "time for which a job's idempotency key and response are kept"},
+        {"interference", "off, observe or avoid", false,
+         [](std::string_view value, dispatch_settings & record)
+         { return parse_interference_mode(value, record.m_interference.m_mode); },
+         "observe",
+         "what is done about kinds that slow each other down on a shared upstream"},
+        {"keep_apart", "pairs of kinds as in a+b, c+d", false,
+         [](std::string_view value, dispatch_settings & record)
+         { return parse_kind_pairs(value, record.m_interference.m_keep_apart); },
+         "none", "pairs that are kept apart whatever the evidence says"},
+        {"never_apart", "pairs of kinds as in a+b, c+d", false,
+         [](std::string_view value, dispatch_settings & record)
+         { return parse_kind_pairs(value, record.m_interference.m_never_apart); },
+         "none", "pairs that are never kept apart"},
     };
     return rules;
 }
--- a/src/config/value_parsers.cpp
+++ b/src/config/value_parsers.cpp
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <charconv>
 #include <string>
+#include <utility>
 
 namespace cassiahub::config::internal
 {
@@ -73,6 +74,41 @@
     return true;
 }
 
+bool parse_interference_mode(std::string_view text, interference_mode & value) noexcept
+{
+    if (text != "off" && text != "observe" && text != "avoid")
+    {
+        return false;
+    }
+    value = text == "off"       ? interference_mode::off
+            : text == "observe" ? interference_mode::observe
+                                : interference_mode::avoid;
+    return true;
+}
+
+bool parse_kind_pairs(std::string_view text, std::vector<kind_pair> & value)
+{
+    std::vector<kind_pair> pairs;
+    for (bool more = true; more;)
+    {
+        std::size_t const comma = text.find(',');
+        std::string_view const item = text.substr(0, comma);
+        std::size_t const plus = item.find('+');
+        if (plus == std::string_view::npos || !is_name(item.substr(0, plus)) ||
+            !is_name(item.substr(plus + 1)))
+        {
+            return false;
+        }
+        pairs.push_back(
+            {std::string(item.substr(0, plus)), std::string(item.substr(plus + 1))});
+        more = comma != std::string_view::npos;
+        text.remove_prefix(more ? comma + 1 : text.size());
+        text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+    }
+    value = std::move(pairs);
+    return true;
+}
+
 bool is_socket_address(std::string_view text) noexcept
 {
     std::size_t const colon = text.rfind(':');
--- a/src/config/value_parsers.hpp
+++ b/src/config/value_parsers.hpp
@@ -1,10 +1,12 @@
 #ifndef CASSIAHUB_CONFIG_VALUE_PARSERS_HPP
 #define CASSIAHUB_CONFIG_VALUE_PARSERS_HPP
 
+#include <cassiahub/config/interference_settings.hpp>
 #include <cassiahub/core/time.hpp>
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace cassiahub::config::internal
 {
@@ -24,6 +26,12 @@
 bool parse_duration(std::string_view text, duration low, duration high,
                     duration & value) noexcept;
 
+/// Parses "off", "observe" or "avoid".
+bool parse_interference_mode(std::string_view text, interference_mode & value) noexcept;
+
+/// Parses pairs of names as in "a+b, c+d".
+bool parse_kind_pairs(std::string_view text, std::vector<kind_pair> & value);
+
 /// \returns true for "a.b.c.d:port" with a port in 1 to 65535.
 bool is_socket_address(std::string_view text) noexcept;
 
--- a/src/decision/jobs.cpp
+++ b/src/decision/jobs.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -199,6 +200,22 @@
     send(context, task.m_to, forward_task{std::move(task.m_start)});
 }
 
+void report_pair_changes(step_context & context,
+                         std::span<dispatch::pair_report const> reports)
+{
+    for (dispatch::pair_report const & report : reports)
+    {
+        interference::pair_change const & change = report.m_change;
+        context.m_actions.emplace_back(
+            log_event{change.m_apart ? "kinds_kept_apart" : "kinds_together_again",
+                      report.m_kind,
+                      {},
+                      fmt::format("beside={} slowdown={:.2f} weight={:.1f} age_ms={}",
+                                  report.m_neighbour, change.m_slowdown, change.m_weight,
+                                  to_milliseconds(change.m_age))});
+    }
+}
+
 void apply(step_context & context, dispatch::effects effects)
 {
     // Cancellations come first: they free the slots that the starts use.
@@ -250,6 +267,7 @@
         }
     }
     report_losses(context, effects.m_losses);
+    report_pair_changes(context, effects.m_pair_changes);
     for (dispatch::forward_result & result : effects.m_forward_results)
     {
         send(context, result.m_to, task_reported{std::move(result.m_result)});
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -3,6 +3,7 @@
 
 #include <cassiahub/core/error.hpp>
 #include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/interference/observer.hpp>
 #include <cassiahub/lease/sessions.hpp>
 #include <cassiahub/membership/members.hpp>
 #include <cassiahub/membership/rendezvous.hpp>
@@ -24,6 +25,10 @@
 constexpr duration configuration_poll_delay = std::chrono::seconds(3);
 /// As configuration_poll_delay, for a peer that the store notifies of changes.
 constexpr duration configuration_feed_delay = std::chrono::milliseconds(300);
+/// Time between two summaries of interference to the same peer. Evidence loses half of
+/// its weight in 5 min, so shorter periods add messages and no knowledge.
+constexpr duration summary_period = std::chrono::seconds(10);
+
 /// \returns the version of the configuration in force; 0 when there is none.
 std::uint64_t configuration_version(entry_state const & state) noexcept
 {
@@ -159,6 +164,19 @@
     return message;
 }
 
+/// Adds the evidence of this instance to a heartbeat when a summary to \p to is due.
+void add_summary(step_context & context, instance_id const & to, heartbeat & message)
+{
+    entry_state & state = context.m_state;
+    time_point & next = state.m_next_summary[to];
+    if (context.m_now >= next)
+    {
+        next = context.m_now + summary_period;
+        message.m_interference =
+            interference::summarize(state.m_dispatch.m_interference, context.m_now);
+    }
+}
+
 void send_heartbeat(step_context & context, instance_id const & to, heartbeat message)
 {
     entry_state & state = context.m_state;
@@ -170,6 +188,7 @@
     {
         reported[load.m_service] = load.m_free_slots;
     }
+    add_summary(context, to, message);
     send(context, to, std::move(message));
 }
 
@@ -216,6 +235,11 @@
     lease::extend_lease_limits(state.m_leasing.m_sessions, entry.m_report.m_incarnation,
                                entry.m_alive_at);
     set_loads(context, from, entry, std::move(message.m_loads));
+    if (!message.m_interference.m_pairs.empty())
+    {
+        interference::merge(state.m_dispatch.m_interference, from,
+                            std::move(message.m_interference), context.m_now);
+    }
     if (entry.m_domain == state.m_identity.m_domain &&
         !state.m_identity.m_leases_upstreams)
     {
@@ -507,6 +531,7 @@
          membership::expire_members(state.m_membership, context.m_now))
     {
         state.m_reported_slots.erase(failed);
+        state.m_next_summary.erase(failed);
         remove_peer(context, failed, "peer_failed");
         schedule_upstream_assignment(context);
     }
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/forwarding.hpp"
 #include "dispatch/hedging.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/neighbours.hpp"
 #include "dispatch/objective.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
@@ -111,6 +112,7 @@
                               job.m_tasks[task].m_last_upstream,
                               false,
                               judge_task(state, job, task) != crash_verdict::unsuspected};
+    request.m_kind = job.m_kind;
     request.m_max_slowness = max_slowness(job, now);
     request.m_may_wait = now < job.m_on_time_until;
     return request;
@@ -145,7 +147,8 @@
     }
     else if (auto const upstream = pick_upstream(state, request, context.m_random))
     {
-        target.m_upstream = *upstream;
+        target.m_upstream = upstream->m_upstream;
+        state.m_counters.m_moved_placements += upstream->m_moved ? 1 : 0;
     }
     else if (auto const * const peer =
                  pick_peer(state, request.m_pool, request.m_demand, context.m_random))
@@ -180,19 +183,21 @@
         refuse_forwarded(state, id, context.m_out);
         return head_result::dequeued;
     }
-    placement_request const request{state.m_kinds[task.m_kind].m_pool,
-                                    task.m_start.m_demand,
-                                    may_probe(state.m_kinds[task.m_kind].m_definition, 0),
-                                    no_upstream,
-                                    false,
-                                    verdict != crash_verdict::unsuspected};
+    placement_request request{state.m_kinds[task.m_kind].m_pool,
+                              task.m_start.m_demand,
+                              may_probe(state.m_kinds[task.m_kind].m_definition, 0),
+                              no_upstream,
+                              false,
+                              verdict != crash_verdict::unsuspected};
+    request.m_kind = task.m_kind;
     auto const upstream = pick_upstream(state, request, context.m_random);
     if (!upstream)
     {
         return head_result::no_capacity;
     }
-    start_forwarded(state, dequeue_forwarded(state, id), *upstream, context.m_now,
-                    context.m_out);
+    state.m_counters.m_moved_placements += upstream->m_moved ? 1 : 0;
+    start_forwarded(state, dequeue_forwarded(state, id), upstream->m_upstream,
+                    context.m_now, context.m_out);
     return head_result::dequeued;
 }
 
@@ -281,6 +286,7 @@
     internal::advance_context context{state, now, random, out};
     internal::handle_due_timers(context);
     internal::refuse_stranded(state, out);
+    internal::update_kept_apart(state, now, out);
     internal::start_due_hedges(state, now, random, out);
     if (internal::is_baseline(state))
     {
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/forwarding.hpp"
 #include "dispatch/hedging.hpp"
 #include "dispatch/jobs.hpp"
+#include "dispatch/neighbours.hpp"
 #include "dispatch/retry.hpp"
 #include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
@@ -104,6 +105,7 @@
     attempt.m_probe = upstream.m_health.m_phase == health_phase::probing;
     upstream.m_health.m_probe_running |= attempt.m_probe;
     occupy_slot(state, upstream_id, attempt);
+    begin_run(state, start.m_attempt, attempt);
     start.m_upstream = upstream.m_definition.m_name;
     start.m_upstream_address = upstream.m_definition.m_address;
     out.m_starts.push_back(std::move(start));
@@ -163,6 +165,7 @@
     attempt_start start = make_attempt_start(state, job, task, id);
     running_attempt attempt = make_running_attempt(state, start, job.m_kind, now);
     attempt.m_job = job.m_serial;
+    attempt.m_declared_run_time = job.m_spec.m_tasks[task].m_declared_run_time;
     count_attempt(state, job, task, role);
     attach_attempt(job, task, id);
     if (target.m_peer.m_value.empty())
@@ -230,8 +233,9 @@
 
 /// Updates the run time estimate of the kind and the health of the upstream from a
 /// finished attempt.
+/// \param explained slowdown that the neighbours of the attempt explain.
 void update_estimates(dispatch_state & state, running_attempt const & attempt,
-                      attempt_outcome outcome, time_point now)
+                      attempt_outcome outcome, double explained, time_point now)
 {
     kind_state & kind = state.m_kinds[attempt.m_kind];
     double const mean =
@@ -245,9 +249,10 @@
     }
     if (!attempt.m_cancelled || succeeded)
     {
-        record_observation(state, attempt.m_upstream,
-                           {succeeded, attempt.m_probe, seconds / std::max(mean, 0.001)},
-                           now);
+        record_observation(
+            state, attempt.m_upstream,
+            {succeeded, attempt.m_probe, seconds / std::max(mean, 0.001) / explained},
+            now);
     }
     // An upstream that fails fast has free slots sooner and would attract more tasks, so
     // the slot is withheld until a successful run would have ended.
@@ -270,7 +275,9 @@
         upstream.m_health.m_probe_running = false;
     }
     upstream.m_leaving |= result.m_upstream_leaving;
-    update_estimates(state, attempt, result.m_outcome, now);
+    double const explained = end_run(state, result.m_attempt, attempt,
+                                     result.m_outcome == attempt_outcome::succeeded, now);
+    update_estimates(state, attempt, result.m_outcome, explained, now);
     double const actual = std::chrono::duration<double>(now - attempt.m_started).count();
     correct_charge(pool_of(state, attempt.m_kind).m_queue, attempt.m_kind,
                    actual * attempt.m_slots - attempt.m_charge);
--- a/src/dispatch/hedging.cpp
+++ b/src/dispatch/hedging.cpp
@@ -75,14 +75,16 @@
         schedule_again(state, job, attempt, id, now);
         return;
     }
-    placement_request const request{state.m_kinds[job.m_kind].m_pool,
-                                    job.m_spec.m_tasks[task].m_demand, false,
-                                    attempt.m_upstream, true};
+    placement_request request{state.m_kinds[job.m_kind].m_pool,
+                              job.m_spec.m_tasks[task].m_demand, false,
+                              attempt.m_upstream, true};
+    request.m_kind = job.m_kind;
     auto const target = pick_upstream(state, request, random);
     if (target && spend(state.m_hedge_budget))
     {
         job.m_tasks[task].m_hedged = true;
-        start_attempt(state, job, task, {*target, {}}, attempt_role::hedge, now, out);
+        start_attempt(state, job, task, {target->m_upstream, {}}, attempt_role::hedge,
+                      now, out);
         return;
     }
     schedule_again(state, job, attempt, id, now);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/forwarding.hpp"
+#include "dispatch/neighbours.hpp"
 #include "dispatch/placement.hpp"
 #include "dispatch/reservation.hpp"
 
@@ -15,6 +16,8 @@
 /// Ratio of the slowness of two upstreams above which one is clearly faster: the run
 /// times of single tasks vary.
 constexpr double slowness_ratio_threshold = 1.5;
+/// Relative difference of the penalties for sharing below which it is not distinguished.
+constexpr double penalty_tolerance = 0.1;
 /// Number of upstreams up to which one placement compares all that have capacity.
 constexpr std::size_t max_compared_upstreams = 32;
 /// Upstreams that one placement compares otherwise (power of two choices).
@@ -29,6 +32,8 @@
     /// dimension.
     double m_remainder = 1;
     std::uint32_t m_taken_slots = 0;
+    /// Slowdown that sharing the upstream is expected to cause; see sharing_penalty().
+    double m_penalty = 1;
 };
 
 double remaining_part(std::uint32_t free, std::uint32_t demand, std::uint32_t capacity)
@@ -52,7 +57,8 @@
                   remaining_part(free.m_accelerators, request.m_demand.m_accelerators,
                                  capacity.m_accelerators)});
     return {id, upstream.m_health.m_slowness, remainder,
-            upstream.m_running + upstream.m_withheld};
+            upstream.m_running + upstream.m_withheld,
+            sharing_penalty(state, request.m_kind, upstream)};
 }
 
 /// \returns true when tasks of typical demand use up the resources of the upstreams
@@ -65,7 +71,8 @@
 /// Prefers upstreams that are fast enough for the objective; where none is, or without an
 /// objective, one that is clearly faster. Among equals the best fit follows, which leaves
 /// others whole for tasks that need one, or where slots are scarcer than resources the
-/// upstream with fewer tasks.
+/// upstream with fewer tasks. Interference decides between upstreams that are both fast
+/// enough or both not, so it never makes a task wait.
 bool is_better(service_pool const & pool, placement_request const & request,
                candidate const & left, candidate const & right)
 {
@@ -75,6 +82,12 @@
     {
         return left_suits;
     }
+    double const apart = 1 + penalty_tolerance;
+    if (left.m_penalty > apart * right.m_penalty ||
+        right.m_penalty > apart * left.m_penalty)
+    {
+        return left.m_slowness * left.m_penalty < right.m_slowness * right.m_penalty;
+    }
     bool const has_objective = std::isfinite(request.m_max_slowness);
     bool const differ = left.m_slowness > slowness_ratio_threshold * right.m_slowness ||
                         right.m_slowness > slowness_ratio_threshold * left.m_slowness;
@@ -107,7 +120,8 @@
 }
 
 /// Calls \p visit with upstreams of the pool that have capacity for the task: all of them
-/// where the fit matters and the instance owns few, two random ones otherwise.
+/// where the fit matters, or kinds are kept apart, and the instance owns few; two random
+/// ones otherwise.
 template <typename Visit>
 void visit_candidates(dispatch_state const & state, placement_request const & request,
                       std::uint32_t avoid, random_source & random, Visit visit)
@@ -115,7 +129,8 @@
     service_pool const & pool = state.m_pools[request.m_pool];
     capacity_index const & index = pool.m_free_capacity;
     std::size_t const count = std::min(state.m_upstreams.size(), index.m_leaves);
-    if (count > max_compared_upstreams || !is_bound_by_resources(pool))
+    bool const compares_all = is_bound_by_resources(pool) || state.m_pairs_apart > 0;
+    if (count > max_compared_upstreams || !compares_all)
     {
         for (int draw = 0; draw < random_draws; ++draw)
         {
@@ -138,24 +153,34 @@
     }
 }
 
-std::optional<std::uint32_t> pick_best(dispatch_state const & state,
-                                       placement_request const & request,
-                                       std::uint32_t avoid, random_source & random)
+std::optional<placement_choice> pick_best(dispatch_state const & state,
+                                          placement_request const & request,
+                                          std::uint32_t avoid, random_source & random)
 {
     service_pool const & pool = state.m_pools[request.m_pool];
-    std::optional<candidate> best;
+    candidate best;
+    candidate best_alone; // with no regard to the kinds that run there
     visit_candidates(state, request, avoid, random,
                      [&](std::uint32_t id)
                      {
-                         candidate const next = make_candidate(state, request, id);
-                         if (!best || is_better(pool, request, next, *best))
+                         candidate next = make_candidate(state, request, id);
+                         if (best.m_upstream == no_upstream ||
+                             is_better(pool, request, next, best))
                          {
                              best = next;
                          }
+                         next.m_penalty = 1;
+                         if (best_alone.m_upstream == no_upstream ||
+                             is_better(pool, request, next, best_alone))
+                         {
+                             best_alone = next;
+                         }
                      });
-    bool const waits =
-        best && request.m_may_wait && best->m_slowness > request.m_max_slowness;
-    return best && !waits ? std::optional(best->m_upstream) : std::nullopt;
+    bool const suits = best.m_slowness <= request.m_max_slowness;
+    return best.m_upstream != no_upstream && (suits || !request.m_may_wait)
+               ? std::optional(placement_choice{best.m_upstream,
+                                                best.m_upstream != best_alone.m_upstream})
+               : std::nullopt;
 }
 
 /// Upstreams that one search for an idle one examines.
@@ -212,20 +237,20 @@
     return kind.m_repeatable || (kind.m_restartable && failures == 0);
 }
 
-std::optional<std::uint32_t> pick_upstream(dispatch_state const & state,
-                                           placement_request const & request,
-                                           random_source & random)
+std::optional<placement_choice> pick_upstream(dispatch_state const & state,
+                                              placement_request const & request,
+                                              random_source & random)
 {
     if (request.m_suspected)
     {
         if (auto const idle = pick_idle(state, request, random))
         {
-            return idle;
+            return placement_choice{*idle};
         }
     }
     else if (auto const probe = pick_probe(state, request))
     {
-        return probe;
+        return placement_choice{*probe};
     }
     auto const found = pick_best(state, request, request.m_avoid, random);
     if (found || request.m_avoid == no_upstream || request.m_avoid_strictly)
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -24,6 +24,15 @@
     double m_max_slowness = std::numeric_limits<double>::infinity();
     /// true: waiting for an upstream that is fast enough is better than using another.
     bool m_may_wait = false;
+    std::uint32_t m_kind = 0; ///< kind of the task
+};
+
+/// Upstream chosen for a task.
+struct placement_choice
+{
+    std::uint32_t m_upstream = no_upstream;
+    /// Another one would have been chosen but for the kinds that run there.
+    bool m_moved = false;
 };
 
 /// \returns the slowness of an upstream up to which a task of \p job that starts at \p
@@ -35,9 +44,9 @@
 bool may_probe(config::work_kind const & kind, std::uint32_t failures) noexcept;
 
 /// \returns an owned upstream with capacity for the task, if there is one.
-std::optional<std::uint32_t> pick_upstream(dispatch_state const & state,
-                                           placement_request const & request,
-                                           random_source & random);
+std::optional<placement_choice> pick_upstream(dispatch_state const & state,
+                                              placement_request const & request,
+                                              random_source & random);
 
 /// \returns true when a task queued in \p pool may find capacity on an owned upstream or
 /// at a peer. A cheap check that avoids a search of the queue.
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -1,9 +1,11 @@
 #include "dispatch/drained_domains.hpp"
+#include "dispatch/neighbours.hpp"
 #include "dispatch/objective.hpp"
 #include "dispatch/service_pools.hpp"
 #include "dispatch/upstreams.hpp"
 
 #include <cassiahub/dispatch/dispatcher.hpp>
+#include <cassiahub/interference/observer.hpp>
 
 #include <boost/assert.hpp>
 
@@ -81,6 +83,7 @@
     state.m_upstream_index.erase(upstream.m_definition.m_name);
     upstream = {};
     upstream.m_owned = false;
+    interference::forget_upstream(state.m_interference, id);
     state.m_free_upstream_indexes.push_back(id);
 }
 
@@ -434,6 +437,7 @@
         internal::fill_retry_budget(state);
     }
     internal::update_kinds(state);
+    internal::configure_interference(state);
     internal::update_tenants(state);
     internal::update_definitions(state);
     internal::update_largest_capacities(state, now);
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -38,7 +38,9 @@
     std::size_t m_served_shards = 0;     ///< shards that this instance owns and serves
     std::size_t m_drained_upstreams = 0; ///< owned upstreams in drained failure domains
     std::uint64_t m_configuration_version = 0;
-    bool m_store_contact = false;                      ///< the store is reachable
+    bool m_store_contact = false;     ///< the store is reachable
+    std::size_t m_pairs_apart = 0;    ///< ordered pairs of kinds that are kept apart
+    std::uint64_t m_ignored_runs = 0; ///< runs beyond the limits of interference
     std::vector<std::string_view> m_broken_invariants; ///< names of violated invariants
 };
 
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -179,6 +179,8 @@
     sample.m_counters = state.m_dispatch.m_counters;
     sample.m_load = dispatch::total_load(state.m_dispatch);
     sample.m_capacity_requests_sent = state.m_capacity_requests_sent;
+    sample.m_pairs_apart = state.m_dispatch.m_pairs_apart;
+    sample.m_ignored_runs = state.m_dispatch.m_interference.m_counters.m_ignored;
     sample.m_open_jobs = state.m_open_jobs.size();
     sample.m_live_members = membership::near_members(state.m_membership).size();
     for (ownership::shard_state const & shard : state.m_ownership.m_shards)
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -108,6 +108,9 @@
     set_total(target, "cassiahub_upstream_losses_total", counters.m_losses);
     set_total(target, "cassiahub_convicted_jobs_total", counters.m_convicted_jobs);
     set_total(target, "cassiahub_withheld_jobs_total", counters.m_withheld_jobs);
+    set_total(target, "cassiahub_moved_placements_total", counters.m_moved_placements);
+    set_gauge(target, "cassiahub_pairs_apart", static_cast<double>(sample.m_pairs_apart));
+    set_total(target, "cassiahub_interference_ignored_total", sample.m_ignored_runs);
     daemon_context & daemon = context.m_daemon;
     set_total(target, "cassiahub_telemetry_dropped_total", daemon.m_telemetry_dropped);
     set_total(target, "cassiahub_peer_messages_sent_total",
--- a/src/gateway/dispatch_policy.cpp
+++ b/src/gateway/dispatch_policy.cpp
@@ -24,7 +24,8 @@
 
 } // namespace internal
 
-void apply_dispatch_policy(config::fleet_configuration & configuration)
+void apply_dispatch_policy(config::fleet_configuration & configuration,
+                           config::interference_settings const & interference)
 {
     config::dispatch_settings & settings = configuration.m_dispatch;
     settings.m_max_attempts = internal::max_attempts;
@@ -33,6 +34,7 @@
     settings.m_retry_delay = internal::retry_delay;
     settings.m_hedge_budget_percent = 0; // two runs of a task must never overlap
     settings.m_forward_wait = internal::forward_wait;
+    settings.m_interference = interference;
     settings.m_attempt_timeout_margin = internal::attempt_timeout_margin;
 }
 
--- a/src/gateway/dispatch_policy.hpp
+++ b/src/gateway/dispatch_policy.hpp
@@ -8,7 +8,8 @@
 
 /// Sets the dispatch settings, which the gateway's configuration documents do not
 /// contain.
-void apply_dispatch_policy(config::fleet_configuration & configuration);
+void apply_dispatch_policy(config::fleet_configuration & configuration,
+                           config::interference_settings const & interference);
 
 } // namespace cassiahub::gateway
 
--- a/src/gateway/documents.cpp
+++ b/src/gateway/documents.cpp
@@ -21,7 +21,7 @@
                                    config::config_errc::bad_value});
         return;
     }
-    apply_dispatch_policy(*parsed);
+    apply_dispatch_policy(*parsed, context.m_settings.m_interference);
     context.m_daemon.m_events.push(
         decision::configuration_changed{
             std::make_shared<config::fleet_configuration const>(std::move(*parsed)),
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -90,6 +90,23 @@
   epoch @1 :UInt64;
 }
 
+struct PairEvidence {
+  kind @0 :UInt8;           # index in InterferenceSummary.kinds
+  neighbour @1 :UInt8;      # as kind; the kind that runs beside it
+  weight @2 :Float32;
+  exposure @3 :Float32;
+  effect @4 :Float32;
+  square @5 :Float32;
+  contrasts @6 :Float32;
+  ageNs @7 :Int64;          # time since the last contrast
+}
+
+struct InterferenceSummary {
+  sequence @0 :UInt64;
+  kinds @1 :List(Text);
+  pairs @2 :List(PairEvidence);
+}
+
 struct Heartbeat {
   incarnation @0 :UInt64;
   domain @1 :Text;
@@ -107,6 +124,7 @@
   # `load` is that of the sender's first service, these are those of its other ones.
   drainsVersion @13 :UInt64; # of the drained domains known to the sender; 0: not known
   takesDrains @14 :Bool;     # the sender takes drainedDomainsNotice
+  interference @15 :InterferenceSummary;
 }
 
 struct KeyNotice {
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(task_reported_all_fields_are_preserved);
     CPPUNIT_TEST(cancel_task_attempt_is_preserved);
     CPPUNIT_TEST(heartbeat_all_fields_are_preserved);
+    CPPUNIT_TEST(heartbeat_with_impossible_evidence_is_rejected);
     CPPUNIT_TEST(load_report_all_fields_are_preserved);
     CPPUNIT_TEST(capacity_request_service_is_preserved);
     CPPUNIT_TEST(key_notice_keys_are_preserved);
@@ -132,6 +133,31 @@
         CPPUNIT_ASSERT(round_trip(cancel_task{{3, 4}}).m_attempt == attempt_id({3, 4}));
     }
 
+    static interference::summary sample_summary()
+    {
+        return {5,
+                9,
+                {"bulk", "check"},
+                {{0, 1, {2, 1, 0.5F, 0.25F, 3}, 4s}, {1, 0, {8, 6, -1, 2, 5}, 1s}}};
+    }
+
+    // Guards against sums that would make the estimates infinite.
+    void heartbeat_with_impossible_evidence_is_rejected()
+    {
+        for (float const weight : {-1.0F, std::numeric_limits<float>::quiet_NaN(),
+                                   std::numeric_limits<float>::infinity()})
+        {
+            heartbeat message;
+            message.m_domain = "nairobi";
+            message.m_sent_at = sample_time;
+            message.m_interference = sample_summary();
+            message.m_interference.m_pairs[0].m_sums.m_weight = weight;
+            peer_message received;
+            CPPUNIT_ASSERT(encode_and_decode(message, received) ==
+                           peer_codec_errc::out_of_range);
+        }
+    }
+
     void heartbeat_all_fields_are_preserved()
     {
         auto const decoded =
@@ -146,7 +172,11 @@
                                  {{7, 8, {}, "a"}, {9, 0, {1, 2, 3}, "b"}},
                                  {"up-1", "up-2"},
                                  1234,
-                                 true});
+                                 true,
+                                 17,
+                                 sample_summary()});
+        CPPUNIT_ASSERT(decoded.m_drains_version == 17U);
+        CPPUNIT_ASSERT(decoded.m_interference == sample_summary());
         CPPUNIT_ASSERT(decoded.m_held_upstreams ==
                        (std::vector<std::string>{"up-1", "up-2"}));
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1234), decoded.m_fleet_clock_ms);
