Place no task at an instance without upstreams while kinds are kept apart

Cause: with pairs kept apart all upstreams are compared, starting from a random one; an instance that had owned none divided by zero and its process ended.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -141,7 +141,7 @@
         }
         return;
     }
-    std::size_t const first = random() % count;
+    std::size_t const first = count > 0 ? random() % count : 0;
     for (std::size_t step = 0; step < count; ++step)
     {
         auto const id = static_cast<std::uint32_t>((first + step) % count);
--- a/tests/dispatch_interference_test.cpp
+++ b/tests/dispatch_interference_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(dispatch_interference_test);
     CPPUNIT_TEST(placement_avoids_upstream_with_interfering_kind);
     CPPUNIT_TEST(placement_uses_only_free_place_beside_interfering_kind);
+    CPPUNIT_TEST(placement_without_any_upstream_leaves_task_queued);
     CPPUNIT_TEST(placement_without_avoiding_ignores_evidence);
     CPPUNIT_TEST(placement_follows_rules_of_operators);
     CPPUNIT_TEST(slowness_explained_by_neighbours_does_not_eject);
@@ -105,6 +106,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), start("bulk", 3).size());
     }
 
+    // Guards against a division by zero at an instance that owns no upstream.
+    void placement_without_any_upstream_leaves_task_queued()
+    {
+        m_state = {};
+        m_configuration.m_dispatch.m_interference.m_mode =
+            config::interference_mode::avoid;
+        apply_configuration(
+            m_state, std::make_shared<config::fleet_configuration>(m_configuration),
+            m_now);
+        learn_pair();
+        set_peer(m_state, {{"peer"}, "north", {{1, 0}}});
+        CPPUNIT_ASSERT(start("check", 2).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_out.m_forwards.size());
+    }
+
     void placement_without_avoiding_ignores_evidence()
     {
         configure(config::interference_mode::observe);
