Log the service of a registration

The log could not tell a start that used an outdated registration from one that was carried out late: upstream_registered named the address and the start time, not the service, and a change of the service alone left no line.

It now names both services and is written when only the service differs.

--- a/src/decision/registrations.cpp
+++ b/src/decision/registrations.cpp
@@ -25,23 +25,25 @@
         "upstream_without_kind", upstream.m_name, {}, "service=" + upstream.m_service});
 }
 
-/// Logs a registration that names another upstream, incarnation or address than \p known,
-/// which is empty for a new name.
+/// Logs a registration that names another upstream, incarnation, address or service than
+/// \p known, which is empty for a new name.
 void log_registration(step_context & context, discovered_upstream const & known,
                       discovered_upstream const & upstream)
 {
     config::upstream const & definition = upstream.m_definition;
     if (known.m_incarnation != upstream.m_incarnation ||
-        known.m_definition.m_address != definition.m_address)
+        known.m_definition.m_address != definition.m_address ||
+        known.m_definition.m_service != definition.m_service)
     {
-        context.m_actions.emplace_back(
-            log_event{"upstream_registered",
-                      definition.m_name,
-                      {},
-                      fmt::format("address={} incarnation={} previous_address={} "
-                                  "previous_incarnation={}",
-                                  definition.m_address, upstream.m_incarnation,
-                                  known.m_definition.m_address, known.m_incarnation)});
+        context.m_actions.emplace_back(log_event{
+            "upstream_registered",
+            definition.m_name,
+            {},
+            fmt::format("address={} service={} incarnation={} previous_address={} "
+                        "previous_service={} previous_incarnation={}",
+                        definition.m_address, definition.m_service,
+                        upstream.m_incarnation, known.m_definition.m_address,
+                        known.m_definition.m_service, known.m_incarnation)});
     }
 }
 
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -972,6 +972,7 @@
     CPPUNIT_TEST(caller_that_left_is_logged_with_its_starts);
     CPPUNIT_TEST(failed_peer_is_logged_with_its_silence_and_work);
     CPPUNIT_TEST(registration_with_other_start_time_or_address_is_logged_with_both);
+    CPPUNIT_TEST(registration_with_other_service_is_logged_with_both);
     CPPUNIT_TEST(unchanged_registration_is_logged_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -1044,10 +1045,24 @@
         auto const logged = take_events("upstream_registered");
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged.size());
         CPPUNIT_ASSERT_EQUAL(std::string("up-1"), logged[0].m_subject);
-        CPPUNIT_ASSERT_EQUAL(
-            std::string("address=up-1:2 incarnation=8 "
-                        "previous_address=up-1:1 previous_incarnation=0"),
-            logged[0].m_detail);
+        CPPUNIT_ASSERT_EQUAL(std::string("address=up-1:2 service=pool incarnation=8 "
+                                         "previous_address=up-1:1 previous_service=pool "
+                                         "previous_incarnation=0"),
+                             logged[0].m_detail);
+    }
+
+    // Guards against a change of service that leaves no trace: starts for the former one
+    // could not be told from late ones.
+    void registration_with_other_service_is_logged_with_both()
+    {
+        start_without_peers();
+        discover_other("up-1", "pool", 8);
+        take_actions<log_event>();
+        discover_other("up-1", "archive", 8);
+        auto const logged = take_events("upstream_registered");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), logged.size());
+        CPPUNIT_ASSERT(mentions(logged[0], "service=archive"));
+        CPPUNIT_ASSERT(mentions(logged[0], "previous_service=pool"));
     }
 
     // Guards against a log that each reading of the list fills.
