Move the serving phase and the invariants of leases out of sessions.cpp

src/lease/sessions.cpp had 645 lines and more than one concept. What lets an upstream get runs is now in availability.cpp, the invariants in invariants.cpp; sessions.cpp has 581 lines.

--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -1,10 +1,10 @@
+#include "lease/availability.hpp"
 #include "lease/replies.hpp"
 #include "lease/runs.hpp"
 
 #include <cassiahub/lease/sessions.hpp>
 
 #include <boost/assert.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -27,21 +27,6 @@
 /// not shrink on a machine that schedules this process rarely all the time.
 constexpr duration max_catch_up_time = std::chrono::milliseconds(200);
 
-void set_available(session_context & context, bool available)
-{
-    context.m_out.m_availability.push_back({context.m_session.m_name, available});
-}
-
-/// Changes to a phase in which no run may be started.
-void stop_serving(session_context & context, session_phase phase)
-{
-    if (context.m_session.m_phase == session_phase::serving)
-    {
-        set_available(context, false);
-    }
-    context.m_session.m_phase = phase;
-}
-
 /// Claims the upstream with \p token.
 /// \pre this instance has no run on the upstream.
 void claim(session_context & context, std::uint64_t token)
@@ -58,20 +43,6 @@
     send_renewal(context, duration::zero(), false);
 }
 
-/// \returns the inputs of a decision about the whole session, for the log. clock_age_ms
-/// is the time since the last reply that told the upstream's clock; -1: none so far.
-std::string describe_session(session_context const & context)
-{
-    upstream_session const & session = context.m_session;
-    std::int64_t const clock_age =
-        session.m_clock_at == time_point()
-            ? -1
-            : to_milliseconds(context.m_now - session.m_clock_at);
-    return fmt::format("runs={} token={} incarnation={} clock={} clock_age_ms={}",
-                       session.m_runs.size(), session.m_token, session.m_incarnation,
-                       session.m_clock, clock_age);
-}
-
 /// Why a claim on an upstream is lost.
 enum class claim_end
 {
@@ -176,18 +147,7 @@
         session.m_next_renewal = context.m_now + takeover_poll_period;
         return;
     }
-    if (session.m_phase != session_phase::serving && session.m_wanted)
-    {
-        log_session(context, claiming ? "upstream_claimed" : "upstream_regained", {},
-                    describe_session(context));
-        session.m_phase = session_phase::serving;
-        set_available(context, true);
-        if (session.m_incarnation != 0 &&
-            session.m_lost_incarnation == session.m_incarnation)
-        {
-            report_fate(context, dispatch::upstream_fate::survived);
-        }
-    }
+    begin_serving(context);
     continue_renewal(context);
 }
 
@@ -619,27 +579,4 @@
     return names;
 }
 
-std::vector<std::string_view> check_invariants(lease_state const & state)
-{
-    std::vector<std::string_view> broken;
-    std::size_t runs = 0;
-    for (auto const & [name, session] : state.m_sessions)
-    {
-        runs += session.m_runs.size();
-        if (session.m_phase == session_phase::claiming && !session.m_runs.empty())
-        {
-            broken.emplace_back("run_on_unclaimed_upstream");
-        }
-        if (session.m_phase != session_phase::claiming && !session.m_unsettled.empty())
-        {
-            broken.emplace_back("unsettled_run_on_claimed_upstream");
-        }
-    }
-    if (runs != state.m_attempts.size())
-    {
-        broken.emplace_back("run_without_attempt");
-    }
-    return broken;
-}
-
 } // namespace cassiahub::lease
