Give a restarted upstream no run before its own registration

Cause: a restart shows in the first reply to a renewal, within milliseconds, while the registration is read with a watch that pauses 0.7 s. The session claimed the new incarnation and served it at once, and the dispatcher still decided by the service and the capacity of the earlier one. In one traced case 586 ms and eight starts lie between claim and registration.

Now an incarnation later than the registered one is claimed and renewed, which fences late starts as before, but stays unregistered until its own registration has been read, so no decision about it uses another registration than its own. A registration without a start time says nothing, as before.

Five tests of lease_restart_test, lease_lost_upstream_test and lease_test asserted that an accepted claim alone makes a restarted upstream available, which is this fault. They now assert that it is not available before its registration and is with it; the one that follows a registration asserts availability without another one, as before.

--- a/include/cassiahub/lease/state.hpp
+++ b/include/cassiahub/lease/state.hpp
@@ -58,6 +58,9 @@
 enum class session_phase
 {
     claiming, ///< token not accepted yet, or runs of an earlier owner remain
+    /// Claimed, but the registration is that of an earlier incarnation: the service and
+    /// the capacity of this one are not known, so it gets no runs.
+    unregistered,
     serving,
     silent,   ///< the last renewal got no reply
     releasing ///< starts no new run; the session ends after its last run
@@ -68,8 +71,9 @@
 {
     std::string m_name;
     std::string m_address;
-    std::uint64_t m_incarnation = 0; ///< 0: not known yet
-    std::uint64_t m_token = 0;       ///< fencing token
+    std::uint64_t m_incarnation = 0;            ///< 0: not known yet
+    std::uint64_t m_registered_incarnation = 0; ///< in the last registration; 0: none
+    std::uint64_t m_token = 0;                  ///< fencing token
     /// Token of the last claim. A call with a lower one belongs to an earlier session.
     std::uint64_t m_claim_token = 0;
     session_phase m_phase = session_phase::claiming;
--- a/src/lease/availability.cpp
+++ b/src/lease/availability.cpp
@@ -3,9 +3,35 @@
 
 #include <fmt/format.h>
 
+#include <string_view>
+
 namespace cassiahub::lease::internal
 {
 
+namespace
+{
+
+/// \returns false when the registration is known to be that of an earlier incarnation.
+bool is_registered(upstream_session const & session) noexcept
+{
+    return session.m_registered_incarnation == 0 ||
+           session.m_registered_incarnation >= session.m_incarnation;
+}
+
+void enter_serving(session_context & context, std::string_view code)
+{
+    upstream_session & session = context.m_session;
+    log_session(context, code, {}, describe_session(context));
+    session.m_phase = session_phase::serving;
+    set_available(context, true);
+    if (session.m_incarnation != 0 && session.m_lost_incarnation == session.m_incarnation)
+    {
+        report_fate(context, dispatch::upstream_fate::survived);
+    }
+}
+
+} // namespace
+
 void set_available(session_context & context, bool available)
 {
     context.m_out.m_availability.push_back({context.m_session.m_name, available});
@@ -14,18 +40,49 @@
 void begin_serving(session_context & context)
 {
     upstream_session & session = context.m_session;
-    if (session.m_phase == session_phase::serving || !session.m_wanted)
+    if (!session.m_wanted)
     {
         return;
     }
-    bool const claiming = session.m_phase == session_phase::claiming;
-    log_session(context, claiming ? "upstream_claimed" : "upstream_regained", {},
-                describe_session(context));
-    session.m_phase = session_phase::serving;
-    set_available(context, true);
-    if (session.m_incarnation != 0 && session.m_lost_incarnation == session.m_incarnation)
+    switch (session.m_phase)
     {
-        report_fate(context, dispatch::upstream_fate::survived);
+    case session_phase::claiming:
+        if (is_registered(session))
+        {
+            enter_serving(context, "upstream_claimed");
+            break;
+        }
+        log_session(context, "upstream_unregistered", {},
+                    fmt::format("{} registered_incarnation={}", describe_session(context),
+                                session.m_registered_incarnation));
+        session.m_phase = session_phase::unregistered;
+        break;
+    case session_phase::silent:
+    case session_phase::releasing:
+        enter_serving(context, "upstream_regained");
+        break;
+    case session_phase::unregistered:
+    case session_phase::serving:
+        break;
+    }
+}
+
+void receive_registration(session_context & context, std::uint64_t incarnation)
+{
+    upstream_session & session = context.m_session;
+    session.m_registered_incarnation = incarnation;
+    if (session.m_phase != session_phase::unregistered || !is_registered(session))
+    {
+        return;
+    }
+    if (session.m_failures == 0)
+    {
+        enter_serving(context, "upstream_claimed");
+    }
+    else
+    {
+        // The next accepted renewal shows that the upstream replies.
+        session.m_phase = session_phase::silent;
     }
 }
 
--- a/src/lease/invariants.cpp
+++ b/src/lease/invariants.cpp
@@ -14,6 +14,10 @@
         {
             broken.emplace_back("run_on_unclaimed_upstream");
         }
+        if (session.m_phase == session_phase::unregistered && !session.m_runs.empty())
+        {
+            broken.emplace_back("run_on_unregistered_upstream");
+        }
         if (session.m_phase != session_phase::claiming && !session.m_unsettled.empty())
         {
             broken.emplace_back("unsettled_run_on_claimed_upstream");
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -305,6 +305,7 @@
         session.m_address = owned.m_address;
         session.m_incarnation = owned.m_incarnation;
         session.m_token = state.m_released_token + 1;
+        receive_registration(context, owned.m_incarnation);
         claim(context, token);
         return;
     }
@@ -340,6 +341,7 @@
         log_session(context, "upstream_moved", {}, "address=" + owned.m_address);
         session.m_address = owned.m_address;
     }
+    receive_registration(context, owned.m_incarnation);
     if (session.m_phase == session_phase::releasing)
     {
         session.m_phase = session_phase::serving;
--- a/tests/decision_service_fixture.hpp
+++ b/tests/decision_service_fixture.hpp
@@ -8,6 +8,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -35,6 +36,11 @@
     std::vector<std::pair<std::string, std::string>> m_starts; ///< (upstream, task)
     std::set<int>
         m_southern; ///< upstreams in the domain "south"; the others are in "north"
+    /// Start times that upstreams report and register; 0 for the others.
+    std::map<std::string, std::uint64_t> m_reported_incarnations;
+    std::map<std::string, std::uint64_t> m_registered_incarnations;
+    std::set<std::string>
+        m_moved; ///< upstreams registered in "archive" instead of "pool"
 
     void handle(event occurred)
     {
@@ -75,6 +81,10 @@
         reply.m_upstream = call.m_upstream;
         reply.m_outcome = lease::call_outcome::accepted;
         reply.m_clock = to_milliseconds(m_now - time_point(4000s));
+        if (std::holds_alternative<lease::renew_call>(call.m_body))
+        {
+            reply.m_incarnation = m_reported_incarnations[call.m_upstream];
+        }
         handle(upstream_replied{std::move(reply)});
     }
 
@@ -100,7 +110,10 @@
             upstream.m_definition.m_address = "10.0.0.1:" + std::to_string(index + 1);
             upstream.m_definition.m_domain =
                 m_southern.contains(index) ? "south" : "north";
-            upstream.m_definition.m_service = index < 4 ? "pool" : "archive";
+            bool const moved = m_moved.contains(upstream.m_definition.m_name);
+            upstream.m_definition.m_service = index < 4 && !moved ? "pool" : "archive";
+            upstream.m_incarnation =
+                m_registered_incarnations[upstream.m_definition.m_name];
             discovered.m_upstreams.push_back(std::move(upstream));
         }
         handle(std::move(discovered));
--- a/tests/decision_service_test.cpp
+++ b/tests/decision_service_test.cpp
@@ -26,6 +26,7 @@
 {
     CPPUNIT_TEST_SUITE(service_test);
     CPPUNIT_TEST(task_with_two_services_starts_on_its_own_service_only);
+    CPPUNIT_TEST(restarted_upstream_of_other_service_gets_no_task_of_its_former_one);
     CPPUNIT_TEST(queued_task_of_moved_kind_starts_on_its_new_service);
     CPPUNIT_TEST(job_of_service_without_upstreams_is_refused_at_once);
     CPPUNIT_TEST(task_is_not_forwarded_to_peer_with_slots_of_another_service);
@@ -46,6 +47,28 @@
                        (std::set<std::string>{"up-0", "up-1", "up-2", "up-3"}));
     }
 
+    // Guards against a start in a service that no configuration names: an upstream
+    // replies after a restart before its registration in another service has been read.
+    void restarted_upstream_of_other_service_gets_no_task_of_its_former_one()
+    {
+        m_reported_incarnations["up-0"] = m_registered_incarnations["up-0"] = 1;
+        discover(0, 8);
+        m_reported_incarnations["up-0"] = 2;
+        advance_time(600ms);
+        submit("/q/", 4 * slots);
+        CPPUNIT_ASSERT(used_upstreams() ==
+                       (std::set<std::string>{"up-1", "up-2", "up-3"}));
+        m_registered_incarnations["up-0"] = 2;
+        m_moved.insert("up-0");
+        discover(0, 8);
+        m_starts.clear();
+        submit("/a/", 5 * slots);
+        CPPUNIT_ASSERT(used_upstreams().contains("up-0"));
+        m_starts.clear();
+        submit("/q/", 1);
+        CPPUNIT_ASSERT(m_starts.empty());
+    }
+
     void queued_task_of_moved_kind_starts_on_its_new_service()
     {
         submit("/q/", 4 * slots);
--- a/tests/lease_lost_upstream_test.cpp
+++ b/tests/lease_lost_upstream_test.cpp
@@ -363,6 +363,8 @@
     {
         lapse_lease_of_one_run();
         reply_as_restarted(take_claim());
+        CPPUNIT_ASSERT(!is_available());
+        assign_upstream(restarted);
         CPPUNIT_ASSERT(is_available());
         reply_as_restarted(take_call<renew_call>());
         expect_fate(upstream_fate::crashed);
--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -302,6 +302,7 @@
         CPPUNIT_ASSERT(outcome_of(fenced) == dispatch::attempt_outcome::unknown);
         advance_by(300ms);
         reply_as_restarted(take_call<renew_call>());
+        assign_upstream(restarted);
         attempt_id const unassigned = start_run(1);
         assign_upstream(restarted + 1);
         CPPUNIT_ASSERT(!outcome_of(unassigned));
@@ -332,7 +333,8 @@
     CPPUNIT_TEST_SUITE(lease_restart_claim_test);
     CPPUNIT_TEST(renewal_of_restarted_upstream_is_followed_by_claim_with_higher_token);
     CPPUNIT_TEST(registration_of_restart_is_followed_by_claim_with_higher_token);
-    CPPUNIT_TEST(claim_with_reply_of_restarted_upstream_makes_it_available);
+    CPPUNIT_TEST(
+        claim_with_reply_of_restarted_upstream_makes_it_available_once_registered);
     CPPUNIT_TEST(reply_to_call_before_restart_is_ignored);
     CPPUNIT_TEST(reply_of_earlier_incarnation_is_ignored);
     CPPUNIT_TEST(list_without_incarnation_ends_no_run);
@@ -353,8 +355,9 @@
     }
 
     /// Checks that the upstream gets no start until it has accepted a claim with a higher
-    /// token, and then starts with that token.
-    void check_new_claim()
+    /// token.
+    /// \returns that claim.
+    upstream_call accept_new_claim()
     {
         CPPUNIT_ASSERT(!is_available());
         CPPUNIT_ASSERT(outcome_of(start_run(8)) == dispatch::attempt_outcome::not_run);
@@ -364,6 +367,12 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
                              std::get<renew_call>(claim.m_body).m_acknowledged);
         reply_as_restarted(claim);
+        return claim;
+    }
+
+    /// Checks that the upstream gets starts with the token of \p claim.
+    void check_start_under(upstream_call const & claim)
+    {
         CPPUNIT_ASSERT(is_available());
         start_run(9);
         auto const start = take_call<start_call>();
@@ -380,7 +389,10 @@
         take_call<start_call>();
         reply_as_restarted(take_call<renew_call>(), {},
                            {{3, make_run_name(5), end_cause::succeeded}});
-        check_new_claim();
+        auto const claim = accept_new_claim();
+        CPPUNIT_ASSERT(!is_available());
+        assign_upstream(restarted);
+        check_start_under(claim);
     }
 
     void registration_of_restart_is_followed_by_claim_with_higher_token()
@@ -390,13 +402,15 @@
         start_run(0);
         take_call<start_call>();
         assign_upstream(restarted);
-        check_new_claim();
+        check_start_under(accept_new_claim());
     }
 
-    void claim_with_reply_of_restarted_upstream_makes_it_available()
+    void claim_with_reply_of_restarted_upstream_makes_it_available_once_registered()
     {
         assign_upstream();
         reply_as_restarted(take_call<renew_call>());
+        CPPUNIT_ASSERT(!is_available());
+        assign_upstream(restarted);
         CPPUNIT_ASSERT(is_available());
     }
 
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -191,6 +191,8 @@
         lists.m_ended = {{1, make_run_name(1), end_cause::stopped}};
         receive(m_state, lists, m_now, m_out);
         CPPUNIT_ASSERT(outcome_of(started) == dispatch::attempt_outcome::interrupted);
+        CPPUNIT_ASSERT(!is_available());
+        assign_upstream(2);
         CPPUNIT_ASSERT(is_available());
     }
 };
