--- a/src/lease/availability.cpp
+++ b/src/lease/availability.cpp
@@ -37,7 +37,7 @@
     context.m_out.m_availability.push_back({context.m_session.m_name, available});
 }
 
-void begin_serving(session_context & context)
+void receive_accepted_renewal(session_context & context)
 {
     upstream_session & session = context.m_session;
     if (!session.m_wanted)
--- a/src/lease/availability.hpp
+++ b/src/lease/availability.hpp
@@ -11,13 +11,14 @@
 /// Reports whether runs may be started on the upstream.
 void set_available(session_context & context, bool available);
 
-/// Processes the acceptance of a renewal: allows runs on the upstream, unless its claim
-/// showed an incarnation that has not registered yet. No effect while the session serves
-/// already or is not wanted.
-void begin_serving(session_context & context);
+/// Allows runs on an upstream that has accepted a renewal, unless its registration is
+/// that of an earlier incarnation. No effect while the session serves already or is not
+/// wanted.
+/// \pre no run of another instance is left on the upstream.
+void receive_accepted_renewal(session_context & context);
 
 /// Records the incarnation that the registration names (0: none), and allows runs on an
-/// upstream that was waiting for this registration.
+/// upstream that was waiting for it.
 void receive_registration(session_context & context, std::uint64_t incarnation);
 
 /// Changes to a phase in which no run may be started.
--- a/src/lease/sessions.cpp
+++ b/src/lease/sessions.cpp
@@ -147,7 +147,7 @@
         session.m_next_renewal = context.m_now + takeover_poll_period;
         return;
     }
-    begin_serving(context);
+    receive_accepted_renewal(context);
     continue_renewal(context);
 }
 
