Count upstreams whose registration is that of an earlier start

An upstream that stays unregistered, because it does not renew its registration or the store is away, was visible only as a line in the log.

--- a/include/cassiahub/lease/sessions.hpp
+++ b/include/cassiahub/lease/sessions.hpp
@@ -84,6 +84,10 @@
 /// \returns the names of the upstreams that this instance claims or owns, sorted.
 std::vector<std::string> held_upstreams(lease_state const & state);
 
+/// \returns the number of claimed upstreams that get no runs because their registration
+/// is that of an earlier incarnation (session_phase::unregistered).
+std::size_t count_unregistered(lease_state const & state);
+
 /// \returns the names of the invariants that \p state violates; empty when there are
 /// none.
 std::vector<std::string_view> check_invariants(lease_state const & state);
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -37,6 +37,7 @@
                                          ///< this one
     std::size_t m_served_shards = 0;     ///< shards that this instance owns and serves
     std::size_t m_drained_upstreams = 0; ///< owned upstreams in drained failure domains
+    std::size_t m_unregistered_upstreams = 0; ///< lease::count_unregistered()
     std::uint64_t m_configuration_version = 0;
     bool m_store_contact = false;     ///< the store is reachable
     std::size_t m_pairs_apart = 0;    ///< ordered pairs of kinds that are kept apart
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -1,6 +1,7 @@
 #include "entry/duties.hpp"
 
 #include <cassiahub/dispatch.hpp>
+#include <cassiahub/lease.hpp>
 #include <cassiahub/membership.hpp>
 #include <cassiahub/ownership.hpp>
 
@@ -189,6 +190,8 @@
             shard.m_phase == ownership::shard_phase::serving ? 1 : 0;
     }
     sample.m_drained_upstreams = dispatch::count_drained_upstreams(state.m_dispatch);
+    sample.m_unregistered_upstreams =
+        lease::count_unregistered(state.m_leasing.m_sessions);
     sample.m_configuration_version = context.m_configuration_version;
     sample.m_store_contact = ownership::has_store_contact(state.m_ownership, state.m_now);
     sample.m_broken_invariants = decision::check_invariants(state);
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -91,6 +91,8 @@
               static_cast<double>(sample.m_served_shards));
     set_gauge(target, "cassiahub_drained_upstreams",
               static_cast<double>(sample.m_drained_upstreams));
+    set_gauge(target, "cassiahub_unregistered_upstreams",
+              static_cast<double>(sample.m_unregistered_upstreams));
     set_gauge(target, "cassiahub_configuration_version",
               static_cast<double>(sample.m_configuration_version));
     set_gauge(target, "cassiahub_store_contact", sample.m_store_contact ? 1 : 0);
--- a/src/lease/availability.cpp
+++ b/src/lease/availability.cpp
@@ -1,11 +1,17 @@
 #include "lease/availability.hpp"
 #include "lease/runs.hpp"
 
+#include <cassiahub/lease/sessions.hpp>
+
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string_view>
 
-namespace cassiahub::lease::internal
+namespace cassiahub::lease
+{
+
+namespace internal
 {
 
 namespace
@@ -107,4 +113,14 @@
                        session.m_clock, clock_age);
 }
 
-} // namespace cassiahub::lease::internal
+} // namespace internal
+
+std::size_t count_unregistered(lease_state const & state)
+{
+    return std::size_t(
+        std::count_if(state.m_sessions.begin(), state.m_sessions.end(),
+                      [](auto const & entry)
+                      { return entry.second.m_phase == session_phase::unregistered; }));
+}
+
+} // namespace cassiahub::lease
--- a/tests/lease_registration_test.cpp
+++ b/tests/lease_registration_test.cpp
@@ -61,6 +61,7 @@
     {
         restart_upstream();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_events("upstream_unregistered"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_unregistered(m_state));
         expect_refused_start();
     }
 
@@ -68,6 +69,7 @@
     {
         restart_upstream();
         assign_upstream(restarted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), count_unregistered(m_state));
         expect_accepted_start();
     }
 
