--- a/tests/lease_restart_test.cpp
+++ b/tests/lease_restart_test.cpp
@@ -361,7 +361,7 @@
     {
         CPPUNIT_ASSERT(!is_available());
         CPPUNIT_ASSERT(outcome_of(start_run(8)) == dispatch::attempt_outcome::not_run);
-        auto const claim = take_call<renew_call>();
+        upstream_call claim = take_call<renew_call>();
         CPPUNIT_ASSERT(claim.m_token > first_token);
         CPPUNIT_ASSERT(!std::get<renew_call>(claim.m_body).m_lease_until);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
