--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -16,7 +16,6 @@
 import tempfile
 import time
 
-import platform_standin
 from platform_standin import Minion, Store, read_message
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -241,8 +240,8 @@
     try:
         code = asyncio.run(start())
         record("the rule held" if code == 0 else "the rule was broken")
-    except (CannotRun, KeyboardInterrupt) as error:
-        record(f"the case could not run: {error}")
+    except (Exception, KeyboardInterrupt) as error:
+        record(f"the case could not run: {type(error).__name__} {error}")
     finally:
         if os.environ.get("KEEP_LOGS"):
             print(f"logs in {folder}", file=sys.stderr)
