End the reservation of an upstream that is removed

Cause: remove_if_unowned() frees the element of an upstream and leaves the pool's reservation of it in place. The next upstream that is added takes the element, whatever its service, and reserved_upstream() offers it to the job of the reservation. Ending such a reservation also updates the contribution of a free element, which may lie beyond the index of the first pool.

Change: an upstream leaves its pool when it is removed, as it does when it changes its service; leave_pool() ends the reservation.

Evidence: dispatch_service_test, reservation_of_lost_upstream_is_not_inherited_by_its_successor, failed before (the task of "archive" started on an upstream of "pool") and passes.

--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -69,24 +69,6 @@
            upstream.m_running < upstream.m_definition.m_slots;
 }
 
-/// Removes an upstream that is no longer owned and has no running attempt or withheld
-/// slot; its index is reused.
-void remove_if_unowned(dispatch_state & state, std::uint32_t id)
-{
-    upstream_state & upstream = state.m_upstreams[id];
-    if (upstream.m_owned || upstream.m_running > 0 || upstream.m_withheld > 0)
-    {
-        return;
-    }
-    state.m_timers.erase(
-        {upstream.m_health.m_probe_at, timer_kind::upstream_probe, {0, id}});
-    state.m_upstream_index.erase(upstream.m_definition.m_name);
-    upstream = {};
-    upstream.m_owned = false;
-    interference::forget_upstream(state.m_interference, id);
-    state.m_free_upstream_indexes.push_back(id);
-}
-
 /// Sets what upstream \p id contributes to its pool: \p free to new attempts and \p total
 /// to its capacity.
 void set_contribution(dispatch_state & state, std::uint32_t id, offered_capacity free,
@@ -141,6 +123,8 @@
     grow_index(pool.m_total_capacity, state.m_upstreams.size());
 }
 
+/// Ends everything that the pool of upstream \p id holds of it: its contribution and the
+/// reservation of it.
 void leave_pool(dispatch_state & state, std::uint32_t id)
 {
     service_pool & pool = state.m_pools[state.m_upstreams[id].m_pool];
@@ -152,6 +136,25 @@
     pool.m_probe_targets.erase(id);
 }
 
+/// Removes an upstream that is no longer owned and has no running attempt or withheld
+/// slot; its index is reused.
+void remove_if_unowned(dispatch_state & state, std::uint32_t id)
+{
+    upstream_state & upstream = state.m_upstreams[id];
+    if (upstream.m_owned || upstream.m_running > 0 || upstream.m_withheld > 0)
+    {
+        return;
+    }
+    leave_pool(state, id);
+    state.m_timers.erase(
+        {upstream.m_health.m_probe_at, timer_kind::upstream_probe, {0, id}});
+    state.m_upstream_index.erase(upstream.m_definition.m_name);
+    upstream = {};
+    upstream.m_owned = false;
+    interference::forget_upstream(state.m_interference, id);
+    state.m_free_upstream_indexes.push_back(id);
+}
+
 /// Replaces the definition of an upstream, which may name another service: its running
 /// attempts continue, new ones are those of the new service.
 void set_definition(dispatch_state & state, std::uint32_t id,
--- a/tests/dispatch_service_test.cpp
+++ b/tests/dispatch_service_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(failures_of_one_service_do_not_excuse_upstream_of_another);
     CPPUNIT_TEST(reservation_in_one_service_leaves_another_free);
     CPPUNIT_TEST(expected_wait_counts_own_service_only);
+    CPPUNIT_TEST(reservation_of_lost_upstream_is_not_inherited_by_its_successor);
     CPPUNIT_TEST_SUITE_END();
 
     void assign_services()
@@ -41,6 +42,16 @@
                              { return upstream.m_name == name; });
     }
 
+    /// Replaces the upstream \p name by a new one of \p service with the name \p
+    /// successor.
+    void replace_upstream(std::string_view name, std::string successor,
+                          std::string_view service)
+    {
+        config::upstream & definition = definition_of(name);
+        definition.m_name = std::move(successor);
+        definition.m_service = service;
+    }
+
     service_pool const & pool(std::string_view service) const
     {
         return m_state.m_pools[m_state.m_pool_index.find(service)->second];
@@ -179,6 +190,33 @@
         take_starts();
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool("archive").m_queued_tasks);
     }
+
+    // Guards against a start on an upstream of another service that has taken the slot of
+    // a reserved upstream.
+    void reservation_of_lost_upstream_is_not_inherited_by_its_successor()
+    {
+        config::upstream elsewhere = definition_of("up-2");
+        elsewhere.m_name = "up-9";
+        submit("lodge", 1);
+        attempt_id const running = take_one_start().m_attempt;
+        job_spec large = make_spec("lodge", 1);
+        large.m_tasks[0].m_demand = {16'000, 512, 0};
+        submit(std::move(large));
+        step(m_configuration.m_dispatch.m_reservation_delay * 2);
+        step(m_configuration.m_dispatch.m_reservation_delay * 2);
+        CPPUNIT_ASSERT(pool("archive").m_reservation.m_job != 0);
+        finish_attempt(m_state, {running, attempt_outcome::unknown, "", false}, m_now,
+                       m_random, m_out);
+        replace_upstream("up-2", "up-3", "pool");
+        m_configuration.m_upstreams.push_back(elsewhere);
+        apply_configuration(
+            m_state, std::make_shared<config::fleet_configuration>(m_configuration),
+            m_now);
+        set_owned_upstreams(m_state, std::vector<std::string>{"up-0", "up-1", "up-3"});
+        step();
+        CPPUNIT_ASSERT(take_starts().empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), pool("archive").m_reservation.m_job);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_service_test);
