Give the free element of a removed upstream no pool

Cause: the element of a removed upstream was reset to a default that named pool 0, so it counted as an upstream of the first service. update_typical_demand() recomputed the contribution of each element of that pool, and the pool's capacity indexes do not cover an element that was never one of its upstreams. Any pool of an instance that holds no upstream of it has empty indexes.

Change: upstream_state::m_pool is no_pool unless the upstream has joined a pool, and leave_pool() sets it back. The functions that update a contribution, and set_leaf(), assert that the element is in a pool and that its indexes cover it. set_drained_domains() visits the upstreams that are listed by name. The loop over the elements compares pools as before and needs no guard.

--- a/include/cassiahub/dispatch/capacity_index.hpp
+++ b/include/cassiahub/dispatch/capacity_index.hpp
@@ -31,6 +31,7 @@
 void grow_index(capacity_index & index, std::size_t count);
 
 /// Sets the free slots and resources of leaf \p leaf. O(log leaves).
+/// \pre \p leaf < capacity_index::m_leaves
 void set_leaf(capacity_index & index, std::uint32_t leaf, offered_capacity capacity);
 
 /// \returns a random leaf other than \p avoid with a free slot and capacity for \p
--- a/include/cassiahub/dispatch/service_pool.hpp
+++ b/include/cassiahub/dispatch/service_pool.hpp
@@ -20,6 +20,8 @@
 
 /// Index that denotes no upstream.
 constexpr std::uint32_t no_upstream = 0xffff'ffff;
+/// Index that denotes no pool.
+constexpr std::uint32_t no_pool = 0xffff'ffff;
 
 /// An upstream reserved for one job whose next task has a large demand.
 struct reservation
--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -108,16 +108,17 @@
 };
 
 /// Allocation and health of an upstream that this instance owns, or that still runs
-/// attempts of this instance.
+/// attempts of this instance. The default value is that of an unused element of
+/// dispatch_state::m_upstreams.
 struct upstream_state
 {
     config::upstream m_definition;
-    std::uint32_t m_pool = 0; ///< pool of the upstream's service
+    std::uint32_t m_pool = no_pool; ///< pool of the upstream's service
     std::uint32_t m_running = 0;
     std::uint32_t m_withheld = 0; ///< free slots withheld after a fast failure
     std::uint32_t m_suspects = 0; ///< running attempts of suspected tasks
     resources m_used;             ///< sum of the demands of the running attempts
-    bool m_owned = true;
+    bool m_owned = false;
     bool m_leaving = false;        ///< shutting down
     bool m_domain_drained = false; ///< in dispatch_state::m_drained_domains
     std::uint32_t m_fitting = 0;   ///< contribution to service_pool::m_fitting_tasks
--- a/src/dispatch/capacity_index.cpp
+++ b/src/dispatch/capacity_index.cpp
@@ -1,5 +1,7 @@
 #include <cassiahub/dispatch/capacity_index.hpp>
 
+#include <boost/assert.hpp>
+
 #include <algorithm>
 
 namespace cassiahub::dispatch
@@ -84,6 +86,7 @@
 
 void set_leaf(capacity_index & index, std::uint32_t leaf, offered_capacity capacity)
 {
+    BOOST_ASSERT(leaf < index.m_leaves);
     std::size_t node = index.m_leaves + leaf;
     index.m_nodes[node] = capacity;
     while (node > 1)
--- a/src/dispatch/drained_domains.cpp
+++ b/src/dispatch/drained_domains.cpp
@@ -178,7 +178,7 @@
 void set_drained_domains(dispatch_state & state, std::span<std::string const> domains)
 {
     state.m_drained_domains = {domains.begin(), domains.end()};
-    for (std::uint32_t id = 0; id < state.m_upstreams.size(); ++id)
+    for (auto const & [name, id] : state.m_upstream_index)
     {
         upstream_state & upstream = state.m_upstreams[id];
         bool const drained =
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -75,7 +75,9 @@
                       offered_capacity total)
 {
     upstream_state & upstream = state.m_upstreams[id];
+    BOOST_ASSERT(upstream.m_pool != no_pool);
     service_pool & pool = state.m_pools[upstream.m_pool];
+    BOOST_ASSERT(id < pool.m_total_capacity.m_leaves);
     pool.m_usable_slots -=
         pool.m_total_capacity.m_nodes[pool.m_total_capacity.m_leaves + id].m_slots;
     pool.m_usable_slots += total.m_slots;
@@ -95,6 +97,7 @@
 void update_offered_capacity(dispatch_state & state, std::uint32_t id)
 {
     upstream_state const & upstream = state.m_upstreams[id];
+    BOOST_ASSERT(upstream.m_pool != no_pool);
     service_pool & pool = state.m_pools[upstream.m_pool];
     bool const reserved =
         pool.m_reservation.m_job != 0 && pool.m_reservation.m_upstream == id;
@@ -113,10 +116,12 @@
     }
 }
 
-/// Adds upstream \p id, which contributes to no pool, to the pool of its service.
+/// Adds upstream \p id to the pool of its service.
+/// \pre the upstream is in no pool
 void join_pool(dispatch_state & state, std::uint32_t id)
 {
     upstream_state & upstream = state.m_upstreams[id];
+    BOOST_ASSERT(upstream.m_pool == no_pool);
     upstream.m_pool = pool_index(state, upstream.m_definition.m_service);
     service_pool & pool = state.m_pools[upstream.m_pool];
     grow_index(pool.m_free_capacity, state.m_upstreams.size());
@@ -124,7 +129,7 @@
 }
 
 /// Ends everything that the pool of upstream \p id holds of it: its contribution and the
-/// reservation of it.
+/// reservation of it. The upstream is then in no pool.
 void leave_pool(dispatch_state & state, std::uint32_t id)
 {
     service_pool & pool = state.m_pools[state.m_upstreams[id].m_pool];
@@ -134,6 +139,7 @@
     }
     set_contribution(state, id, {}, {});
     pool.m_probe_targets.erase(id);
+    state.m_upstreams[id].m_pool = no_pool;
 }
 
 /// Removes an upstream that is no longer owned and has no running attempt or withheld
@@ -150,7 +156,6 @@
         {upstream.m_health.m_probe_at, timer_kind::upstream_probe, {0, id}});
     state.m_upstream_index.erase(upstream.m_definition.m_name);
     upstream = {};
-    upstream.m_owned = false;
     interference::forget_upstream(state.m_interference, id);
     state.m_free_upstream_indexes.push_back(id);
 }
@@ -224,7 +229,6 @@
     {
         state.m_upstreams.emplace_back();
     }
-    state.m_upstreams[id] = {};
     state.m_upstreams[id].m_definition = definition;
     state.m_upstreams[id].m_domain_drained =
         state.m_drained_domains.contains(definition.m_domain);
--- a/src/dispatch/upstreams.hpp
+++ b/src/dispatch/upstreams.hpp
@@ -33,6 +33,7 @@
 
 /// Updates the capacity indexes and the totals derived from upstream \p id. Must be
 /// called after every change of the upstream.
+/// \pre the element is in use
 void update_offered_capacity(dispatch_state & state, std::uint32_t id);
 
 /// Update slots and resources in use when an attempt starts or ends on upstream \p id.
--- a/tests/dispatch_service_test.cpp
+++ b/tests/dispatch_service_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(failures_of_one_service_do_not_excuse_upstream_of_another);
     CPPUNIT_TEST(reservation_in_one_service_leaves_another_free);
     CPPUNIT_TEST(expected_wait_counts_own_service_only);
+    CPPUNIT_TEST(demand_change_after_loss_in_another_service_leaves_pool_empty);
     CPPUNIT_TEST(reservation_of_lost_upstream_is_not_inherited_by_its_successor);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +192,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool("archive").m_queued_tasks);
     }
 
+    // Guards against an access beyond the capacity index of the first service when the
+    // slot of a removed upstream counts as one of its upstreams.
+    void demand_change_after_loss_in_another_service_leaves_pool_empty()
+    {
+        m_state = {};
+        apply_configuration(
+            m_state, std::make_shared<config::fleet_configuration>(m_configuration),
+            m_now);
+        set_owned_upstreams(m_state, std::vector<std::string>{"up-2"});
+        set_owned_upstreams(m_state, {});
+        submit("check", 1);
+        job_spec larger = make_spec("check", 1);
+        larger.m_tasks[0].m_demand.m_millicores = 14'000;
+        submit(std::move(larger));
+        CPPUNIT_ASSERT_EQUAL(0U, pool("pool").m_usable_slots);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), pool("pool").m_queued_tasks);
+    }
+
     // Guards against a start on an upstream of another service that has taken the slot of
     // a reserved upstream.
     void reservation_of_lost_upstream_is_not_inherited_by_its_successor()
