Assign the tasks of the baseline policy again when an upstream leaves

Callers saw jobs that failed at their deadline; tasks ran on upstreams of another service, or on ones that the instance no longer owned. Only `policy = baseline`, which is for comparison, does so.

Cause: each upstream keeps the tasks that were assigned to it on arrival, by its element. They stayed there when the upstream or their kind changed its service and when the instance stopped owning the upstream, and were dropped with the element. A free element was a candidate as well.

Change: such tasks return to dispatch_state::m_unassigned, from which start_assigned() assigns them to owned upstreams of their service. A task that finds none waits there for one.

Evidence: dispatch_service_test, the three cases assigned_task_of_..., failed before (starts on up-2, up-2 and up-0 of the other service or no longer owned) and pass.

--- a/include/cassiahub/dispatch/state.hpp
+++ b/include/cassiahub/dispatch/state.hpp
@@ -107,6 +107,13 @@
     bool m_cancelled = false; ///< its result is not needed; it still occupies its slot
 };
 
+/// A task that the baseline policy has assigned to an upstream, or will assign to one.
+struct assigned_task
+{
+    std::uint64_t m_job = 0; ///< serial
+    std::uint32_t m_task = 0;
+};
+
 /// Allocation and health of an upstream that this instance owns, or that still runs
 /// attempts of this instance. The default value is that of an unused element of
 /// dispatch_state::m_upstreams.
@@ -126,9 +133,8 @@
     std::uint32_t m_task_capacity = 0;
     bool m_available = true; ///< false while it is unreachable
     upstream_health m_health;
-    interference::occupancy m_occupants; ///< running attempts by kind
-    std::deque<std::pair<std::uint64_t, std::uint32_t>>
-        m_assigned; ///< baseline policy: assigned (job, task) pairs
+    interference::occupancy m_occupants;  ///< running attempts by kind
+    std::deque<assigned_task> m_assigned; ///< baseline policy: in order of their starts
 };
 
 /// Load of the upstreams of one service that an instance reports to its peers.
@@ -227,6 +233,7 @@
     std::map<std::string, std::uint32_t, std::less<>> m_upstream_index;
     /// Indexes of the unused elements of m_upstreams.
     std::vector<std::uint32_t> m_free_upstream_indexes;
+    std::vector<assigned_task> m_unassigned; ///< baseline policy: without an upstream
     std::map<instance_id, peer_state> m_peers;
     std::unordered_map<attempt_id, forwarded_task> m_forwarded;
     /// Recently finished tasks of peers; duplicate forwards of them are ignored.
--- a/src/dispatch/advance.cpp
+++ b/src/dispatch/advance.cpp
@@ -290,7 +290,7 @@
     internal::start_due_hedges(state, now, random, out);
     if (internal::is_baseline(state))
     {
-        internal::start_assigned(state, now, out);
+        internal::start_assigned(state, now, random, out);
         return;
     }
     for (std::uint32_t pool = 0; pool < state.m_pools.size(); ++pool)
--- a/src/dispatch/baseline.cpp
+++ b/src/dispatch/baseline.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/verdict.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cassiahub::dispatch::internal
 {
@@ -54,16 +55,24 @@
     std::vector<upstream_state *> candidates;
     for (upstream_state & upstream : state.m_upstreams)
     {
-        if (upstream.m_pool == pool)
+        if (upstream.m_owned && upstream.m_pool == pool)
         {
             candidates.push_back(&upstream);
         }
     }
-    if (!candidates.empty())
+    if (candidates.empty())
     {
-        candidates[random() % candidates.size()]->m_assigned.emplace_back(job.m_serial,
-                                                                          task);
+        state.m_unassigned.push_back({job.m_serial, task});
+        return;
     }
+    candidates[random() % candidates.size()]->m_assigned.push_back({job.m_serial, task});
+}
+
+void unassign_tasks(dispatch_state & state, std::uint32_t id)
+{
+    auto & assigned = state.m_upstreams[id].m_assigned;
+    state.m_unassigned.insert(state.m_unassigned.end(), assigned.begin(), assigned.end());
+    assigned.clear();
 }
 
 void assign_job(dispatch_state & state, job_state & job)
@@ -76,8 +85,16 @@
     }
 }
 
-void start_assigned(dispatch_state & state, time_point now, effects & out)
+void start_assigned(dispatch_state & state, time_point now, random_source & random,
+                    effects & out)
 {
+    for (assigned_task const & waiting : std::exchange(state.m_unassigned, {}))
+    {
+        if (job_state * const job = find_job_by_serial(state, waiting.m_job))
+        {
+            assign_task(state, *job, waiting.m_task, random);
+        }
+    }
     // A linear scan suffices: the CPU cost of the baseline policy is not compared.
     for (std::uint32_t id = 0; id < state.m_upstreams.size(); ++id)
     {
--- a/src/dispatch/service_pools.cpp
+++ b/src/dispatch/service_pools.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/baseline.hpp"
 #include "dispatch/reservation.hpp"
 #include "dispatch/service_pools.hpp"
 
@@ -46,6 +47,13 @@
             }
         }
     }
+    for (auto const & [name, id] : state.m_upstream_index)
+    {
+        if (state.m_upstreams[id].m_pool == kind.m_pool)
+        {
+            unassign_tasks(state, id);
+        }
+    }
     put_kind(to.m_queue, kind_id, take_kind(from.m_queue, kind_id));
     from.m_queued_tasks -= kind.m_queued_tasks;
     to.m_queued_tasks += kind.m_queued_tasks;
--- a/src/dispatch/upstreams.cpp
+++ b/src/dispatch/upstreams.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/baseline.hpp"
 #include "dispatch/drained_domains.hpp"
 #include "dispatch/neighbours.hpp"
 #include "dispatch/objective.hpp"
@@ -128,11 +129,12 @@
     grow_index(pool.m_total_capacity, state.m_upstreams.size());
 }
 
-/// Ends everything that the pool of upstream \p id holds of it: its contribution and the
-/// reservation of it. The upstream is then in no pool.
+/// Ends everything that the pool of upstream \p id holds of it: its contribution, the
+/// reservation of it and the tasks that wait for it. The upstream is then in no pool.
 void leave_pool(dispatch_state & state, std::uint32_t id)
 {
     service_pool & pool = state.m_pools[state.m_upstreams[id].m_pool];
+    unassign_tasks(state, id);
     if (pool.m_reservation.m_job != 0 && pool.m_reservation.m_upstream == id)
     {
         pool.m_reservation = {};
@@ -242,6 +244,7 @@
 void end_ownership(dispatch_state & state, std::uint32_t id)
 {
     state.m_upstreams[id].m_owned = false;
+    unassign_tasks(state, id);
     update_offered_capacity(state, id);
     remove_if_unowned(state, id);
 }
--- a/tests/dispatch_service_test.cpp
+++ b/tests/dispatch_service_test.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(expected_wait_counts_own_service_only);
     CPPUNIT_TEST(demand_change_after_loss_in_another_service_leaves_pool_empty);
     CPPUNIT_TEST(reservation_of_lost_upstream_is_not_inherited_by_its_successor);
+    CPPUNIT_TEST(assigned_task_of_upstream_that_changes_service_runs_in_its_own);
+    CPPUNIT_TEST(assigned_task_of_lost_upstream_runs_on_another);
+    CPPUNIT_TEST(assigned_task_of_kind_that_changes_service_runs_in_the_new_one);
     CPPUNIT_TEST_SUITE_END();
 
     void assign_services()
@@ -53,6 +56,31 @@
         definition.m_service = service;
     }
 
+    /// Finishes every attempt as it starts, until none starts any more. \returns the
+    /// starts.
+    std::vector<attempt_start> run_all(std::vector<attempt_start> started)
+    {
+        std::vector<attempt_start> all;
+        while (!started.empty())
+        {
+            for (attempt_start const & start : started)
+            {
+                finish(start.m_attempt, attempt_outcome::succeeded);
+                all.push_back(start);
+            }
+            started = take_starts();
+        }
+        return all;
+    }
+
+    /// Selects the baseline policy and puts up-0 into the service "archive" beside up-2.
+    void assign_at_random()
+    {
+        m_configuration.m_dispatch.m_policy = config::dispatch_policy::baseline;
+        definition_of("up-0").m_service = "archive";
+        apply();
+    }
+
     service_pool const & pool(std::string_view service) const
     {
         return m_state.m_pools[m_state.m_pool_index.find(service)->second];
@@ -236,6 +264,61 @@
         CPPUNIT_ASSERT(take_starts().empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), pool("archive").m_reservation.m_job);
     }
+
+    // Guards against a start of the baseline policy in the new service of an upstream.
+    void assigned_task_of_upstream_that_changes_service_runs_in_its_own()
+    {
+        assign_at_random();
+        submit("lodge", 20);
+        auto const running = take_starts();
+        definition_of("up-2").m_service = "pool";
+        apply();
+        step();
+        auto const all = run_all(running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), all.size());
+        for (std::size_t index = running.size(); index < all.size(); ++index)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("up-0"), all[index].m_upstream);
+        }
+        CPPUNIT_ASSERT(!take_answer().m_error);
+    }
+
+    // Guards against tasks of the baseline policy that wait for an upstream that is gone.
+    void assigned_task_of_lost_upstream_runs_on_another()
+    {
+        assign_at_random();
+        submit("lodge", 20);
+        auto const running = take_starts();
+        std::erase_if(m_configuration.m_upstreams, [](config::upstream const & upstream)
+                      { return upstream.m_name == "up-2"; });
+        apply();
+        step();
+        auto const all = run_all(running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), all.size());
+        for (std::size_t index = running.size(); index < all.size(); ++index)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("up-0"), all[index].m_upstream);
+        }
+        CPPUNIT_ASSERT(!take_answer().m_error);
+    }
+
+    // Guards against a start of the baseline policy in the former service of a kind.
+    void assigned_task_of_kind_that_changes_service_runs_in_the_new_one()
+    {
+        assign_at_random();
+        submit("lodge", 20);
+        auto const running = take_starts();
+        m_configuration.m_kinds.back().m_service = "pool";
+        apply();
+        step();
+        auto const all = run_all(running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), all.size());
+        for (std::size_t index = running.size(); index < all.size(); ++index)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("up-1"), all[index].m_upstream);
+        }
+        CPPUNIT_ASSERT(!take_answer().m_error);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_service_test);
