--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -1,3 +1,5 @@
+#include "dispatch/invariants.hpp"
+
 #include <cassiahub/dispatch/dispatcher.hpp>
 
 #include <algorithm>
@@ -16,9 +18,6 @@
     resources m_used;
 };
 
-using violation_names = std::vector<std::string_view>;
-
-/// Adds \p name once, if the invariant is \p violated.
 void add_if_violated(violation_names & violations, bool violated, std::string_view name)
 {
     if (violated &&
@@ -212,6 +211,8 @@
 std::vector<std::string_view> check_invariants(dispatch_state const & state)
 {
     std::vector<std::string_view> violations;
+    internal::check_slots(state, violations);
+    internal::check_pools(state, violations);
     internal::check_upstreams(state, violations);
     internal::check_attempts(state, violations);
     internal::check_jobs(state, violations);
