Test the order of arrivals without reading before the first one

RC_ASSERT evaluates both operands of ||, so the check read first[-1]. A build with -D_GLIBCXX_ASSERTIONS aborted in load_test (1 of 1), and passes with the comparison outside of the macro (1 of 1). The condition is the same.

--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -121,7 +121,10 @@
                 {
                     RC_ASSERT(first[index].m_at == second[index].m_at);
                     RC_ASSERT(first[index].m_job.m_key == second[index].m_job.m_key);
-                    RC_ASSERT(index == 0 || first[index - 1].m_at <= first[index].m_at);
+                    // RC_ASSERT evaluates both operands of ||.
+                    bool const is_ordered =
+                        index == 0 || first[index - 1].m_at <= first[index].m_at;
+                    RC_ASSERT(is_ordered);
                 }
             }));
     }
