Let the soak play several services

Each new id of an upstream and each new version of the configuration draws a service, and the processors of a job vary, so that gateways count their capacity anew. A run in a service that its kind has not had for 7 s is a violation, unless its order was carried out late.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -7,6 +7,7 @@
 import contextlib
 import functools
 import json
+import math
 import os
 import random
 import signal
@@ -26,6 +27,8 @@
 RECOVERY_LIMIT_S = 12  # from the last fault until jobs must complete again
 STOP_GRACE_S = 6  # limit of a graceful stop, as set in the gateways
 DRAIN_LIMIT_S = 5  # from the operator's row until no task starts in its domain
+CONFIGURATION_LIMIT_S = 7  # from a new version until it is in force everywhere
+KINDS = ("check", "lookup", "levy")  # from most to least urgent
 
 
 class Checks:
@@ -34,7 +37,8 @@
     def __init__(self, trace_path):
         self.running = collections.defaultdict(list)  # by task: its current runs
         self.started = collections.Counter()  # runs by job
-        self.submitted = set()  # jobs
+        self.kinds = {}  # by submitted job
+        self.used_until = {}  # by kind and service: infinite for the service of the kind
         self.drained_at = {}  # by failure domain, while it is drained
         self.store_away_at = 0  # last time at which the store did not answer
         self.violations = []
@@ -50,6 +54,22 @@
         self.violations.append(f"{time.monotonic():.3f} {text}")
         self.trace(f"violation: {text}")
 
+    def set_services(self, services):
+        """services: by kind, as the newest version of the configuration has them."""
+        now = time.monotonic()
+        for (kind, service), until in self.used_until.items():
+            if until == math.inf and services[kind] != service:
+                self.used_until[kind, service] = now
+        self.used_until.update({item: math.inf for item in services.items()})
+
+    def check_service(self, run, kind):
+        until = self.used_until.get((kind, run.service), -math.inf)
+        # A gateway cannot read the version while the store is away.
+        since = max(until, self.store_away_at) if until > 0 else until
+        if time.monotonic() - since > CONFIGURATION_LIMIT_S and not run.late:
+            self.add_violation(f"{run.task} of {kind} runs in {run.service}: "
+                               f"{run.describe()}")
+
     def run_started(self, run):
         self.counts["runs"] += 1
         self.trace(f"started {run.task} on {run.describe()}")
@@ -60,7 +80,9 @@
             self.add_violation(f"two concurrent runs of {run.task}: {other.describe()} "
                                f"and {run.describe()}")
         job = run.task.split(".")[0]
-        if job not in self.submitted:
+        if job in self.kinds:
+            self.check_service(run, self.kinds[job])
+        else:
             self.add_violation(f"{run.task} runs but its job was not submitted")
         domain = run.upstream.domain
         if domain in self.drained_at:
@@ -81,6 +103,10 @@
     return f"domain-{index % options.domains}"
 
 
+def list_services(options):
+    return [f"pool-{index}" for index in range(options.services)]
+
+
 class Gateway:
     """One cassiahub-gateway process, with a relay in front of its peer port."""
 
@@ -154,7 +180,8 @@
         names = [gateway.name for gateway in self.gateways]
         self.upstreams = [Upstream(f"up-{index}", base + 500 + 2 * index * len(names),
                                    domain_of(index, options), names, 32_000, self.checks,
-                                   options.seed, options.kept_ids)
+                                   options.seed, options.kept_ids,
+                                   list_services(options), index)
                           for index in range(options.upstreams)]
         self.gateways_by_name = {gateway.name: gateway for gateway in self.gateways}
         self.faults = collections.Counter()
@@ -165,23 +192,27 @@
     def rewrite_peer_address(self, name, address):
         return f"127.0.0.1:{self.gateways_by_name[name].relay_port}"
 
-    def configure(self, version):
+    def configure(self, version, services):
+        """services: by kind."""
+        self.checks.set_services(services)
         self.store.put("op", "config", {
             "version": version, "services": [], "limits": {},
             "routes": [{"name": name, "host": HOST, "prefix": f"/{name}/", "type": "unsafe",
                         "timeout-ms": 1500, "target-duration-ms": 60, "priority": priority,
-                        "service": "pool", "max-attempts": 4, "stretch": 1.6}
-                       for priority, name in enumerate(("check", "lookup", "levy"))]})
+                        "service": services[name], "max-attempts": 4, "stretch": 1.6}
+                       for priority, name in enumerate(KINDS)]})
 
     async def run_job(self):
         kind, task_count, run_ms = self.random.choice(
             [("check", 6, 60), ("lookup", 2, 200), ("levy", 3, 800)])
         job = f"{self.random.getrandbits(64):016x}"
-        self.checks.submitted.add(job)
+        self.checks.kinds[job] = kind
         rng = random.Random(job)
-        spec = json.dumps({"run_ms": run_ms, "cpu": 14_000})
+        # A change of the typical demand makes a gateway count its capacity anew.
+        cpu = rng.choice((2_000, 8_000, 14_000)) if self.options.services > 1 else 14_000
+        spec = json.dumps({"run_ms": run_ms, "cpu": cpu})
         body = json.dumps({"spec": spec, "best-effort": True, "steps": [
-            {"count": task_count, "cpu": 14_000, "mem-mb": 64,
+            {"count": task_count, "cpu": cpu, "mem-mb": 64,
              "estimate-ms": run_ms}]}).encode()
         headers = {"Host": HOST, "Cassiahub-Deadline-Ms": "1500", "Request-Id": job}
         statuses = []
@@ -304,7 +335,9 @@
 
     async def break_store(self, kind, rng):
         if kind == "change":
-            self.configure(self.store.version + 1)
+            services = {name: rng.choice(list_services(self.options)) for name in KINDS}
+            self.configure(self.store.version + 1, services)
+            self.checks.trace(f"version {self.store.version}: {services}")
             return
         self.store.mode = kind
         await asyncio.sleep(rng.uniform(0.5, 6))
@@ -374,7 +407,9 @@
         await asyncio.gather(*fault_tasks)
 
     async def run(self):
-        self.configure(1)
+        services = list_services(self.options)
+        self.configure(1, {name: services[index % len(services)]
+                           for index, name in enumerate(KINDS)})
         for number in range(len(self.gateways)):
             handle = functools.partial(self.store.handle, number)
             await serve(self.options.port + number, lambda _, handle=handle: handle)
@@ -414,6 +449,8 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--domains", type=int, default=2)
     parser.add_argument("--upstreams", type=int, default=12)
+    parser.add_argument("--services", type=int, default=1,
+                        help="services; kinds and restarted upstreams change theirs")
     parser.add_argument("--kept-ids", action="store_true",
                         help="upstreams restart under their id also while orders are late")
     parser.add_argument("--rate", type=float, default=12, help="jobs per second")
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -28,6 +28,7 @@
         spec = json.loads(message["spec"])
         factor = SLOW_FACTOR if upstream.faults["slow"] else 1
         self.upstream, self.gateway, self.late = upstream, gateway, late
+        self.service = upstream.service
         self.task, self.number = message["task"], message["run"]
         self.token = message["fencing-token"]
         self.incarnation_ms = upstream.incarnation_ms
@@ -50,15 +51,18 @@
     write its registration)."""
 
     def __init__(self, name, first_port, domain, gateways, cpu_limit, checks, seed,
-                 keeps_id):
-        """keeps_id: every restart is under the id of before."""
+                 keeps_id, services, index):
+        """keeps_id: every restart is under the id of before. index: of the first service;
+        each new id has one drawn from services."""
         self.name, self.first_port, self.domain = name, first_port, domain
         self.cpu_limit, self.checks = cpu_limit, checks
         self.keeps_id = keeps_id
+        self.services, self.service = services, services[index % len(services)]
         self.id, self.number_of_ids = name, 1
         self.former_ids = {}  # still registered, with the time of their last heartbeat
         self.random = random.Random(f"{seed}-{name}")
         self.id_random = random.Random(f"{seed}-{name}-ids")
+        self.service_random = random.Random(f"{seed}-{name}-services")
         self.clock_rate = self.random.choice((1, 1, 0.98))
         self.links = [Link(self, gateway) for gateway in gateways]
         self.faults = collections.Counter()
@@ -95,7 +99,7 @@
                         for number, link in enumerate(self.links)]
         self.down = False
         self.checks.trace(f"{self.name} began incarnation {self.incarnation_ms} as "
-                          f"{self.id}")
+                          f"{self.id} in {self.service}")
 
     async def crash(self, down_s, connections, moved):
         """connections: those of before are reset now ("reset"), when they are used after
@@ -127,6 +131,7 @@
             self.former_ids[self.id] = self.heartbeat_at
             self.number_of_ids += 1
             self.id = f"{self.name}-{self.number_of_ids}"
+            self.service = self.service_random.choice(self.services)
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000 * self.clock_rate)
@@ -270,7 +275,7 @@
         elif now >= self.register_from:
             self.heartbeat_at = now
             store.put_if_changed("servers", self.id, {
-                "service": "pool", "address": f"127.0.0.1:{self.port()}", "zone": self.domain,
+                "service": self.service, "address": f"127.0.0.1:{self.port()}", "zone": self.domain,
                 "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
                 "capacity": {"cpu": self.cpu_limit, "mem-mb": 65536, "gpu": 0},
                 "labels": [], "seq": 1, "born": self.incarnation_ms})
