--- a/soak/soak.py
+++ b/soak/soak.py
@@ -38,7 +38,7 @@
         self.running = collections.defaultdict(list)  # by task: its current runs
         self.started = collections.Counter()  # runs by job
         self.kinds = {}  # by submitted job
-        self.used_until = {}  # by kind and service: infinite for the service of the kind
+        self.used_until = {}  # by kind and service; infinite: it is used now
         self.drained_at = {}  # by failure domain, while it is drained
         self.store_away_at = 0  # last time at which the store did not answer
         self.violations = []
@@ -63,10 +63,12 @@
         self.used_until.update({item: math.inf for item in services.items()})
 
     def check_service(self, run, kind):
-        until = self.used_until.get((kind, run.service), -math.inf)
-        # A gateway cannot read the version while the store is away.
-        since = max(until, self.store_away_at) if until > 0 else until
-        if time.monotonic() - since > CONFIGURATION_LIMIT_S and not run.late:
+        if run.late:
+            return
+        until = self.used_until.get((kind, run.service))
+        # A gateway cannot read a version while the store is away.
+        if until is None or (time.monotonic() - max(until, self.store_away_at) >
+                             CONFIGURATION_LIMIT_S):
             self.add_violation(f"{run.task} of {kind} runs in {run.service}: "
                                f"{run.describe()}")
 
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -275,7 +275,8 @@
         elif now >= self.register_from:
             self.heartbeat_at = now
             store.put_if_changed("servers", self.id, {
-                "service": self.service, "address": f"127.0.0.1:{self.port()}", "zone": self.domain,
+                "service": self.service, "address": f"127.0.0.1:{self.port()}",
+                "zone": self.domain,
                 "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
                 "capacity": {"cpu": self.cpu_limit, "mem-mb": 65536, "gpu": 0},
                 "labels": [], "seq": 1, "born": self.incarnation_ms})
--- a/src/dispatch/slot_invariants.cpp
+++ b/src/dispatch/element_invariants.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Number of timers of each kind that concern one upstream.
+/// Numbers of timers that concern one upstream.
 struct upstream_timers
 {
     std::uint32_t m_withheld = 0;
@@ -45,7 +45,7 @@
     {
         bool const is_listed_once = id < used.size() && !used[id] &&
                                     state.m_upstreams[id].m_definition.m_name == name;
-        add_if_violated(violations, !is_listed_once, "used_slot_has_name");
+        add_if_violated(violations, !is_listed_once, "used_element_has_name");
         if (id < used.size())
         {
             used[id] = true;
@@ -67,7 +67,7 @@
     add_if_violated(violations,
                     repeated || wrong ||
                         unused.size() + state.m_upstream_index.size() != used.size(),
-                    "slot_used_or_free");
+                    "element_used_or_free");
 }
 
 void check_timers(dispatch_state const & state, violation_names & violations)
@@ -119,7 +119,7 @@
 
 } // namespace
 
-void check_slots(dispatch_state const & state, violation_names & violations)
+void check_elements(dispatch_state const & state, violation_names & violations)
 {
     std::vector<bool> const used = list_used(state, violations);
     check_free_list(state, used, violations);
@@ -127,12 +127,12 @@
     {
         upstream_state const & upstream = state.m_upstreams[id];
         add_if_violated(violations, used[id] && !is_in_its_pool(state, upstream, id),
-                        "used_slot_in_pool_of_its_service");
+                        "used_element_in_pool_of_its_service");
         add_if_violated(violations, !used[id] && !is_unused(upstream),
-                        "free_slot_in_no_pool");
+                        "free_element_in_no_pool");
         bool const has_runs = id < state.m_interference.m_blocks.size() &&
                               !state.m_interference.m_blocks[id].m_runs.empty();
-        add_if_violated(violations, !used[id] && has_runs, "free_slot_without_runs");
+        add_if_violated(violations, !used[id] && has_runs, "free_element_without_runs");
         check_assigned(state, upstream, violations);
     }
     for (auto const & [id, attempt] : state.m_attempts)
@@ -141,7 +141,7 @@
             violations,
             attempt.m_upstream != no_upstream &&
                 (attempt.m_upstream >= used.size() || !used[attempt.m_upstream]),
-            "attempt_on_used_slot");
+            "attempt_on_used_element");
     }
     check_timers(state, violations);
 }
--- a/src/dispatch/invariants.cpp
+++ b/src/dispatch/invariants.cpp
@@ -211,7 +211,7 @@
 std::vector<std::string_view> check_invariants(dispatch_state const & state)
 {
     std::vector<std::string_view> violations;
-    internal::check_slots(state, violations);
+    internal::check_elements(state, violations);
     internal::check_pools(state, violations);
     internal::check_upstreams(state, violations);
     internal::check_attempts(state, violations);
--- a/src/dispatch/invariants.hpp
+++ b/src/dispatch/invariants.hpp
@@ -18,7 +18,7 @@
 /// Checks that each element of dispatch_state::m_upstreams is either unused or listed by
 /// name and a member of the pool of its service, and that whatever refers to an element
 /// refers to one in use.
-void check_slots(dispatch_state const & state, violation_names & violations);
+void check_elements(dispatch_state const & state, violation_names & violations);
 
 /// Checks that each pool refers to its members only, and its totals.
 void check_pools(dispatch_state const & state, violation_names & violations);
