Show the age of the copies of the store's tables and the documents that peers send

Logs and metrics of the incident do not tell a reply of the store that was given up from one that was late, nor a document from the store from one of a peer. The registry now logs failed and slow replies with table, time and bytes and counts them; gauges show the age of the copies of the configuration and of the registrations; documents sent to and received from peers are logged with their sizes and counted.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -140,6 +140,9 @@
     std::map<instance_id, time_point> m_next_configuration_notice;
     std::uint64_t m_last_checked_version = 0; ///< version of the last check_document
     time_point m_last_check_at;
+    std::uint64_t m_documents_sent = 0;      ///< configuration notices to peers
+    std::uint64_t m_document_bytes_sent = 0; ///< their documents
+    std::uint64_t m_documents_received = 0;  ///< configuration notices from peers
 
     // Derived from the live members; computed again when they change.
     std::vector<std::string> m_upstream_candidates; ///< may own upstreams of the domain
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -111,7 +111,8 @@
 void change_configuration(step_context & context, configuration_changed & changed);
 
 /// Requests the validation of a newer document that a peer has sent.
-void receive_configuration(step_context & context, configuration_notice & notice);
+void receive_configuration(step_context & context, instance_id const & from,
+                           configuration_notice & notice);
 
 // Drained failure domains.
 
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -109,6 +109,13 @@
         return;
     }
     next->second = context.m_now + configuration_notice_period;
+    ++state.m_documents_sent;
+    state.m_document_bytes_sent += state.m_document.size();
+    context.m_actions.emplace_back(
+        log_event{"configuration_sent",
+                  peer.m_value,
+                  {},
+                  fmt::format("version={} bytes={}", version, state.m_document.size())});
     send(context, peer, configuration_notice{version, state.m_document});
 }
 
@@ -481,9 +488,17 @@
     update_assignments(context);
 }
 
-void receive_configuration(step_context & context, configuration_notice & notice)
+void receive_configuration(step_context & context, instance_id const & from,
+                           configuration_notice & notice)
 {
     entry_state & state = context.m_state;
+    ++state.m_documents_received;
+    context.m_actions.emplace_back(
+        log_event{"configuration_received",
+                  from.m_value,
+                  {},
+                  fmt::format("version={} bytes={} in_force={}", notice.m_version,
+                              notice.m_document.size(), configuration_version(state))});
     bool const recent =
         notice.m_version <= state.m_last_checked_version &&
         context.m_now - state.m_last_check_at < configuration_notice_period;
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -172,10 +172,10 @@
     apply(context, std::move(effects));
 }
 
-void handle_message(step_context & context, instance_id const &,
+void handle_message(step_context & context, instance_id const & from,
                     configuration_notice & message)
 {
-    receive_configuration(context, message);
+    receive_configuration(context, from, message);
 }
 
 void handle_message(step_context & context, instance_id const & from,
--- a/src/entry/context.hpp
+++ b/src/entry/context.hpp
@@ -42,6 +42,9 @@
     bool m_store_contact = false;     ///< the store is reachable
     std::size_t m_pairs_apart = 0;    ///< ordered pairs of kinds that are kept apart
     std::uint64_t m_ignored_runs = 0; ///< runs beyond the limits of interference
+    std::uint64_t m_documents_sent = 0;
+    std::uint64_t m_document_bytes_sent = 0;
+    std::uint64_t m_documents_received = 0;
     std::vector<std::string_view> m_broken_invariants; ///< names of violated invariants
 };
 
@@ -84,6 +87,19 @@
 /// A ring that delivers the answer to one waiting listener thread.
 using answer_ring = runtime::bounded_ring<caller_answer>;
 
+/// Requests of the gateway's registry to the store. Written by that duty, read by the
+/// telemetry duty.
+struct store_usage
+{
+    std::atomic<std::uint64_t> m_requests{0};
+    std::atomic<std::uint64_t> m_failures{0};       ///< requests without a usable reply
+    std::atomic<std::uint64_t> m_received_bytes{0}; ///< bodies of complete replies
+    /// Time on the boot clock at which the request was sent whose reply the copy of the
+    /// table reflects; zero: there is none.
+    std::atomic<time_point> m_configuration_asked_at{time_point()};
+    std::atomic<time_point> m_upstreams_asked_at{time_point()};
+};
+
 /// Rings and state that survive the restart of a duty. Owned by run_daemon(); every duty
 /// accesses it by reference. The rings, the connection pool and the atomics are shared;
 /// every other member is written by one duty only.
@@ -138,6 +154,7 @@
 
     connection_pool m_connections; ///< idle connections of the upstream duties
     peer::exchange_counters m_peer_counters;
+    store_usage m_store_usage;
     /// How often clients of this instance's servers reached each http::client_limit.
     /// Written by the threads that serve callers, read by the telemetry duty.
     std::array<std::atomic<std::uint64_t>, http::client_limit_count>
--- a/src/entry/decision_duty.cpp
+++ b/src/entry/decision_duty.cpp
@@ -182,6 +182,9 @@
     sample.m_capacity_requests_sent = state.m_capacity_requests_sent;
     sample.m_pairs_apart = state.m_dispatch.m_pairs_apart;
     sample.m_ignored_runs = state.m_dispatch.m_interference.m_counters.m_ignored;
+    sample.m_documents_sent = state.m_documents_sent;
+    sample.m_document_bytes_sent = state.m_document_bytes_sent;
+    sample.m_documents_received = state.m_documents_received;
     sample.m_open_jobs = state.m_open_jobs.size();
     sample.m_live_members = membership::near_members(state.m_membership).size();
     for (ownership::shard_state const & shard : state.m_ownership.m_shards)
--- a/src/entry/telemetry_duty.cpp
+++ b/src/entry/telemetry_duty.cpp
@@ -77,6 +77,27 @@
     }
 }
 
+/// Sets the gauge \p name to the age of a copy, unless there is none.
+void set_age(telemetry::metrics & target, std::string_view name, time_point asked_at)
+{
+    if (asked_at != time_point())
+    {
+        std::chrono::duration<double> const age = runtime::read_boot_clock() - asked_at;
+        telemetry::set_gauge(target, name, age.count());
+    }
+}
+
+void record_store_usage(telemetry::metrics & target, store_usage const & usage)
+{
+    using telemetry::set_total;
+    set_total(target, "cassiahub_store_requests_total", usage.m_requests);
+    set_total(target, "cassiahub_store_failures_total", usage.m_failures);
+    set_total(target, "cassiahub_store_received_bytes_total", usage.m_received_bytes);
+    set_age(target, "cassiahub_configuration_age_seconds",
+            usage.m_configuration_asked_at);
+    set_age(target, "cassiahub_registrations_age_seconds", usage.m_upstreams_asked_at);
+}
+
 void handle(telemetry_context & context, state_sample & sample)
 {
     using telemetry::set_gauge;
@@ -113,7 +134,12 @@
     set_total(target, "cassiahub_moved_placements_total", counters.m_moved_placements);
     set_gauge(target, "cassiahub_pairs_apart", static_cast<double>(sample.m_pairs_apart));
     set_total(target, "cassiahub_interference_ignored_total", sample.m_ignored_runs);
+    set_total(target, "cassiahub_documents_sent_total", sample.m_documents_sent);
+    set_total(target, "cassiahub_document_bytes_sent_total",
+              sample.m_document_bytes_sent);
+    set_total(target, "cassiahub_documents_received_total", sample.m_documents_received);
     daemon_context & daemon = context.m_daemon;
+    record_store_usage(target, daemon.m_store_usage);
     set_total(target, "cassiahub_telemetry_dropped_total", daemon.m_telemetry_dropped);
     set_total(target, "cassiahub_peer_messages_sent_total",
               daemon.m_peer_counters.m_messages_sent);
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -103,6 +103,10 @@
     time_point m_clock_read_at{};   ///< local time at which m_clock_ms was received
 };
 
+/// A reply that takes longer than this beyond its long poll is logged. A store without
+/// trouble replies within tens of milliseconds.
+constexpr duration slow_reply = std::chrono::milliseconds(500);
+
 using rows_handler = std::function<void(store_status, store_rows)>;
 
 void push_event(registry_state & state, decision::event pushed)
@@ -121,18 +125,59 @@
     }
 }
 
-void send(registry_state & state, http::request sent, duration wait, rows_handler handler)
+std::string_view to_string(store_table table) noexcept
+{
+    switch (table)
+    {
+    case store_table::configuration:
+        return "configuration";
+    case store_table::upstreams:
+        return "upstreams";
+    case store_table::instances:
+        return "instances";
+    }
+    return "";
+}
+
+/// Counts the end of a request for \p table, and logs it when it failed or was slow.
+/// \param error of the request; empty when there is a response.
+void record_reply(registry_state & state, store_table table, duration time, duration wait,
+                  std::error_code error, store_status status,
+                  http::response const & received)
 {
+    entry::store_usage & usage = state.m_context.m_daemon.m_store_usage;
+    usage.m_received_bytes += received.m_body.size();
+    bool const failed = status != store_status::done;
+    usage.m_failures += failed ? 1 : 0;
+    if (failed || time - wait > slow_reply)
+    {
+        record(state.m_context.m_daemon,
+               decision::log_event{
+                   failed ? "store_request_failed" : "store_reply_slow",
+                   std::string(to_string(table)), error,
+                   fmt::format("elapsed_ms={} wait_ms={} status={} bytes={}",
+                               to_milliseconds(time), to_milliseconds(wait),
+                               error ? 0 : received.m_status, received.m_body.size())});
+    }
+}
+
+void send(registry_state & state, store_table table, http::request sent, duration wait,
+          rows_handler handler)
+{
+    ++state.m_context.m_daemon.m_store_usage.m_requests;
     http::send_request(
         *state.m_client, state.m_context.m_settings.m_store_address, std::move(sent),
         wait + reply_timeout,
-        [&state, handler = std::move(handler)](std::error_code error,
-                                               http::response const & received)
+        [&state, table, wait, sent_at = runtime::read_boot_clock(),
+         handler = std::move(handler)](std::error_code error,
+                                       http::response const & received)
         {
             store_rows rows;
             store_status const status =
                 error ? store_status::refused
                       : state.m_context.m_wire.m_decode_rows(received, rows);
+            record_reply(state, table, runtime::read_boot_clock() - sent_at, wait, error,
+                         status, received);
             log_reachability(state, status == store_status::done,
                              error ? error
                                    : std::error_code(store::store_errc::unavailable));
@@ -268,6 +313,17 @@
                      [&state, &table] { replicate(state, table); });
 }
 
+/// Records that the copy reflects the current read or watch.
+void record_success(registry_state & state, replicated_table & table)
+{
+    table.m_failures = 0;
+    table.m_replied_at = runtime::read_boot_clock();
+    entry::store_usage & usage = state.m_context.m_daemon.m_store_usage;
+    (table.m_table == store_table::configuration ? usage.m_configuration_asked_at
+                                                 : usage.m_upstreams_asked_at) =
+        table.m_asked_at;
+}
+
 void read_table(registry_state & state, replicated_table & table, std::string_view from)
 {
     auto on_rows = [&state, &table](store_status status, store_rows rows)
@@ -299,19 +355,17 @@
         // first page are certain to be included. The watch returns the later ones.
         table.m_version = table.m_partial_version;
         table.m_loaded = true;
-        table.m_replied_at = runtime::read_boot_clock();
-        table.m_failures = 0;
+        record_success(state, table);
         publish(state, table);
         replicate(state, table);
     };
-    send(state, state.m_context.m_wire.m_encode_read(table.m_table, from),
+    send(state, table.m_table, state.m_context.m_wire.m_encode_read(table.m_table, from),
          duration::zero(), std::move(on_rows));
 }
 
 void apply_changes(registry_state & state, replicated_table & table, store_rows rows)
 {
-    table.m_failures = 0;
-    table.m_replied_at = runtime::read_boot_clock();
+    record_success(state, table);
     table.m_version = std::max(table.m_version, rows.m_version);
     for (store_row & row : rows.m_rows)
     {
@@ -352,7 +406,7 @@
     // After a suspension or an outage the reply is needed at once.
     bool const overdue = table.m_asked_at - table.m_replied_at > watch_wait;
     duration const wait = overdue ? duration::zero() : watch_wait;
-    send(state,
+    send(state, table.m_table,
          state.m_context.m_wire.m_encode_watch(table.m_table, table.m_version, wait),
          wait, std::move(on_rows));
 }
@@ -386,7 +440,7 @@
     config::gateway_settings const & settings = state.m_context.m_settings;
     std::string const value = format_registration(
         {settings.m_domain, settings.m_peer_address, store_clock(state)});
-    send(state,
+    send(state, store_table::instances,
          state.m_context.m_wire.m_encode_write(store_table::instances,
                                                settings.m_instance, value),
          duration::zero(),
@@ -444,7 +498,8 @@
 
 void list_instances(registry_state & state)
 {
-    send(state, state.m_context.m_wire.m_encode_read(store_table::instances, {}),
+    send(state, store_table::instances,
+         state.m_context.m_wire.m_encode_read(store_table::instances, {}),
          duration::zero(),
          [&state](store_status status, store_rows const & rows)
          {
@@ -463,7 +518,7 @@
 void remove_registration(registry_state & state)
 {
     bool replied = false;
-    send(state,
+    send(state, store_table::instances,
          state.m_context.m_wire.m_encode_write(store_table::instances,
                                                state.m_context.m_settings.m_instance, {}),
          duration::zero(),
