--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -434,16 +434,17 @@
     /// \param settings further lines of the settings file.
     explicit gateway_process(std::string const & store_address,
                              std::string const & grace = "6s",
-                             std::string const & settings = {})
+                             std::string const & settings = {},
+                             std::string const & instance = "g1")
     {
         std::filesystem::create_directories(m_folder);
         std::ofstream(m_folder / "gateway.ini")
-            << fmt::format("[gateway]\ninstance = g1\ndomain = north\n"
+            << fmt::format("[gateway]\ninstance = {}\ndomain = north\n"
                            "caller_address = {}\nready_address = {}\n"
                            "metrics_address = {}\npeer_address = {}\n"
                            "peer_secret = secret-of-the-test\nstore_address = {}\n"
                            "grace = {}\n{}",
-                           m_caller_address, m_ready_address, m_metrics_address,
+                           instance, m_caller_address, m_ready_address, m_metrics_address,
                            free_address(), store_address, grace, settings);
         std::string program = std::string(CASSIAHUB_BIN_DIR) + "/cassiahub-gateway";
         std::string option = "--settings";
@@ -526,13 +527,13 @@
         return send(m_ready_address, {"GET", "/cassiahub/ready", {}, {}, {}}) == 200;
     }
 
-    /// Submits a job of one task and waits for its end. \returns the status, or 0 without
-    /// a response.
-    int run_job(std::string const & id) const
+    /// Submits a job of one task to the route of \p prefix and waits for its end.
+    /// \returns the status, or 0 without a response.
+    int run_job(std::string const & id, std::string const & prefix = "/check/") const
     {
         return send(m_caller_address,
                     {"POST",
-                     "/check/" + id,
+                     prefix + id,
                      {},
                      {{"Host", "test.example"},
                       {"Cassiahub-Deadline-Ms", "5000"},
