Let a reply of the store take as long as its parts keep arriving

Callers got 404 for routes that had been acknowledged, and upstreams got tasks after they had said that they drain. A reply had to be complete 0.9 s after the long poll whatever its size; what had arrived by then was dropped with its connection and asked for again. On a path that needs longer for a document or a list of registrations, no attempt ever succeeds, and each one loads the path.

The asynchronous client gets a stall timeout: a response that is arriving is lost only when no part of it arrives for that time. The registry uses it for all requests to the store. A request after a failed one waits 1.8 s for its reply to begin, and a paged read goes on after the pages that have arrived.

--- a/include/cassiahub/http/async_client.hpp
+++ b/include/cassiahub/http/async_client.hpp
@@ -23,6 +23,9 @@
     /// A connection fails when sent data stays unacknowledged for longer
     /// (TCP_USER_TIMEOUT).
     duration m_user_timeout = std::chrono::seconds(2);
+    /// A response that is arriving may exceed the timeout of its request; it is lost when
+    /// nothing of it has arrived for this time. 0: it has to be complete in time.
+    duration m_stall_timeout{0};
     /// Largest response body accepted; a larger one fails with
     /// response_too_large.
     std::size_t m_max_body_bytes = 16 * 1024 * 1024;
@@ -51,7 +54,7 @@
 /// Sends \p message to \p address ("ip:port"), which is also the value of the Host
 /// header.
 /// \param timeout longest time until the response is complete, including the wait for a
-/// connection.
+/// connection; until it begins, when async_client_options::m_stall_timeout is set.
 /// \pre called on the thread that runs the loop.
 void send_request(async_client_state & client, std::string const & address,
                   request message, duration timeout, response_handler handler);
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -30,9 +30,14 @@
 /// watch times out, so this time is shorter than the time in which a new configuration
 /// must be in force.
 constexpr duration watch_wait = std::chrono::milliseconds(1000);
-/// Time allowed for a reply beyond the long-poll time. A slow store takes a few hundred
-/// milliseconds.
+/// Time allowed beyond the long-poll time until a reply begins, and while it arrives
+/// without any part of it. A slow store takes a few hundred milliseconds; how long a
+/// reply takes on its way depends on its size and on the path.
 constexpr duration reply_timeout = std::chrono::milliseconds(900);
+/// Time allowed after a request that failed, so that a path whose queues delay every
+/// reply by more than reply_timeout is usable. Shorter than the time in which an instance
+/// must be in touch after an outage.
+constexpr duration extended_reply_timeout = std::chrono::milliseconds(1800);
 /// Pause between two watches of the upstream table, whose rows change all the time. The
 /// next watch returns the changes made meanwhile; a draining upstream is detected well
 /// within 2 s.
@@ -58,8 +63,8 @@
 {
     store_table m_table = store_table::configuration;
     std::map<std::string, store_row> m_rows; ///< by key
-    std::uint64_t m_version = 0;  ///< the next watch asks for changes after this version
-    time_point m_asked_at;        ///< when the current read or watch began
+    std::uint64_t m_version = 0; ///< the next watch asks for changes after this version
+    time_point m_asked_at; ///< when the first request of the read, or the watch, was sent
     time_point m_replied_at;      ///< when the last one succeeded
     bool m_loaded = false;        ///< read in full since the store last lost its history
     std::uint32_t m_failures = 0; ///< consecutive failed requests
@@ -143,7 +148,7 @@
 /// \param error of the request; empty when there is a response.
 void record_reply(registry_state & state, store_table table, duration time, duration wait,
                   std::error_code error, store_status status,
-                  http::response const & received)
+                  http::response const & received, std::size_t row_count)
 {
     entry::store_usage & usage = state.m_context.m_daemon.m_store_usage;
     usage.m_received_bytes += received.m_body.size();
@@ -155,19 +160,21 @@
                decision::log_event{
                    failed ? "store_request_failed" : "store_reply_slow",
                    std::string(to_string(table)), error,
-                   fmt::format("elapsed_ms={} wait_ms={} status={} bytes={}",
+                   fmt::format("elapsed_ms={} wait_ms={} status={} bytes={} rows={}",
                                to_milliseconds(time), to_milliseconds(wait),
-                               error ? 0 : received.m_status, received.m_body.size())});
+                               error ? 0 : received.m_status, received.m_body.size(),
+                               row_count)});
     }
 }
 
+/// \param allowance time allowed beyond \p wait until the reply begins.
 void send(registry_state & state, store_table table, http::request sent, duration wait,
-          rows_handler handler)
+          duration allowance, rows_handler handler)
 {
     ++state.m_context.m_daemon.m_store_usage.m_requests;
     http::send_request(
         *state.m_client, state.m_context.m_settings.m_store_address, std::move(sent),
-        wait + reply_timeout,
+        wait + allowance,
         [&state, table, wait, sent_at = runtime::read_boot_clock(),
          handler = std::move(handler)](std::error_code error,
                                        http::response const & received)
@@ -177,7 +184,7 @@
                 error ? store_status::refused
                       : state.m_context.m_wire.m_decode_rows(received, rows);
             record_reply(state, table, runtime::read_boot_clock() - sent_at, wait, error,
-                         status, received);
+                         status, received, rows.m_rows.size());
             log_reachability(state, status == store_status::done,
                              error ? error
                                    : std::error_code(store::store_errc::unavailable));
@@ -324,6 +331,18 @@
         table.m_asked_at;
 }
 
+duration reply_allowance(replicated_table const & table) noexcept
+{
+    return table.m_failures == 0 ? reply_timeout : extended_reply_timeout;
+}
+
+/// \returns the first key after \p key in byte order, as long as keys contain no space or
+/// control character.
+std::string next_key(std::string const & key)
+{
+    return key + '!';
+}
+
 void read_table(registry_state & state, replicated_table & table, std::string_view from)
 {
     auto on_rows = [&state, &table](store_status status, store_rows rows)
@@ -345,9 +364,7 @@
         }
         if (rows.m_more && !rows.m_rows.empty())
         {
-            // Continues after the last key: with '!' appended it is the next possible key
-            // in byte order, as long as keys contain no space or control character.
-            read_table(state, table, last_key + '!');
+            read_table(state, table, next_key(last_key));
             return;
         }
         table.m_rows = std::exchange(table.m_partial_rows, {});
@@ -360,7 +377,7 @@
         replicate(state, table);
     };
     send(state, table.m_table, state.m_context.m_wire.m_encode_read(table.m_table, from),
-         duration::zero(), std::move(on_rows));
+         duration::zero(), reply_allowance(table), std::move(on_rows));
 }
 
 void apply_changes(registry_state & state, replicated_table & table, store_rows rows)
@@ -408,21 +425,25 @@
     duration const wait = overdue ? duration::zero() : watch_wait;
     send(state, table.m_table,
          state.m_context.m_wire.m_encode_watch(table.m_table, table.m_version, wait),
-         wait, std::move(on_rows));
+         wait, reply_allowance(table), std::move(on_rows));
 }
 
 void replicate(registry_state & state, replicated_table & table)
 {
-    table.m_asked_at = runtime::read_boot_clock();
-    if (table.m_loaded)
+    if (table.m_partial_rows.empty())
     {
-        watch_table(state, table);
+        table.m_asked_at = runtime::read_boot_clock();
     }
-    else
+    if (table.m_loaded)
     {
-        table.m_partial_rows.clear();
-        read_table(state, table, {});
+        watch_table(state, table);
+        return;
     }
+    // A read that has failed goes on after the pages that have arrived. If the store has
+    // lost the history since the first one, the watch tells and the read begins anew.
+    auto const last = table.m_partial_rows.rbegin();
+    read_table(state, table,
+               last == table.m_partial_rows.rend() ? "" : next_key(last->first));
 }
 
 /// \returns the current store clock in ms, extrapolated from its last reply, or 0 before
@@ -443,7 +464,7 @@
     send(state, store_table::instances,
          state.m_context.m_wire.m_encode_write(store_table::instances,
                                                settings.m_instance, value),
-         duration::zero(),
+         duration::zero(), reply_timeout,
          [&state](store_status status, store_rows const &)
          {
              bool const done = status == store_status::done;
@@ -500,7 +521,7 @@
 {
     send(state, store_table::instances,
          state.m_context.m_wire.m_encode_read(store_table::instances, {}),
-         duration::zero(),
+         duration::zero(), reply_timeout,
          [&state](store_status status, store_rows const & rows)
          {
              if (status == store_status::done)
@@ -521,7 +542,7 @@
     send(state, store_table::instances,
          state.m_context.m_wire.m_encode_write(store_table::instances,
                                                state.m_context.m_settings.m_instance, {}),
-         duration::zero(),
+         duration::zero(), reply_timeout,
          [&replied](store_status, store_rows const &) { replied = true; });
     state.m_loop.restart();
     auto const limit = std::chrono::steady_clock::now() +
@@ -541,7 +562,8 @@
     registry_state state{context, stop};
     http::async_client_options options;
     options.m_connections = store_connections;
-    options.m_connect_timeout = reply_timeout;
+    options.m_connect_timeout = extended_reply_timeout;
+    options.m_stall_timeout = reply_timeout;
     options.m_max_body_bytes = max_reply_bytes;
     state.m_client = http::make_async_client(state.m_loop, options);
     state.m_upstreams.m_table = store_table::upstreams;
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -55,6 +55,8 @@
     std::optional<response_parser> m_parser;
     std::optional<client_request> m_request; ///< waiting for its response
     beast_request m_message; ///< kept here, since m_request can end before its write
+    /// When a part of the response last arrived; only with a stall timeout.
+    std::chrono::steady_clock::time_point m_progress_at{};
     bool m_writing = false;
     bool m_write_started = false; ///< the server may have received the request
     bool m_too_large = false;     ///< the response exceeds a limit
@@ -202,6 +204,26 @@
     }
 }
 
+/// Finishes the response if it is complete, or reads its next part.
+void receive_body(client_pointer const & client, connection_pointer const & connection)
+{
+    connection->m_progress_at = std::chrono::steady_clock::now();
+    if (connection->m_parser->is_done())
+    {
+        finish_response(client, connection);
+        return;
+    }
+    beast::http::async_read_some(
+        connection->m_socket, connection->m_buffer, *connection->m_parser,
+        [client, connection](boost::system::error_code error, std::size_t)
+        {
+            if (!fail_after_read(client, connection, error))
+            {
+                receive_body(client, connection);
+            }
+        });
+}
+
 /// Reads the header before the body: with Beast 1.74 a read of both loses the error of a
 /// declared length beyond the limit when part of the body has arrived with the header.
 void receive_response(client_pointer const & client,
@@ -217,19 +239,13 @@
             {
                 return;
             }
-            beast::http::async_read(
-                connection->m_socket, connection->m_buffer, *connection->m_parser,
-                [client, connection](boost::system::error_code error, std::size_t)
-                {
-                    if (!fail_after_read(client, connection, error))
-                    {
-                        finish_response(client, connection);
-                    }
-                });
+            connection->m_parser->eager(true);
+            receive_body(client, connection);
         });
 }
 
-/// Fails the connection if its request is unfinished at \p deadline.
+/// Fails the connection if its request is unfinished at \p deadline, or at the end of the
+/// stall timeout since a part of the response arrived if that is later.
 void set_deadline(client_pointer const & client, connection_pointer const & connection,
                   std::chrono::steady_clock::time_point deadline)
 {
@@ -237,11 +253,22 @@
     connection->m_timer.async_wait(
         [client, connection](boost::system::error_code error)
         {
-            if (!error && connection->m_open && connection->m_request &&
-                connection->m_timer.expiry() <= std::chrono::steady_clock::now())
+            auto const now = std::chrono::steady_clock::now();
+            if (error || !connection->m_open || !connection->m_request ||
+                connection->m_timer.expiry() > now)
             {
-                fail_connection(client, connection);
+                return;
+            }
+            auto const stalled_at =
+                connection->m_progress_at +
+                std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                    client->m_options.m_stall_timeout);
+            if (client->m_options.m_stall_timeout > duration::zero() && stalled_at > now)
+            {
+                set_deadline(client, connection, stalled_at);
+                return;
             }
+            fail_connection(client, connection);
         });
 }
 
@@ -249,6 +276,7 @@
 {
     connection->m_write_started = true;
     connection->m_writing = true;
+    connection->m_progress_at = {};
     connection->m_message = std::move(connection->m_request->m_message);
     set_deadline(client, connection, connection->m_request->m_deadline);
     beast::http::async_write(
--- a/tests/http_async_test.cpp
+++ b/tests/http_async_test.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(request_at_its_deadline_while_written_is_lost);
     CPPUNIT_TEST(response_while_request_is_written_closes_connection);
     CPPUNIT_TEST(response_beyond_limits_fails_as_too_large);
+    CPPUNIT_TEST(response_that_arrives_beyond_its_timeout_without_stall_is_complete);
+    CPPUNIT_TEST(response_that_stalls_is_lost);
     CPPUNIT_TEST(client_that_disconnects_is_reported);
     CPPUNIT_TEST(request_of_connection_that_was_reset_is_not_served);
     CPPUNIT_TEST(body_beyond_limit_is_refused);
@@ -287,6 +289,47 @@
         }
     }
 
+    /// Sends a request with a timeout of 100 ms by a client with a stall timeout of
+    /// 200 ms, and responds with \p parts of the announced body, one every 50 ms.
+    void respond_in_parts(std::size_t announced, std::size_t parts)
+    {
+        m_server.reset();
+        asio::ip::tcp::acceptor acceptor(
+            m_loop, {asio::ip::make_address_v4("127.0.0.1"), m_port});
+        http::async_client_options options;
+        options.m_stall_timeout = 200ms;
+        m_client = http::make_async_client(m_loop, options);
+        send("x", 100ms);
+        run_for(20ms);
+        asio::ip::tcp::socket accepted = acceptor.accept();
+        asio::write(accepted, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                           std::to_string(announced) + "\r\n\r\n"));
+        for (std::size_t part = 0; part < parts; ++part)
+        {
+            run_for(50ms);
+            asio::write(accepted, asio::buffer(std::string("x")));
+        }
+        wait_for(1);
+    }
+
+    // Guards against a response of which only a part arrives before its timeout, however
+    // often it is asked for.
+    void response_that_arrives_beyond_its_timeout_without_stall_is_complete()
+    {
+        respond_in_parts(10, 10);
+        CPPUNIT_ASSERT(!m_errors[0]);
+        CPPUNIT_ASSERT_EQUAL(std::string(10, 'x'), m_responses[0].m_body);
+    }
+
+    // Guards against waiting on a connection that has gone silent within a response.
+    void response_that_stalls_is_lost()
+    {
+        auto const begin = std::chrono::steady_clock::now();
+        respond_in_parts(10, 3);
+        CPPUNIT_ASSERT(m_errors[0] == http::http_errc::response_lost);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < 2s);
+    }
+
     void client_that_disconnects_is_reported()
     {
         m_echo = false;
