Let an instance ask one peer for a newer document instead of getting one from each

Every instance sent the whole document to every near peer whose heartbeat showed an older version, after 0.3 s and again each second, however many others did the same and however long the first copy was on its way.

The instance that is behind now asks: after 1 s in which the store has not delivered the version (3 s where the store is polled, at once without contact with it), one peer at a time, the next one after 2, 4 and then 8 s or when the session ends. Heartbeats say that an instance asks; earlier software still gets documents unasked.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -116,6 +116,14 @@
     time_point m_resumed_at;   ///< end of the last suspension that may hide a change
 };
 
+/// Requests to peers for the document of a newer configuration.
+struct configuration_requests
+{
+    time_point m_next;   ///< earliest time of the next request; zero: none is newer
+    instance_id m_asked; ///< peer that was asked last
+    std::uint32_t m_doublings = 0; ///< of the time until the next request
+};
+
 /// Whole state of the decision thread; no other thread accesses it.
 struct entry_state
 {
@@ -136,7 +144,8 @@
     drain_state m_drains;
 
     std::string m_document; ///< text of the configuration in force
-    /// Earliest time of the next configuration_notice to a peer with an older version.
+    configuration_requests m_configuration_requests;
+    /// Earliest time of the next configuration_notice to a peer.
     std::map<instance_id, time_point> m_next_configuration_notice;
     std::uint64_t m_last_checked_version = 0; ///< version of the last check_document
     time_point m_last_check_at;
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -92,6 +92,9 @@
     /// Evidence of the sender about kinds that slow each other down; without pairs in
     /// most heartbeats. m_incarnation is that of the heartbeat.
     interference::summary m_interference{};
+    /// The sender asks for documents with a configuration_request and answers such
+    /// requests; earlier software gets and sends documents unasked.
+    bool m_requests_configuration = false;
 };
 
 /// Load and free capacity of the sender's upstreams of one service. Sent between
@@ -116,6 +119,13 @@
     peer_request_number m_request = 0;
 };
 
+/// Asks for the fleet configuration document when a heartbeat of the receiver has shown a
+/// newer version.
+struct configuration_request
+{
+    std::uint64_t m_version = 0; ///< that the sender has; 0: none
+};
+
 /// Carries a fleet configuration document to an instance that may be unable to reach the
 /// store.
 struct configuration_notice
@@ -145,10 +155,11 @@
     std::string m_service;
 };
 
-using peer_message = std::variant<forward_request, request_answered, forward_task,
-                                  task_reported, cancel_task, heartbeat, load_report,
-                                  key_notice, key_notice_received, configuration_notice,
-                                  loss_notice, capacity_request, drained_domains_notice>;
+using peer_message =
+    std::variant<forward_request, request_answered, forward_task, task_reported,
+                 cancel_task, heartbeat, load_report, key_notice, key_notice_received,
+                 configuration_notice, loss_notice, capacity_request,
+                 drained_domains_notice, configuration_request>;
 
 } // namespace cassiahub::decision
 
--- a/include/cassiahub/membership/state.hpp
+++ b/include/cassiahub/membership/state.hpp
@@ -93,6 +93,7 @@
     bool m_selected = false; ///< the sender has selected this instance as its partner
     /// Version of the drained domains that it knows; empty: it takes no notice of them.
     std::optional<std::uint64_t> m_drains_version;
+    bool m_requests_configuration = false; ///< it asks peers for documents
 };
 
 /// An entry instance in the platform's list.
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -295,6 +295,7 @@
     target.m_store_contact = source.getStoreContact();
     target.m_fleet_clock_ms = source.getFleetClockMs();
     target.m_selected = source.getSelected();
+    target.m_requests_configuration = source.getRequestsConfiguration();
     if (target.m_fleet_clock_ms < 0 || target.m_fleet_clock_ms > max_peer_clock_ms)
     {
         return peer_codec_errc::out_of_range;
@@ -448,6 +449,9 @@
     case protocol::Message::KEY_NOTICE_RECEIVED:
         message = decision::key_notice_received{source.getKeyNoticeReceived()};
         return {};
+    case protocol::Message::CONFIGURATION_REQUEST:
+        message = decision::configuration_request{source.getConfigurationRequest()};
+        return {};
     case protocol::Message::CONFIGURATION_NOTICE:
         return decode_alternative<decision::configuration_notice>(
             source.getConfigurationNotice(), message);
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -214,6 +214,7 @@
     }
     part.setFleetClockMs(message.m_fleet_clock_ms);
     part.setSelected(message.m_selected);
+    part.setRequestsConfiguration(message.m_requests_configuration);
     if (!message.m_interference.m_pairs.empty())
     {
         encode(message.m_interference, part.initInterference());
@@ -243,6 +244,12 @@
     target.setKeyNoticeReceived(message.m_request);
 }
 
+void encode(decision::configuration_request const & message,
+            protocol::Message::Builder target)
+{
+    target.setConfigurationRequest(message.m_version);
+}
+
 void encode(decision::configuration_notice const & message,
             protocol::Message::Builder target)
 {
--- a/src/decision/context.hpp
+++ b/src/decision/context.hpp
@@ -110,6 +110,28 @@
 /// Applies a newer configuration; any other is ignored.
 void change_configuration(step_context & context, configuration_changed & changed);
 
+// Configuration documents of other instances.
+
+/// \returns the version of the configuration in force; 0 when there is none.
+std::uint64_t configuration_version(entry_state const & state) noexcept;
+
+/// \returns true when this instance has reached the store recently.
+bool has_store_contact(entry_state const & state, time_point now);
+
+/// Compares the version in force with that of \p report, the heartbeat of \p peer. An
+/// instance that reaches the store reads a newer configuration there; only when that does
+/// not succeed does it ask peers, one at a time, so that the copies of a large document
+/// do not fill its link.
+void exchange_configuration(step_context & context, instance_id const & peer,
+                            membership::member_report const & report);
+
+/// Sends the document to \p from if it is newer than the one that \p from has.
+void receive_configuration_request(step_context & context, instance_id const & from,
+                                   configuration_request const & request);
+
+/// Lets the next peer with a newer document be asked if \p peer was asked last.
+void forget_configuration_request(entry_state & state, instance_id const & peer);
+
 /// Requests the validation of a newer document that a peer has sent.
 void receive_configuration(step_context & context, instance_id const & from,
                            configuration_notice & notice);
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -16,26 +16,10 @@
 namespace cassiahub::decision::internal
 {
 
-/// Minimum time between two configuration notices to the same peer, and between two
-/// checks of the same version.
-constexpr duration configuration_notice_period = std::chrono::seconds(1);
-/// Delay before a configuration notice to a peer that polls the store and reaches it, so
-/// that it can read the configuration itself. Together with the time of a notice it stays
-/// below the 7 s within which a change must be in force.
-constexpr duration configuration_poll_delay = std::chrono::seconds(3);
-/// As configuration_poll_delay, for a peer that the store notifies of changes.
-constexpr duration configuration_feed_delay = std::chrono::milliseconds(300);
 /// Time between two summaries of interference to the same peer. Evidence loses half of
 /// its weight in 5 min, so shorter periods add messages and no knowledge.
 constexpr duration summary_period = std::chrono::seconds(10);
 
-/// \returns the version of the configuration in force; 0 when there is none.
-std::uint64_t configuration_version(entry_state const & state) noexcept
-{
-    return state.m_dispatch.m_configuration ? state.m_dispatch.m_configuration->m_version
-                                            : 0;
-}
-
 void send(step_context & context, instance_id const & to, peer_message message)
 {
     auto const & members = context.m_state.m_membership.m_members;
@@ -85,40 +69,6 @@
     mark_requests_for_resend(context, peer);
 }
 
-/// Sends the document to a peer that has an older version. A peer that reaches the store
-/// reads the changed sections itself; it gets the whole document only if its version is
-/// still older after configuration_poll_delay or configuration_feed_delay.
-void send_configuration(step_context & context, instance_id const & peer,
-                        membership::member_report const & report)
-{
-    entry_state & state = context.m_state;
-    std::uint64_t const version = configuration_version(state);
-    if (report.m_configuration_version >= version || state.m_document.empty())
-    {
-        state.m_next_configuration_notice.erase(peer);
-        return;
-    }
-    duration const allowance = state.m_identity.m_leases_upstreams
-                                   ? configuration_feed_delay
-                                   : configuration_poll_delay;
-    duration const wait = report.m_store_contact ? allowance : duration::zero();
-    auto const next =
-        state.m_next_configuration_notice.try_emplace(peer, context.m_now + wait).first;
-    if (context.m_now < next->second)
-    {
-        return;
-    }
-    next->second = context.m_now + configuration_notice_period;
-    ++state.m_documents_sent;
-    state.m_document_bytes_sent += state.m_document.size();
-    context.m_actions.emplace_back(
-        log_event{"configuration_sent",
-                  peer.m_value,
-                  {},
-                  fmt::format("version={} bytes={}", version, state.m_document.size())});
-    send(context, peer, configuration_notice{version, state.m_document});
-}
-
 /// Updates shard ownership with the shards that a member reports to own.
 void observe_holdings(step_context & context, membership::member const & entry)
 {
@@ -156,6 +106,7 @@
     message.m_configuration_version = configuration_version(state);
     message.m_drains_version = state.m_drains.m_version;
     message.m_leaving = state.m_draining;
+    message.m_requests_configuration = true;
     message.m_store_contact = has_store_contact(state, context.m_now);
     message.m_held_upstreams = lease::held_upstreams(state.m_leasing.m_sessions);
     message.m_fleet_clock_ms = fleet_clock(state.m_leasing, context.m_now);
@@ -213,7 +164,8 @@
                                      {},
                                      std::move(message.m_held_upstreams),
                                      message.m_selected,
-                                     message.m_drains_version};
+                                     message.m_drains_version,
+                                     message.m_requests_configuration};
     for (shard_holding const & holding : message.m_holdings)
     {
         report.m_holdings.push_back({holding.m_shard, holding.m_epoch});
@@ -260,7 +212,7 @@
     }
     // Before the configuration, without which the peer starts no task.
     send_drained_domains(context, from, entry.m_report);
-    send_configuration(context, from, entry.m_report);
+    exchange_configuration(context, from, entry.m_report);
     if (effect != membership::report_effect::refreshed)
     {
         // The peer claims nothing before it knows what this instance holds.
@@ -293,6 +245,7 @@
     }
     // Results in flight may be lost, so the outcome of forwarded tasks is unknown.
     remove_peer(context, peer, "peer_disconnected");
+    forget_configuration_request(state, peer);
     if (restore)
     {
         dispatch::set_peer(state.m_dispatch, std::move(capacity));
@@ -482,36 +435,13 @@
                              changed.m_configuration->m_dispatch.m_resubmission_window);
     }
     state.m_document = std::move(changed.m_document);
+    state.m_configuration_requests = {};
     dispatch::apply_configuration(state.m_dispatch, std::move(changed.m_configuration),
                                   context.m_now);
     state.m_assignments_valid = false;
     update_assignments(context);
 }
 
-void receive_configuration(step_context & context, instance_id const & from,
-                           configuration_notice & notice)
-{
-    entry_state & state = context.m_state;
-    ++state.m_documents_received;
-    context.m_actions.emplace_back(
-        log_event{"configuration_received",
-                  from.m_value,
-                  {},
-                  fmt::format("version={} bytes={} in_force={}", notice.m_version,
-                              notice.m_document.size(), configuration_version(state))});
-    bool const recent =
-        notice.m_version <= state.m_last_checked_version &&
-        context.m_now - state.m_last_check_at < configuration_notice_period;
-    if (notice.m_version <= configuration_version(state) || recent)
-    {
-        return;
-    }
-    state.m_last_checked_version = notice.m_version;
-    state.m_last_check_at = context.m_now;
-    context.m_actions.emplace_back(
-        check_document{notice.m_version, std::move(notice.m_document)});
-}
-
 /// Ends the work for instances that may have failed while this one was suspended. They
 /// have more time until they count as failed, but by then their callers have submitted
 /// the jobs again.
@@ -547,6 +477,7 @@
     {
         state.m_reported_slots.erase(failed);
         state.m_next_summary.erase(failed);
+        state.m_next_configuration_notice.erase(failed);
         remove_peer(context, failed, "peer_failed");
         schedule_upstream_assignment(context);
     }
--- a/src/decision/registrations.cpp
+++ b/src/decision/registrations.cpp
@@ -172,6 +172,7 @@
                   {}});
     state.m_leasing.m_base_configuration = std::move(changed.m_configuration);
     state.m_document = std::move(changed.m_document);
+    state.m_configuration_requests = {};
     state.m_leasing.m_services.clear();
     for (config::work_kind const & kind : state.m_leasing.m_base_configuration->m_kinds)
     {
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -172,6 +172,12 @@
     apply(context, std::move(effects));
 }
 
+void handle_message(step_context & context, instance_id const & from,
+                    configuration_request const & message)
+{
+    receive_configuration_request(context, from, message);
+}
+
 void handle_message(step_context & context, instance_id const & from,
                     configuration_notice & message)
 {
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -125,6 +125,8 @@
   drainsVersion @13 :UInt64; # of the drained domains known to the sender; 0: not known
   takesDrains @14 :Bool;     # the sender takes drainedDomainsNotice
   interference @15 :InterferenceSummary;
+  requestsConfiguration @16 :Bool;
+  # The sender asks for documents with configurationRequest and answers such requests.
 }
 
 struct KeyNotice {
@@ -172,6 +174,7 @@
     lossNotice @10 :LossNotice;
     capacityRequest @11 :Text;  # name of a service
     drainedDomainsNotice @12 :DrainedDomainsNotice;
+    configurationRequest @13 :UInt64; # version of the configuration that the sender has
   }
 }
 
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(capacity_request_service_is_preserved);
     CPPUNIT_TEST(key_notice_keys_are_preserved);
     CPPUNIT_TEST(key_notice_received_request_is_preserved);
+    CPPUNIT_TEST(configuration_request_version_is_preserved);
     CPPUNIT_TEST(configuration_notice_document_is_preserved);
     CPPUNIT_TEST(loss_notice_all_fields_are_preserved);
     CPPUNIT_TEST_SUITE_END();
@@ -174,13 +175,14 @@
                                  1234,
                                  true,
                                  17,
-                                 sample_summary()});
+                                 sample_summary(),
+                                 true});
         CPPUNIT_ASSERT(decoded.m_drains_version == 17U);
         CPPUNIT_ASSERT(decoded.m_interference == sample_summary());
         CPPUNIT_ASSERT(decoded.m_held_upstreams ==
                        (std::vector<std::string>{"up-1", "up-2"}));
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1234), decoded.m_fleet_clock_ms);
-        CPPUNIT_ASSERT(decoded.m_selected);
+        CPPUNIT_ASSERT(decoded.m_selected && decoded.m_requests_configuration);
         CPPUNIT_ASSERT(decoded.m_incarnation == 5 && decoded.m_domain == "nairobi");
         CPPUNIT_ASSERT(decoded.m_peer_address == "127.0.0.1:1" &&
                        decoded.m_sent_at == sample_time);
@@ -234,6 +236,12 @@
                              round_trip(key_notice_received{4}).m_request);
     }
 
+    void configuration_request_version_is_preserved()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5),
+                             round_trip(configuration_request{5}).m_version);
+    }
+
     void configuration_notice_document_is_preserved()
     {
         auto const decoded = round_trip(configuration_notice{3, "[dispatch]\n"});
--- a/tests/decision_configuration_test.cpp
+++ b/tests/decision_configuration_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST_SUITE(decision_configuration_test);
     CPPUNIT_TEST(instance_that_is_behind_on_slow_link_gets_few_copies);
     CPPUNIT_TEST(instance_without_store_contact_gets_document_within_a_second);
+    CPPUNIT_TEST(instance_whose_request_is_lost_asks_another_peer);
+    CPPUNIT_TEST(instance_of_earlier_software_gets_document_unasked);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int fleet_size = 12;
@@ -52,9 +54,10 @@
     random_source m_random{1};
     time_point m_now{5000s};
     time_point m_next_listing{};
-    duration m_document_time{0};   ///< for which a document is in transit
-    int m_copies = 0;              ///< documents sent to the instance that is behind
-    std::size_t m_unreachable = 0; ///< drops what it gets from there; 0: none does
+    duration m_document_time{0};     ///< for which a document is in transit
+    int m_copies = 0;                ///< documents sent to the instance that is behind
+    int m_lost_requests = 0;         ///< requests for a document still to be lost
+    bool m_earlier_software = false; ///< that of the instance that is behind
 
     static std::string name_of(std::size_t index)
     {
@@ -91,14 +94,19 @@
         bool const is_document =
             std::holds_alternative<configuration_notice>(sent.m_message);
         m_copies += is_document && to == behind ? 1 : 0;
-        bool const dropped = m_unreachable != 0 && from == behind &&
-                             to == m_unreachable &&
-                             !std::holds_alternative<heartbeat>(sent.m_message);
-        if (!dropped)
+        if (std::holds_alternative<configuration_request>(sent.m_message) &&
+            m_lost_requests > 0)
         {
-            m_in_transit.emplace(m_now + (is_document ? m_document_time : message_time),
-                                 message{name_of(from), to, std::move(sent.m_message)});
+            --m_lost_requests;
+            return;
         }
+        auto * const report = std::get_if<heartbeat>(&sent.m_message);
+        if (report != nullptr && from == behind && m_earlier_software)
+        {
+            report->m_requests_configuration = false;
+        }
+        m_in_transit.emplace(m_now + (is_document ? m_document_time : message_time),
+                             message{name_of(from), to, std::move(sent.m_message)});
     }
 
     void configure(std::size_t index, std::uint64_t version)
@@ -193,6 +201,27 @@
         run_for(1s);
         CPPUNIT_ASSERT_EQUAL(new_version, version_in_force(behind));
     }
+
+    void instance_whose_request_is_lost_asks_another_peer()
+    {
+        m_document_time = 50ms;
+        m_lost_requests = 1;
+        publish_new_version();
+        run_for(4s);
+        CPPUNIT_ASSERT_EQUAL(new_version, version_in_force(behind));
+        CPPUNIT_ASSERT_EQUAL(1, m_copies);
+    }
+
+    void instance_of_earlier_software_gets_document_unasked()
+    {
+        m_document_time = 50ms;
+        m_earlier_software = true;
+        m_lost_requests = 100;
+        run_for(1s);
+        publish_new_version();
+        run_for(1s);
+        CPPUNIT_ASSERT_EQUAL(new_version, version_in_force(behind));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(decision_configuration_test);
