Refuse an unknown route as not run while the configuration is unconfirmed

Callers got 404 for a route that the store had acknowledged more than 3 s before: a gateway whose copy of the configuration had not been renewed answered as if it were current. A route that matches nothing is now refused with unknown_kind (404) only when the store has confirmed the configuration within the last 2 s, the time in which a change must be in force; otherwise with configuration_unconfirmed (503 with Retry-After).

The test of unknown_kind gives the confirmation that a running gateway has.

--- a/include/cassiahub/core/error.hpp
+++ b/include/cassiahub/core/error.hpp
@@ -39,7 +39,9 @@
     crashes_upstreams = 26, ///< upstreams crashed under a task of the job
     /// Upstreams were lost under a task of the job, and it is not known whether they
     /// crashed.
-    crash_suspected = 27
+    crash_suspected = 27,
+    /// No route matches, but the store has not confirmed the configuration recently.
+    configuration_unconfirmed = 28
 };
 
 std::error_category const & job_category() noexcept;
--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -78,6 +78,7 @@
     lease::lease_state m_sessions;
     /// Configuration as published, without the registered upstreams.
     std::shared_ptr<config::fleet_configuration const> m_base_configuration;
+    time_point m_configuration_confirmed_at; ///< configuration_confirmed::m_asked_at
     /// Services that the kinds of work name.
     std::set<std::string, std::less<>> m_services;
     std::map<std::string, discovered_upstream, std::less<>> m_upstreams; ///< by name
--- a/include/cassiahub/decision/event.hpp
+++ b/include/cassiahub/decision/event.hpp
@@ -90,6 +90,13 @@
     std::string m_document; ///< text, to be sent to peers
 };
 
+/// The store has confirmed the configuration: nothing newer than what was announced by
+/// configuration_changed existed when the store was asked.
+struct configuration_confirmed
+{
+    time_point m_asked_at; ///< when the request was sent
+};
+
 /// The drained failure domains were read from the store. Sent for every change of the
 /// operator's table and, as a confirmation, for every other reply about it.
 struct domains_drained
@@ -144,11 +151,12 @@
 {
 };
 
-using event = std::variant<caller_request, routed_request, caller_disconnected,
-                           attempt_finished, peer_message_received, peer_disconnected,
-                           store_reply, instances_listed, configuration_changed,
-                           domains_drained, upstreams_discovered, fleet_clock_read,
-                           upstream_replied, tick, drain_requested, drain_expired>;
+using event =
+    std::variant<caller_request, routed_request, caller_disconnected, attempt_finished,
+                 peer_message_received, peer_disconnected, store_reply, instances_listed,
+                 configuration_changed, configuration_confirmed, domains_drained,
+                 upstreams_discovered, fleet_clock_read, upstream_replied, tick,
+                 drain_requested, drain_expired>;
 
 } // namespace cassiahub::decision
 
--- a/src/codec/job_json.cpp
+++ b/src/codec/job_json.cpp
@@ -261,6 +261,7 @@
     case job_errc::no_configuration:
     case job_errc::overloaded:
     case job_errc::crash_suspected:
+    case job_errc::configuration_unconfirmed:
         return 503;
     case job_errc::deadline_exceeded:
         return 504;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -76,6 +76,8 @@
         return "crashes_upstreams";
     case job_errc::crash_suspected:
         return "crash_suspected";
+    case job_errc::configuration_unconfirmed:
+        return "configuration_unconfirmed";
     }
     return "unknown_error";
 }
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -23,6 +23,9 @@
 /// Range of tokens for one millisecond; the instance's incarnation selects one of them,
 /// so that claims of two instances in the same millisecond rarely have equal tokens.
 constexpr std::uint64_t tokens_per_millisecond = 4096;
+/// Age beyond which the copy of the configuration does not prove that there is no route:
+/// the time in which a change must be in force everywhere.
+constexpr duration max_configuration_age = std::chrono::seconds(2);
 
 /// \returns the fencing token for claims made now; 0 while the store's clock is not
 /// known.
@@ -256,9 +259,15 @@
         *state.m_leasing.m_base_configuration, request.m_host, request.m_path);
     if (route == nullptr)
     {
-        log_refusal(context, request.m_path, request.m_request_id,
-                    job_errc::unknown_kind);
-        refuse(context, caller, job_errc::unknown_kind);
+        // A copy of the configuration that is older than a change may take proves
+        // nothing.
+        bool const confirmed =
+            context.m_now - state.m_leasing.m_configuration_confirmed_at <
+            max_configuration_age;
+        job_errc const error =
+            confirmed ? job_errc::unknown_kind : job_errc::configuration_unconfirmed;
+        log_refusal(context, request.m_path, request.m_request_id, error);
+        refuse(context, caller, error);
         return;
     }
     std::string key_text = request.m_path.substr(route->m_prefix.size());
--- a/src/decision/leasing.hpp
+++ b/src/decision/leasing.hpp
@@ -15,8 +15,9 @@
 void submit_unrecorded(step_context & context, answer_route const & route,
                        job_spec & spec, time_point deadline);
 
-/// Handles a request by the configured route of its path; refuses it with unknown_kind
-/// when no route matches.
+/// Handles a request by the configured route of its path. When no route matches, refuses
+/// it with unknown_kind, or with configuration_unconfirmed if the route may be newer than
+/// the copy of the configuration.
 void handle_routed(step_context & context, routed_request & request);
 
 /// Logs the outcome and the times of a finished job.
--- a/src/decision/step.cpp
+++ b/src/decision/step.cpp
@@ -244,6 +244,12 @@
     }
 }
 
+void handle(step_context & context, configuration_confirmed const & confirmed)
+{
+    time_point & confirmed_at = context.m_state.m_leasing.m_configuration_confirmed_at;
+    confirmed_at = std::max(confirmed_at, confirmed.m_asked_at);
+}
+
 void handle(step_context & context, domains_drained & drained)
 {
     receive_drained_domains(context, drained);
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -208,6 +208,12 @@
     }
 }
 
+void confirm_configuration(registry_state & state)
+{
+    push_event(state,
+               decision::configuration_confirmed{state.m_configuration.m_asked_at});
+}
+
 /// Publishes the drained domains with the version of the last change, which every reply
 /// about the table confirms.
 void publish_drained_domains(registry_state & state)
@@ -286,6 +292,7 @@
         // Before the configuration, without which no task is started.
         publish_drained_domains(state);
         publish_configuration(state);
+        confirm_configuration(state);
     }
     else
     {
@@ -403,6 +410,7 @@
     else if (table.m_table == store_table::configuration)
     {
         publish_drained_domains(state);
+        confirm_configuration(state);
     }
 }
 
--- a/tests/decision_leasing_test.cpp
+++ b/tests/decision_leasing_test.cpp
@@ -304,6 +304,8 @@
     CPPUNIT_TEST_SUITE(leasing_job_test);
     CPPUNIT_TEST(request_without_configuration_is_refused_as_not_run);
     CPPUNIT_TEST(request_without_route_is_refused_as_unknown_kind);
+    CPPUNIT_TEST(
+        request_without_route_in_unconfirmed_configuration_is_refused_as_not_run);
     CPPUNIT_TEST(request_without_key_of_one_segment_is_refused_as_malformed);
     CPPUNIT_TEST(request_without_upstreams_is_refused_as_not_run);
     CPPUNIT_TEST(job_completes_when_its_run_has_succeeded);
@@ -324,9 +326,21 @@
     void request_without_route_is_refused_as_unknown_kind()
     {
         start_without_peers();
+        handle(configuration_confirmed{m_now});
         CPPUNIT_ASSERT(answer_to(submit("/other/1"))->m_error == job_errc::unknown_kind);
     }
 
+    // Guards against a route that has been acknowledged and is said not to exist by an
+    // instance that has not read it.
+    void request_without_route_in_unconfirmed_configuration_is_refused_as_not_run()
+    {
+        start_without_peers();
+        handle(configuration_confirmed{m_now - 2s});
+        auto const answer = answer_to(submit("/other/1"));
+        CPPUNIT_ASSERT(answer && answer->m_error == job_errc::configuration_unconfirmed);
+        CPPUNIT_ASSERT(answer->m_ran == run_state::no);
+    }
+
     // Guards against a key with which a forwarded task makes the peer end the session.
     void request_without_key_of_one_segment_is_refused_as_malformed()
     {
