Tell the holder of an upstream that the upstream drains

Heartbeats now name the upstreams of the receiver that drain by the registrations which the sender has read, with their incarnation.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -72,6 +72,13 @@
     time_point m_retry_at; ///< earliest time to send it again
 };
 
+/// Word of a peer that an upstream drains.
+struct told_drain
+{
+    std::uint64_t m_incarnation = 0; ///< of the upstream
+    time_point m_until;              ///< when it counts no longer unless it is repeated
+};
+
 /// Leases on upstreams that register themselves (entry_identity::m_leases_upstreams).
 struct leasing_state
 {
@@ -82,6 +89,8 @@
     /// Services that the kinds of work name.
     std::set<std::string, std::less<>> m_services;
     std::map<std::string, discovered_upstream, std::less<>> m_upstreams; ///< by name
+    /// Upstreams that drain by the registrations that peers have read, by name.
+    std::map<std::string, told_drain, std::less<>> m_told_drains;
     /// Upstreams whose registration is gone, with the time at which that was seen.
     std::map<std::string, time_point, std::less<>> m_unregistered_since;
     std::vector<std::string> m_owned; ///< upstreams assigned to this instance, sorted
--- a/include/cassiahub/decision/peer_message.hpp
+++ b/include/cassiahub/decision/peer_message.hpp
@@ -95,6 +95,8 @@
     /// The sender asks for documents with a configuration_request and answers such
     /// requests; earlier software gets and sends documents unasked.
     bool m_requests_configuration = false;
+    /// Upstreams held by the receiver that drain by their registrations.
+    std::vector<dispatch::upstream_identity> m_draining_upstreams{};
 };
 
 /// Load and free capacity of the sender's upstreams of one service. Sent between
--- a/src/codec/peer_decode.cpp
+++ b/src/codec/peer_decode.cpp
@@ -310,11 +310,13 @@
     }
     target.m_peer_address = to_string(source.getPeerAddress());
     auto const held = source.getHeldUpstreams();
+    auto const draining = source.getDrainingUpstreams();
     std::error_code error =
         first_error({decode_name(source.getDomain(), false, target.m_domain),
                      decode_time(source.getSentAtNs(), target.m_sent_at),
                      check_count(holdings.size(), max_listed_items),
                      check_count(held.size(), max_listed_items),
+                     check_count(draining.size(), max_listed_items),
                      check_count(other_loads.size(), max_listed_items)});
     if (!error && source.hasLoad())
     {
@@ -333,6 +335,13 @@
     {
         error = decode_name(held[index], false, target.m_held_upstreams.emplace_back());
     }
+    for (unsigned index = 0; !error && index < draining.size(); ++index)
+    {
+        dispatch::upstream_identity & upstream =
+            target.m_draining_upstreams.emplace_back();
+        upstream.m_incarnation = draining[index].getIncarnation();
+        error = decode_name(draining[index].getName(), false, upstream.m_name);
+    }
     if (!error && source.hasInterference())
     {
         target.m_interference.m_incarnation = target.m_incarnation;
--- a/src/codec/peer_encode.cpp
+++ b/src/codec/peer_encode.cpp
@@ -215,6 +215,13 @@
     part.setFleetClockMs(message.m_fleet_clock_ms);
     part.setSelected(message.m_selected);
     part.setRequestsConfiguration(message.m_requests_configuration);
+    auto draining =
+        part.initDrainingUpstreams(narrow_size(message.m_draining_upstreams.size()));
+    for (unsigned index = 0; index < draining.size(); ++index)
+    {
+        draining[index].setName(to_text(message.m_draining_upstreams[index].m_name));
+        draining[index].setIncarnation(message.m_draining_upstreams[index].m_incarnation);
+    }
     if (!message.m_interference.m_pairs.empty())
     {
         encode(message.m_interference, part.initInterference());
--- a/src/codec/peer_message_size.cpp
+++ b/src/codec/peer_message_size.cpp
@@ -55,7 +55,8 @@
         message.m_held_upstreams.begin(), message.m_held_upstreams.end(),
         message.m_holdings.size() * 16 + message.m_loads.size() * 64 +
             message.m_interference.m_kinds.size() * 32 +
-            message.m_interference.m_pairs.size() * 40,
+            message.m_interference.m_pairs.size() * 40 +
+            message.m_draining_upstreams.size() * 48,
         [](std::size_t sum, std::string const & name) { return sum + name.size() + 16; });
 }
 
--- a/src/decision/peers.cpp
+++ b/src/decision/peers.cpp
@@ -146,6 +146,7 @@
     {
         reported[load.m_service] = load.m_free_slots;
     }
+    message.m_draining_upstreams = find_draining_upstreams(state, to);
     add_summary(context, to, message);
     send(context, to, std::move(message));
 }
@@ -193,6 +194,7 @@
     membership::member const & entry = state.m_membership.m_members.at(from);
     lease::extend_lease_limits(state.m_leasing.m_sessions, entry.m_report.m_incarnation,
                                entry.m_alive_at);
+    receive_draining_upstreams(context, from, message.m_draining_upstreams);
     set_loads(context, from, entry, std::move(message.m_loads));
     if (!message.m_interference.m_pairs.empty())
     {
--- a/src/decision/registrations.cpp
+++ b/src/decision/registrations.cpp
@@ -47,7 +47,8 @@
     }
 }
 
-/// Applies the base configuration extended by the registered upstreams.
+} // namespace
+
 void compose_configuration(step_context & context)
 {
     entry_state & state = context.m_state;
@@ -61,15 +62,15 @@
     {
         if (is_used_service(state.m_leasing, upstream.m_definition.m_service))
         {
-            composed->m_upstreams.push_back(upstream.m_definition);
+            config::upstream & added =
+                composed->m_upstreams.emplace_back(upstream.m_definition);
+            added.m_draining = added.m_draining || is_told_to_drain(context, upstream);
         }
     }
     dispatch::apply_configuration(state.m_dispatch, std::move(composed), context.m_now);
     schedule_upstream_assignment(context);
 }
 
-} // namespace
-
 bool is_used_service(leasing_state const & leasing, std::string_view service)
 {
     return leasing.m_services.contains(service);
@@ -91,12 +92,14 @@
             auto const gone = leasing.m_upstreams.find(item.first);
             if (gone != leasing.m_upstreams.end())
             {
-                if (!gone->second.m_definition.m_draining)
+                if (!gone->second.m_definition.m_draining &&
+                    !was_told_to_drain(leasing, gone->second))
                 {
                     observe_crash(context, {item.first, gone->second.m_incarnation});
                     lease::record_departure(leasing.m_sessions, item.first, context.m_now,
                                             effects);
                 }
+                leasing.m_told_drains.erase(item.first);
                 leasing.m_upstreams.erase(gone);
             }
             context.m_actions.emplace_back(
--- a/src/peer/peer_protocol.capnp
+++ b/src/peer/peer_protocol.capnp
@@ -127,6 +127,13 @@
   interference @15 :InterferenceSummary;
   requestsConfiguration @16 :Bool;
   # The sender asks for documents with configurationRequest and answers such requests.
+  drainingUpstreams @17 :List(UpstreamIdentity);
+  # Upstreams of the receiver that drain by the registrations that the sender has read.
+}
+
+struct UpstreamIdentity {
+  name @0 :Text;
+  incarnation @1 :UInt64;
 }
 
 struct KeyNotice {
--- a/tests/codec_peer_test.cpp
+++ b/tests/codec_peer_test.cpp
@@ -176,11 +176,15 @@
                                  true,
                                  17,
                                  sample_summary(),
-                                 true});
+                                 true,
+                                 {{"up-2", 9}}});
         CPPUNIT_ASSERT(decoded.m_drains_version == 17U);
         CPPUNIT_ASSERT(decoded.m_interference == sample_summary());
         CPPUNIT_ASSERT(decoded.m_held_upstreams ==
                        (std::vector<std::string>{"up-1", "up-2"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decoded.m_draining_upstreams.size());
+        CPPUNIT_ASSERT(decoded.m_draining_upstreams[0].m_name == "up-2" &&
+                       decoded.m_draining_upstreams[0].m_incarnation == 9);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(1234), decoded.m_fleet_clock_ms);
         CPPUNIT_ASSERT(decoded.m_selected && decoded.m_requests_configuration);
         CPPUNIT_ASSERT(decoded.m_incarnation == 5 && decoded.m_domain == "nairobi");
