--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -76,7 +76,8 @@
 struct told_drain
 {
     std::uint64_t m_incarnation = 0; ///< of the upstream
-    time_point m_until;              ///< when it counts no longer unless it is repeated
+    /// When it counts no longer unless it is repeated; zero: that time has passed.
+    time_point m_until;
 };
 
 /// Leases on upstreams that register themselves (entry_identity::m_leases_upstreams).
--- a/src/decision/leasing.hpp
+++ b/src/decision/leasing.hpp
@@ -70,8 +70,8 @@
 /// \returns true while no task may be started on \p upstream by the word of a peer.
 bool is_told_to_drain(step_context const & context, discovered_upstream const & upstream);
 
-/// \returns true when a peer has said that the registered incarnation drains, however
-/// long ago.
+/// \returns true when a peer has said that the registered incarnation of \p upstream
+/// drains, however long ago: its end is then no crash.
 bool was_told_to_drain(leasing_state const & leasing,
                        discovered_upstream const & upstream);
 void receive_clock(step_context & context, std::int64_t milliseconds);
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -144,26 +144,36 @@
     return "";
 }
 
-/// Counts the end of a request for \p table, and logs it when it failed or was slow.
-/// \param error of the request; empty when there is a response.
-void record_reply(registry_state & state, store_table table, duration time, duration wait,
-                  std::error_code error, store_status status,
-                  http::response const & received, std::size_t row_count)
+/// A request to the store that has ended.
+struct ended_request
+{
+    store_table m_table = store_table::configuration;
+    duration m_time{0};      ///< from the request to its end
+    duration m_wait{0};      ///< of the long poll
+    std::error_code m_error; ///< empty when there is a response
+    store_status m_status = store_status::refused;
+    std::size_t m_rows = 0;
+};
+
+/// Counts \p request, and logs it when it failed or was slow.
+void record_end(registry_state & state, ended_request const & request,
+                http::response const & received)
 {
     entry::store_usage & usage = state.m_context.m_daemon.m_store_usage;
     usage.m_received_bytes += received.m_body.size();
-    bool const failed = status != store_status::done;
+    bool const failed = request.m_status != store_status::done;
     usage.m_failures += failed ? 1 : 0;
-    if (failed || time - wait > slow_reply)
+    if (failed || request.m_time - request.m_wait > slow_reply)
     {
         record(state.m_context.m_daemon,
                decision::log_event{
                    failed ? "store_request_failed" : "store_reply_slow",
-                   std::string(to_string(table)), error,
+                   std::string(to_string(request.m_table)), request.m_error,
                    fmt::format("elapsed_ms={} wait_ms={} status={} bytes={} rows={}",
-                               to_milliseconds(time), to_milliseconds(wait),
-                               error ? 0 : received.m_status, received.m_body.size(),
-                               row_count)});
+                               to_milliseconds(request.m_time),
+                               to_milliseconds(request.m_wait),
+                               request.m_error ? 0 : received.m_status,
+                               received.m_body.size(), request.m_rows)});
     }
 }
 
@@ -183,8 +193,10 @@
             store_status const status =
                 error ? store_status::refused
                       : state.m_context.m_wire.m_decode_rows(received, rows);
-            record_reply(state, table, runtime::read_boot_clock() - sent_at, wait, error,
-                         status, received, rows.m_rows.size());
+            record_end(state,
+                       {table, runtime::read_boot_clock() - sent_at, wait, error, status,
+                        rows.m_rows.size()},
+                       received);
             log_reachability(state, status == store_status::done,
                              error ? error
                                    : std::error_code(store::store_errc::unavailable));
@@ -333,9 +345,10 @@
     table.m_failures = 0;
     table.m_replied_at = runtime::read_boot_clock();
     entry::store_usage & usage = state.m_context.m_daemon.m_store_usage;
-    (table.m_table == store_table::configuration ? usage.m_configuration_asked_at
-                                                 : usage.m_upstreams_asked_at) =
-        table.m_asked_at;
+    auto & asked_at = table.m_table == store_table::configuration
+                          ? usage.m_configuration_asked_at
+                          : usage.m_upstreams_asked_at;
+    asked_at = table.m_asked_at;
 }
 
 duration reply_allowance(replicated_table const & table) noexcept
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -125,6 +125,17 @@
             });
     }
 
+    /// Lets a read return at most \p rows rows, and refuses every second read of a table.
+    void refuse_reads(std::size_t rows)
+    {
+        call(
+            [&]
+            {
+                m_page_rows = rows;
+                m_refuses_reads = true;
+            });
+    }
+
     /// Starts an upstream and registers it under \p id.
     void add_upstream(std::string const & id)
     {
@@ -280,6 +291,34 @@
                 {"now-ms", steady_ms()}};
     }
 
+    void serve_read(http::exchange_id exchange, std::string const & table,
+                    std::string const & from)
+    {
+        constexpr int unavailable = 503;
+
+        bool const refused = m_refuses_reads && ++m_reads[table] % 2 == 0;
+        json rows = json::array();
+        bool more = false;
+        // A key continues with '!' (%21) where the next page begins.
+        std::string const first = from.substr(0, from.find("%21"));
+        for (auto row = m_rows.lower_bound({table, first});
+             row != m_rows.end() && row->first.first == table && !more; ++row)
+        {
+            if (row->first.second != first || first.empty())
+            {
+                more = rows.size() == m_page_rows;
+                if (!more)
+                {
+                    rows.push_back(row->second);
+                }
+            }
+        }
+        json reply = rows_reply(std::move(rows));
+        reply["has-more"] = more;
+        send(m_store, exchange, refused ? unavailable : 200,
+             refused ? json::object() : reply);
+    }
+
     void serve_store(http::exchange_id exchange, http::request const & received)
     {
         if (received.m_path == "/cassiahub/rows-tx")
@@ -295,15 +334,7 @@
         std::string const table = parameter(received.m_query, "table");
         if (received.m_path == "/cassiahub/rows-get")
         {
-            json rows = json::array();
-            for (auto const & [name, row] : m_rows)
-            {
-                if (name.first == table)
-                {
-                    rows.push_back(row);
-                }
-            }
-            send(m_store, exchange, 200, rows_reply(std::move(rows)));
+            serve_read(exchange, table, parameter(received.m_query, "from"));
             return;
         }
         std::uint64_t const after = std::stoull(parameter(received.m_query, "after"));
@@ -419,6 +450,9 @@
     std::vector<json> m_changes;
     std::uint64_t m_version = 0;
     std::uint64_t m_history_from = 0; ///< first version whose changes are known
+    std::size_t m_page_rows = 500;
+    bool m_refuses_reads = false;
+    std::map<std::string, int> m_reads; ///< by table, while m_refuses_reads
     std::int64_t m_born = 1'700'000'000'000;
     std::int64_t m_run_time_ms = 50;
     std::map<std::string, upstream_state> m_upstreams;
--- a/tests/gateway_store_path_test.cpp
+++ b/tests/gateway_store_path_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST_SUITE(gateway_store_path_test);
     CPPUNIT_TEST(upstream_that_drains_gets_no_start_after_drain_bound);
     CPPUNIT_TEST(configuration_longer_on_its_way_than_a_reply_may_wait_is_in_force);
+    CPPUNIT_TEST(read_in_pages_that_fails_goes_on_after_its_last_page);
     CPPUNIT_TEST(route_that_unconfirmed_configuration_lacks_is_refused_as_not_run);
     CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +190,15 @@
         CPPUNIT_ASSERT_EQUAL(200, run_job());
     }
 
+    void read_in_pages_that_fails_goes_on_after_its_last_page()
+    {
+        m_platform.refuse_reads(2);
+        start_gateway();
+        CPPUNIT_ASSERT(wait_for(
+            [this]
+            { return m_gateway->log_lines("upstream_claimed").size() == upstreams; }));
+    }
+
     void route_that_unconfirmed_configuration_lacks_is_refused_as_not_run()
     {
         constexpr int not_found = 404;
