Name the reports of peers about draining upstreams, and the throttled relay

Told drains become drain reports with a time at which they expire; the relay of the store's tests is a throttled relay. No change of behaviour.

--- a/include/cassiahub/decision/entry_state.hpp
+++ b/include/cassiahub/decision/entry_state.hpp
@@ -72,12 +72,12 @@
     time_point m_retry_at; ///< earliest time to send it again
 };
 
-/// Word of a peer that an upstream drains.
-struct told_drain
+/// Report of a peer that an upstream is draining.
+struct drain_report
 {
     std::uint64_t m_incarnation = 0; ///< of the upstream
-    /// When it counts no longer unless it is repeated; zero: that time has passed.
-    time_point m_until;
+    /// Zero: it has expired.
+    time_point m_expires_at;
 };
 
 /// Leases on upstreams that register themselves (entry_identity::m_leases_upstreams).
@@ -91,7 +91,7 @@
     std::set<std::string, std::less<>> m_services;
     std::map<std::string, discovered_upstream, std::less<>> m_upstreams; ///< by name
     /// Upstreams that drain by the registrations that peers have read, by name.
-    std::map<std::string, told_drain, std::less<>> m_told_drains;
+    std::map<std::string, drain_report, std::less<>> m_drain_reports;
     /// Upstreams whose registration is gone, with the time at which that was seen.
     std::map<std::string, time_point, std::less<>> m_unregistered_since;
     std::vector<std::string> m_owned; ///< upstreams assigned to this instance, sorted
--- a/src/decision/told_drains.cpp
+++ b/src/decision/drain_reports.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Time for which the word of a peer counts; several heartbeats.
-constexpr duration told_drain_time = std::chrono::seconds(3);
+/// Time for which a report counts unless it is repeated; several heartbeats.
+constexpr duration report_lifetime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -51,14 +51,14 @@
             continue;
         }
         bool const is_new = !known->second.m_definition.m_draining &&
-                            !is_told_to_drain(context, known->second);
-        leasing.m_told_drains[upstream.m_name] = {upstream.m_incarnation,
-                                                  context.m_now + told_drain_time};
+                            !is_reported_draining(context, known->second);
+        leasing.m_drain_reports[upstream.m_name] = {upstream.m_incarnation,
+                                                    context.m_now + report_lifetime};
         if (is_new)
         {
             changed = true;
             context.m_actions.emplace_back(
-                log_event{"upstream_draining_told",
+                log_event{"upstream_drain_reported",
                           upstream.m_name,
                           {},
                           fmt::format("from={} incarnation={}", from.m_value,
@@ -71,15 +71,15 @@
     }
 }
 
-void expire_told_drains(step_context & context)
+void expire_drain_reports(step_context & context)
 {
     leasing_state & leasing = context.m_state.m_leasing;
     bool changed = false;
-    for (auto & [name, told] : leasing.m_told_drains)
+    for (auto & [name, report] : leasing.m_drain_reports)
     {
-        if (told.m_until != time_point() && told.m_until <= context.m_now)
+        if (report.m_expires_at != time_point() && report.m_expires_at <= context.m_now)
         {
-            told.m_until = {};
+            report.m_expires_at = {};
             auto const known = leasing.m_upstreams.find(name);
             changed = changed || (known != leasing.m_upstreams.end() &&
                                   !known->second.m_definition.m_draining);
@@ -91,21 +91,22 @@
     }
 }
 
-bool is_told_to_drain(step_context const & context, discovered_upstream const & upstream)
+bool is_reported_draining(step_context const & context,
+                          discovered_upstream const & upstream)
 {
     leasing_state const & leasing = context.m_state.m_leasing;
-    auto const told = leasing.m_told_drains.find(upstream.m_definition.m_name);
-    return told != leasing.m_told_drains.end() &&
-           told->second.m_incarnation == upstream.m_incarnation &&
-           context.m_now < told->second.m_until;
+    auto const report = leasing.m_drain_reports.find(upstream.m_definition.m_name);
+    return report != leasing.m_drain_reports.end() &&
+           report->second.m_incarnation == upstream.m_incarnation &&
+           context.m_now < report->second.m_expires_at;
 }
 
-bool was_told_to_drain(leasing_state const & leasing,
-                       discovered_upstream const & upstream)
+bool was_reported_draining(leasing_state const & leasing,
+                           discovered_upstream const & upstream)
 {
-    auto const told = leasing.m_told_drains.find(upstream.m_definition.m_name);
-    return told != leasing.m_told_drains.end() &&
-           told->second.m_incarnation == upstream.m_incarnation;
+    auto const report = leasing.m_drain_reports.find(upstream.m_definition.m_name);
+    return report != leasing.m_drain_reports.end() &&
+           report->second.m_incarnation == upstream.m_incarnation;
 }
 
 } // namespace cassiahub::decision::internal
--- a/src/decision/leasing.cpp
+++ b/src/decision/leasing.cpp
@@ -141,7 +141,7 @@
         return;
     }
     remove_unregistered_upstreams(context);
-    expire_told_drains(context);
+    expire_drain_reports(context);
     std::vector<lease::owned_upstream> const owned = select_owned_upstreams(context);
     std::vector<std::string> names;
     names.reserve(owned.size());
--- a/src/decision/leasing.hpp
+++ b/src/decision/leasing.hpp
@@ -52,28 +52,30 @@
 /// Applies the base configuration extended by the registered upstreams.
 void compose_configuration(step_context & context);
 
-// Draining upstreams that a peer has read of before this instance.
+// Draining upstreams that peers report: they may have read a registration that has not
+// reached this instance yet.
 
 /// \returns the upstreams held by \p peer that drain by the registrations that this
 /// instance has read.
 std::vector<dispatch::upstream_identity>
 find_draining_upstreams(entry_state const & state, instance_id const & peer);
 
-/// Stops starts on \p upstreams until their registrations say the same, or for a short
-/// time after \p from last said so.
+/// Stops starts on \p upstreams until their own registrations say that they drain, or
+/// until the reports expire.
 void receive_draining_upstreams(step_context & context, instance_id const & from,
                                 std::span<dispatch::upstream_identity const> upstreams);
 
-/// Ends the effect of words that were not repeated.
-void expire_told_drains(step_context & context);
+/// Ends the effect of reports that were not repeated.
+void expire_drain_reports(step_context & context);
 
-/// \returns true while no task may be started on \p upstream by the word of a peer.
-bool is_told_to_drain(step_context const & context, discovered_upstream const & upstream);
+/// \returns true while a report about the registered incarnation of \p upstream counts.
+bool is_reported_draining(step_context const & context,
+                          discovered_upstream const & upstream);
 
-/// \returns true when a peer has said that the registered incarnation of \p upstream
-/// drains, however long ago: its end is then no crash.
-bool was_told_to_drain(leasing_state const & leasing,
-                       discovered_upstream const & upstream);
+/// \returns true when the registered incarnation of \p upstream was ever reported: its
+/// end is then no crash.
+bool was_reported_draining(leasing_state const & leasing,
+                           discovered_upstream const & upstream);
 void receive_clock(step_context & context, std::int64_t milliseconds);
 void receive_reply(step_context & context, lease::upstream_reply const & reply);
 
--- a/src/decision/registrations.cpp
+++ b/src/decision/registrations.cpp
@@ -64,7 +64,8 @@
         {
             config::upstream & added =
                 composed->m_upstreams.emplace_back(upstream.m_definition);
-            added.m_draining = added.m_draining || is_told_to_drain(context, upstream);
+            added.m_draining =
+                added.m_draining || is_reported_draining(context, upstream);
         }
     }
     dispatch::apply_configuration(state.m_dispatch, std::move(composed), context.m_now);
@@ -93,13 +94,13 @@
             if (gone != leasing.m_upstreams.end())
             {
                 if (!gone->second.m_definition.m_draining &&
-                    !was_told_to_drain(leasing, gone->second))
+                    !was_reported_draining(leasing, gone->second))
                 {
                     observe_crash(context, {item.first, gone->second.m_incarnation});
                     lease::record_departure(leasing.m_sessions, item.first, context.m_now,
                                             effects);
                 }
-                leasing.m_told_drains.erase(item.first);
+                leasing.m_drain_reports.erase(item.first);
                 leasing.m_upstreams.erase(gone);
             }
             context.m_actions.emplace_back(
--- a/tests/decision_told_drain_test.cpp
+++ b/tests/decision_drain_report_test.cpp
@@ -15,14 +15,14 @@
 
 // Guards against starts on an upstream that drains while the copy of its registration is
 // old, as on a narrow path to the store.
-class decision_told_drain_test : public service_fixture
+class decision_drain_report_test : public service_fixture
 {
-    CPPUNIT_TEST_SUITE(decision_told_drain_test);
-    CPPUNIT_TEST(upstream_that_drains_by_word_of_peer_gets_no_start);
-    CPPUNIT_TEST(word_that_is_not_repeated_ends);
-    CPPUNIT_TEST(word_about_another_incarnation_is_ignored);
-    CPPUNIT_TEST(departure_of_upstream_after_word_of_peer_is_no_crash);
-    CPPUNIT_TEST(holder_of_draining_upstream_is_told);
+    CPPUNIT_TEST_SUITE(decision_drain_report_test);
+    CPPUNIT_TEST(upstream_that_peer_reports_as_draining_gets_no_start);
+    CPPUNIT_TEST(report_that_is_not_repeated_expires);
+    CPPUNIT_TEST(report_about_another_incarnation_is_ignored);
+    CPPUNIT_TEST(departure_of_reported_upstream_is_no_crash);
+    CPPUNIT_TEST(draining_upstream_is_reported_to_its_holder);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t incarnation = 1'700'000'000'000;
@@ -37,10 +37,10 @@
         return message;
     }
 
-    void tell_draining(std::string const & upstream, std::uint64_t told_incarnation)
+    void report_draining(std::string const & upstream, std::uint64_t reported_incarnation)
     {
         heartbeat message = peer_heartbeat();
-        message.m_draining_upstreams = {{upstream, told_incarnation}};
+        message.m_draining_upstreams = {{upstream, reported_incarnation}};
         handle(peer_message_received{{"peer"}, std::move(message)});
     }
 
@@ -63,31 +63,31 @@
         m_actions.clear();
     }
 
-    void upstream_that_drains_by_word_of_peer_gets_no_start()
+    void upstream_that_peer_reports_as_draining_gets_no_start()
     {
-        tell_draining("up-0", incarnation);
+        report_draining("up-0", incarnation);
         // The copy of the registrations is the old one.
         discover(0, 8);
         CPPUNIT_ASSERT(!fill_upstreams().contains("up-0"));
     }
 
-    void word_that_is_not_repeated_ends()
+    void report_that_is_not_repeated_expires()
     {
-        tell_draining("up-0", incarnation);
+        report_draining("up-0", incarnation);
         advance_time(4s);
         CPPUNIT_ASSERT(fill_upstreams().contains("up-0"));
     }
 
-    void word_about_another_incarnation_is_ignored()
+    void report_about_another_incarnation_is_ignored()
     {
-        tell_draining("up-0", incarnation - 1);
+        report_draining("up-0", incarnation - 1);
         CPPUNIT_ASSERT(fill_upstreams().contains("up-0"));
     }
 
-    void departure_of_upstream_after_word_of_peer_is_no_crash()
+    void departure_of_reported_upstream_is_no_crash()
     {
         submit("/q/", 4 * slots);
-        tell_draining("up-0", incarnation);
+        report_draining("up-0", incarnation);
         advance_time(4s);
         m_actions.clear();
         discover(1, 8);
@@ -99,10 +99,10 @@
         }
         CPPUNIT_ASSERT(!crashed);
         CPPUNIT_ASSERT(!m_state.m_leasing.m_upstreams.contains("up-0"));
-        CPPUNIT_ASSERT(m_state.m_leasing.m_told_drains.empty());
+        CPPUNIT_ASSERT(m_state.m_leasing.m_drain_reports.empty());
     }
 
-    void holder_of_draining_upstream_is_told()
+    void draining_upstream_is_reported_to_its_holder()
     {
         heartbeat message = peer_heartbeat();
         message.m_held_upstreams = {"up-0", "up-1"};
@@ -117,19 +117,20 @@
         m_actions.clear();
         handle(std::move(discovered));
         advance_time(1s);
-        std::vector<dispatch::upstream_identity> told;
+        std::vector<dispatch::upstream_identity> reported;
         for (send_peer const & sent : take_actions<send_peer>(m_actions))
         {
             if (auto const * const report = std::get_if<heartbeat>(&sent.m_message))
             {
-                told = report->m_draining_upstreams;
+                reported = report->m_draining_upstreams;
             }
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), told.size());
-        CPPUNIT_ASSERT(told[0].m_name == "up-0" && told[0].m_incarnation == incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), reported.size());
+        CPPUNIT_ASSERT(reported[0].m_name == "up-0" &&
+                       reported[0].m_incarnation == incarnation);
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(decision_told_drain_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(decision_drain_report_test);
 
 } // namespace
--- a/tests/gateway_store_path_test.cpp
+++ b/tests/gateway_store_path_test.cpp
@@ -1,7 +1,7 @@
 /// \file A gateway process that reaches the store by a narrow path.
 
 #include "gateway_fixture.hpp"
-#include "narrow_path.hpp"
+#include "throttled_relay.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -24,8 +24,8 @@
     CPPUNIT_TEST(route_that_unconfirmed_configuration_lacks_is_refused_as_not_run);
     CPPUNIT_TEST_SUITE_END();
 
-    /// The grown deployments' time between an upstream's word that it drains and its last
-    /// start.
+    /// The grown deployments' time between an upstream's draining registration and the
+    /// last start on it.
     static constexpr duration drain_bound = 3s;
     /// Time after which a change of the configuration must be in force everywhere.
     static constexpr duration configuration_bound = 2s;
@@ -37,7 +37,7 @@
     static constexpr duration heartbeat_period = 1000ms;
 
     platform_stand_in m_platform;
-    std::unique_ptr<narrow_path> m_path;
+    std::unique_ptr<throttled_relay> m_path;
     std::unique_ptr<gateway_process> m_gateway; ///< reaches the store by m_path
     std::unique_ptr<gateway_process> m_peer;    ///< reaches it directly
     std::atomic<bool> m_stopped{false};
@@ -119,8 +119,8 @@
 
     void start_gateway()
     {
-        m_path = std::make_unique<narrow_path>(m_platform.store_address(),
-                                               path_bytes_per_second);
+        m_path = std::make_unique<throttled_relay>(m_platform.store_address(),
+                                                   path_bytes_per_second);
         m_gateway = std::make_unique<gateway_process>(m_path->address());
         CPPUNIT_ASSERT(wait_for([this] { return m_gateway->is_ready(); }));
     }
--- a/tests/narrow_path.hpp
+++ b/tests/throttled_relay.hpp
@@ -1,5 +1,5 @@
-#ifndef CASSIAHUB_TESTS_NARROW_PATH_HPP
-#define CASSIAHUB_TESTS_NARROW_PATH_HPP
+#ifndef CASSIAHUB_TESTS_THROTTLED_RELAY_HPP
+#define CASSIAHUB_TESTS_THROTTLED_RELAY_HPP
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,12 +24,12 @@
 
 /// Listens on a loopback address of its own. All connections together return at most a
 /// given number of bytes a second, each in turn. Requests are passed on at once.
-class narrow_path
+class throttled_relay
 {
 public:
     /// \param target "ip:port" of the server.
     /// \pre bytes_per_second > 0
-    narrow_path(std::string const & target, std::int64_t bytes_per_second)
+    throttled_relay(std::string const & target, std::int64_t bytes_per_second)
         : m_target(
               boost::asio::ip::make_address_v4(target.substr(0, target.find(':'))),
               static_cast<std::uint16_t>(std::stoi(target.substr(target.find(':') + 1)))),
@@ -40,10 +40,10 @@
         m_thread = std::thread([this] { m_loop.run(); });
     }
 
-    narrow_path(narrow_path const &) = delete;
-    narrow_path & operator=(narrow_path const &) = delete;
+    throttled_relay(throttled_relay const &) = delete;
+    throttled_relay & operator=(throttled_relay const &) = delete;
 
-    ~narrow_path()
+    ~throttled_relay()
     {
         m_loop.stop();
         m_thread.join();
